--- /dev/null
+++ b/internal/configuration/snapshot.go
@@ -0,0 +1,52 @@
+// Package configuration keeps the operators' configuration current on a VM: it follows the platform's head key,
+// never moves back, and merges submitted changes.
+package configuration
+
+import (
+	"crypto/subtle"
+	"time"
+
+	"cornelmux/pkg/catalog"
+)
+
+// Snapshot is one revision of the configuration. It is never written after it was made.
+type Snapshot struct {
+	Revision uint64
+	Catalog  catalog.Configuration
+	// ProvenAt is when the platform or a peer last proved that Revision was the newest.
+	ProvenAt time.Time
+	keys     map[string]int
+	models   map[string]int
+}
+
+// NewSnapshot indexes a configuration.
+func NewSnapshot(revision uint64, c catalog.Configuration, provenAt time.Time) Snapshot {
+	s := Snapshot{Revision: revision, Catalog: c, ProvenAt: provenAt, keys: map[string]int{}, models: map[string]int{}}
+	for i, a := range c.Accounts {
+		s.keys[a.KeyHash] = i
+	}
+	for i, m := range c.Models {
+		s.models[m.Name] = i
+	}
+	return s
+}
+
+// AccountByKey returns the client account whose bearer key this is.
+func (s Snapshot) AccountByKey(key string) (catalog.ClientAccount, bool) {
+	hash := catalog.HashKey(key)
+	i, ok := s.keys[hash]
+	if !ok {
+		return catalog.ClientAccount{}, false
+	}
+	a := s.Catalog.Accounts[i]
+	return a, subtle.ConstantTimeCompare([]byte(hash), []byte(a.KeyHash)) == 1
+}
+
+// Model returns the named model.
+func (s Snapshot) Model(name string) (catalog.Model, bool) {
+	i, ok := s.models[name]
+	if !ok {
+		return catalog.Model{}, false
+	}
+	return s.Catalog.Models[i], true
+}
--- /dev/null
+++ b/internal/endpoint/call.go
@@ -0,0 +1,108 @@
+package endpoint
+
+import (
+	"errors"
+	"time"
+)
+
+// Errors of a call.
+var (
+	// ErrNotSent reports that no byte of the call left.
+	ErrNotSent = errors.New("not sent")
+	// ErrBroken reports that the call was sent and its answer ended early, went silent or belongs to another run.
+	ErrBroken = errors.New("answer broken")
+)
+
+// Gate is asked immediately before the first byte of a call.
+type Gate func() error
+
+// Call is one run at an endpoint, in plain form.
+type Call struct {
+	// RunID names the run, so that a resumed stream continues it.
+	RunID      string
+	Chat       bool
+	Idempotent bool
+	Model      string
+	Version    string
+	Method     string
+	Path       string
+	Type       string
+	Body       []byte
+	Priority   int
+	// Resume asks for the rest of a run from Offset; the endpoint refuses it if it doesn't know the run.
+	Resume bool
+	Offset int
+}
+
+// Head opens the answer of an endpoint.
+type Head struct {
+	Status      int
+	ContentType string
+}
+
+// Fragment is one part of an answer as it arrived, perhaps out of order or twice.
+type Fragment struct {
+	RunID  string
+	Offset int
+	Piece  Piece
+}
+
+// Piece is one part of an answer in order. Data is passed on as it is; Text is the text in it.
+type Piece struct {
+	Text string
+	Data []byte
+	// Tokens counts the whole answer's tokens; it stands in the last piece.
+	Tokens int
+	Last   bool
+}
+
+// Stream gives the fragments of an answer. Next fails with ErrBroken, or io.EOF after the last one.
+type Stream interface {
+	Head() Head
+	Next() (Fragment, error)
+	Close()
+}
+
+// Assembler puts the fragments of one run in order and drops those that came before or belong to another run.
+type Assembler struct {
+	runID   string
+	next    int
+	waiting map[int]Piece
+}
+
+// maxWaiting bounds the fragments that came ahead of their turn.
+const maxWaiting = 1024
+
+// NewAssembler makes an Assembler for the run.
+func NewAssembler(runID string) *Assembler {
+	return &Assembler{runID: runID, waiting: map[int]Piece{}}
+}
+
+// Next returns the offset of the first piece that has not arrived.
+func (a *Assembler) Next() int { return a.next }
+
+// Take returns the pieces that follow in order once f has arrived.
+func (a *Assembler) Take(f Fragment) []Piece {
+	if f.RunID != a.runID || f.Offset < a.next || len(a.waiting) >= maxWaiting {
+		return nil
+	}
+	a.waiting[f.Offset] = f.Piece
+	var ready []Piece
+	for {
+		p, ok := a.waiting[a.next]
+		if !ok {
+			return ready
+		}
+		delete(a.waiting, a.next)
+		a.next++
+		ready = append(ready, p)
+	}
+}
+
+// Outcome tells how a call ended.
+type Outcome struct {
+	Endpoint string
+	Failed   bool
+	// FirstToken is the time from send to the first piece; 0 where there was none.
+	FirstToken time.Duration
+}
--- /dev/null
+++ b/internal/filter/identify.go
@@ -0,0 +1,38 @@
+package filter
+
+import (
+	"context"
+
+	"cornelmux/pkg/result"
+)
+
+// Identify finds the client account by the bearer key and decodes the request as the account says.
+type Identify struct {
+	Configurations Configurations
+}
+
+// Handle implements Filter.
+func (f Identify) Handle(ctx context.Context, x *Exchange, next Next) error {
+	s, err := f.Configurations.Current(ctx)
+	if err != nil {
+		return result.Errorf(result.NotReady, "configuration: %v", err)
+	}
+	if s.Revision == 0 {
+		return result.Errorf(result.NotReady, "no configuration yet")
+	}
+	a, ok := s.AccountByKey(x.Credential)
+	if !ok {
+		return result.Errorf(result.BadKey, "unknown key")
+	}
+	r, err := x.Decoder.Decode(a)
+	if err != nil {
+		return err
+	}
+	x.Snapshot, x.Account, x.Request = s, a, r
+	if !r.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, r.Deadline)
+		defer cancel()
+	}
+	return next(ctx, x)
+}
--- /dev/null
+++ b/internal/settings/options.go
@@ -0,0 +1,147 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Settings are what a VM is told at its start.
+type Settings struct {
+	VM     VMSettings
+	Listen ListenSettings
+	Keys   KeySettings
+	Reach  ReachSettings
+	Limits LimitSettings
+}
+
+// VMSettings say where the VM stands.
+type VMSettings struct {
+	Name   string
+	Region string
+	Zone   string
+}
+
+// ListenSettings are the VM's own addresses, as host:port.
+type ListenSettings struct {
+	Callers string
+	Control string
+	Peers   string
+}
+
+// KeySettings are the keys themselves, read from the files that the settings name.
+type KeySettings struct {
+	Operator string
+	Fleet    string
+}
+
+// ReachSettings are the addresses of other systems, and how long they may take.
+type ReachSettings struct {
+	Platform        string
+	PlatformTimeout time.Duration
+	Rating          string
+	RatingTimeout   time.Duration
+	DialTimeout     time.Duration
+	Silence         time.Duration
+}
+
+// LimitSettings bound what a VM takes on.
+type LimitSettings struct {
+	BodyBytes      int
+	RequestTimeout time.Duration
+	StopTimeout    time.Duration
+	LeaveGrace     time.Duration
+	Freshness      time.Duration
+	SessionIdle    time.Duration
+	ClaimFor       time.Duration
+	MaxAttempts    int
+	MaxResumes     int
+}
+
+// Option describes one key of the INI file.
+type Option struct {
+	Section  string
+	Key      string
+	Unit     string
+	Default  string
+	Required bool
+	Help     string
+	set      func(string) error
+}
+
+// Options lists every key with its unit, default and help.
+func Options() []Option { return options(&Settings{}) }
+
+func options(s *Settings) []Option {
+	return []Option{
+		{Section: "vm", Key: "name", Unit: "text", Required: true, Help: "unique name of this VM", set: text(&s.VM.Name)},
+		{Section: "vm", Key: "region", Unit: "text", Required: true, Help: "region of this VM", set: text(&s.VM.Region)},
+		{Section: "vm", Key: "zone", Unit: "text", Required: true, Help: "availability zone of this VM", set: text(&s.VM.Zone)},
+		{Section: "listen", Key: "callers", Unit: "host:port", Required: true, Help: "address for callers and the balancer's health checks", set: text(&s.Listen.Callers)},
+		{Section: "listen", Key: "control", Unit: "host:port", Required: true, Help: "address for operators and other entry VMs", set: text(&s.Listen.Control)},
+		{Section: "listen", Key: "peers", Unit: "host:port", Required: true, Help: "UDP address for datagrams of other entry VMs", set: text(&s.Listen.Peers)},
+		{Section: "keys", Key: "operator_key_file", Unit: "path", Required: true, Help: "file that holds the operators' key", set: keyFile(&s.Keys.Operator)},
+		{Section: "keys", Key: "fleet_key_file", Unit: "path", Required: true, Help: "file that holds the key that entry VMs share", set: keyFile(&s.Keys.Fleet)},
+		{Section: "reach", Key: "platform", Unit: "URL", Required: true, Help: "platform's key-value service", set: text(&s.Reach.Platform)},
+		{Section: "reach", Key: "platform_timeout", Unit: "duration", Default: "2s", Help: "limit of a platform call that is no watch", set: duration(&s.Reach.PlatformTimeout)},
+		{Section: "reach", Key: "rating", Unit: "URL", Help: "rating service; empty for none", set: text(&s.Reach.Rating)},
+		{Section: "reach", Key: "rating_timeout", Unit: "duration", Default: "2s", Help: "limit of a rating", set: duration(&s.Reach.RatingTimeout)},
+		{Section: "reach", Key: "dial_timeout", Unit: "duration", Default: "1s", Help: "limit of a connection to an endpoint", set: duration(&s.Reach.DialTimeout)},
+		{Section: "reach", Key: "silence", Unit: "duration", Default: "10s", Help: "how long an endpoint's answer may stay silent", set: duration(&s.Reach.Silence)},
+		{Section: "limits", Key: "body_bytes", Unit: "bytes", Default: "4194304", Help: "largest body of a request", set: number(&s.Limits.BodyBytes)},
+		{Section: "limits", Key: "request_timeout", Unit: "duration", Default: "120s", Help: "deadline of a request", set: duration(&s.Limits.RequestTimeout)},
+		{Section: "limits", Key: "stop_timeout", Unit: "duration", Default: "150s", Help: "how long a planned stop waits for requests in flight", set: duration(&s.Limits.StopTimeout)},
+		{Section: "limits", Key: "leave_grace", Unit: "duration", Default: "1s", Help: "how long a leaving VM still answers refusals", set: duration(&s.Limits.LeaveGrace)},
+		{Section: "limits", Key: "rollout_freshness", Unit: "duration", Default: "5s", Help: "age of the configuration's proof up to which versions under roll-out take new sessions", set: duration(&s.Limits.Freshness)},
+		{Section: "limits", Key: "session_idle", Unit: "duration", Default: "30m", Help: "how long an unused session keeps its version", set: duration(&s.Limits.SessionIdle)},
+		{Section: "limits", Key: "claim_for", Unit: "duration", Default: "20s", Help: "how long a recorded request may still be sent", set: duration(&s.Limits.ClaimFor)},
+		{Section: "limits", Key: "max_attempts", Unit: "count", Default: "3", Help: "most endpoints tried for one run", set: number(&s.Limits.MaxAttempts)},
+		{Section: "limits", Key: "max_resumes", Unit: "count", Default: "2", Help: "most times a broken stream is resumed", set: number(&s.Limits.MaxResumes)},
+	}
+}
+
+func text(p *string) func(string) error {
+	return func(v string) error {
+		*p = v
+		return nil
+	}
+}
+
+func number(p *int) func(string) error {
+	return func(v string) error {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < 1 {
+			return fmt.Errorf("%q is not a whole number above 0", v)
+		}
+		*p = n
+		return nil
+	}
+}
+
+func duration(p *time.Duration) func(string) error {
+	return func(v string) error {
+		d, err := time.ParseDuration(v)
+		if err != nil || d <= 0 {
+			return fmt.Errorf("%q is not a duration above 0 such as 500ms or 2s", v)
+		}
+		*p = d
+		return nil
+	}
+}
+
+// keyFile reads the key but keeps it out of errors.
+func keyFile(p *string) func(string) error {
+	return func(path string) error {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		*p = strings.TrimSpace(string(data))
+		if *p == "" {
+			return fmt.Errorf("file %s is empty", path)
+		}
+		return nil
+	}
+}
