--- /dev/null
+++ b/cmd/cornelmux/operate.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"cornelmux/internal/wire"
+	"cornelmux/internal/wire/wireconnect"
+	"cornelmux/pkg/catalog"
+)
+
+const callTimeout = 15 * time.Second
+
+// target says which VM an operator's command talks to.
+type target struct {
+	Address string `long:"address" required:"true" description:"control address of an entry VM, as host:port"`
+	KeyFile string `long:"key-file" required:"true" description:"file that holds the operators' key"`
+}
+
+// keyTransport adds the operators' key to each call.
+type keyTransport struct{ key string }
+
+// RoundTrip implements http.RoundTripper.
+func (t keyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+t.key)
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+func (t *target) dial() (wireconnect.ControlServiceClient, error) {
+	key, err := os.ReadFile(t.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	client := &http.Client{Transport: keyTransport{strings.TrimSpace(string(key))}, Timeout: callTimeout}
+	return wireconnect.NewControlServiceClient(client, "http://"+t.Address), nil
+}
+
+// current returns the configuration in force and its revision.
+func (t *target) current(ctx context.Context) (catalog.Configuration, uint64, error) {
+	client, err := t.dial()
+	if err != nil {
+		return catalog.Configuration{}, 0, err
+	}
+	r, err := client.Configuration(ctx, &wire.ConfigurationRequest{})
+	if err != nil {
+		return catalog.Configuration{}, 0, explain(err)
+	}
+	cfg, err := catalog.Parse(r.Configuration)
+	return cfg, r.Revision, err
+}
+
+// change says who submits a change, and lets a submission be repeated under the same ID.
+type change struct {
+	Author   string `long:"author" env:"USER" default:"operator" description:"who makes the change"`
+	ChangeID string `long:"change-id" description:"ID of the change; a repeated ID is accepted once"`
+}
+
+func (c *change) submit(ctx context.Context, t *target, base uint64, ch catalog.Change) error {
+	data, err := json.Marshal(ch)
+	if err != nil {
+		return err
+	}
+	if c.ChangeID == "" {
+		c.ChangeID = fmt.Sprintf("%s-%d", c.Author, time.Now().UnixNano())
+	}
+	client, err := t.dial()
+	if err != nil {
+		return err
+	}
+	r, err := client.Submit(ctx, &wire.SubmitRequest{ChangeId: c.ChangeID, Author: c.Author, BaseRevision: base, Change: data})
+	if err != nil {
+		return fmt.Errorf("change %s: %w", c.ChangeID, explain(err))
+	}
+	fmt.Printf("change %s accepted at revision %d\n", c.ChangeID, r.Revision)
+	return nil
+}
+
+// explain keeps the message of a connect error without its code, which the result code in the message repeats.
+func explain(err error) error {
+	if e, ok := err.(*connect.Error); ok {
+		return fmt.Errorf("%s", e.Message())
+	}
+	return err
+}
+
+func readConfiguration(path string) (catalog.Configuration, error) {
+	var data []byte
+	var err error
+	if path == "-" {
+		data, err = io.ReadAll(os.Stdin)
+	} else {
+		data, err = os.ReadFile(path)
+	}
+	if err != nil {
+		return catalog.Configuration{}, err
+	}
+	return catalog.Parse(data)
+}
+
+type applyCommand struct {
+	target
+	change
+	File string `long:"file" default:"-" description:"printed configuration; - reads standard input"`
+}
+
+// Execute implements flags.Commander.
+func (c *applyCommand) Execute([]string) error {
+	ctx := context.Background()
+	want, err := readConfiguration(c.File)
+	if err != nil {
+		return err
+	}
+	have, revision, err := c.current(ctx)
+	if err != nil {
+		return err
+	}
+	return c.submit(ctx, &c.target, revision, catalog.Diff(have, want))
+}
+
+type diffCommand struct {
+	target
+	File string `long:"file" default:"-" description:"printed configuration; - reads standard input"`
+}
+
+// Execute implements flags.Commander.
+func (c *diffCommand) Execute([]string) error {
+	want, err := readConfiguration(c.File)
+	if err != nil {
+		return err
+	}
+	have, _, err := c.current(context.Background())
+	if err != nil {
+		return err
+	}
+	ch := catalog.Diff(have, want)
+	for _, name := range ch.Objects() {
+		fmt.Println(name)
+	}
+	return nil
+}
+
+type getCommand struct{ target }
+
+// Execute implements flags.Commander.
+func (c *getCommand) Execute([]string) error {
+	cfg, _, err := c.current(context.Background())
+	if err != nil {
+		return err
+	}
+	return cfg.Print(os.Stdout)
+}
+
+type statusCommand struct{ target }
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	client, err := c.dial()
+	if err != nil {
+		return err
+	}
+	r, err := client.Status(context.Background(), &wire.StatusRequest{})
+	if err != nil {
+		return explain(err)
+	}
+	fmt.Println(string(r.Status))
+	return nil
+}
+
+// versionArgs names a version.
+type versionArgs struct {
+	Model   string `long:"model" required:"true" description:"model"`
+	Version string `long:"version" required:"true" description:"version"`
+}
+
+type withdrawCommand struct {
+	target
+	change
+	versionArgs
+	Reason string `long:"reason" description:"reason for the audit trail"`
+}
+
+// Execute implements flags.Commander.
+func (c *withdrawCommand) Execute([]string) error {
+	ctx := context.Background()
+	_, revision, err := c.current(ctx)
+	if err != nil {
+		return err
+	}
+	w := catalog.Withdrawal{Model: c.Model, Version: c.Version, Reason: c.Reason}
+	return c.submit(ctx, &c.target, revision, catalog.Change{Set: catalog.Configuration{Withdrawals: []catalog.Withdrawal{w}}})
+}
+
+type reinstateCommand struct {
+	target
+	change
+	versionArgs
+}
+
+// Execute implements flags.Commander.
+func (c *reinstateCommand) Execute([]string) error {
+	ctx := context.Background()
+	_, revision, err := c.current(ctx)
+	if err != nil {
+		return err
+	}
+	return c.submit(ctx, &c.target, revision, catalog.Change{Reinstate: []string{c.Model + "/" + c.Version}})
+}
--- /dev/null
+++ b/internal/entry/control.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"cornelmux/internal/configuration"
+	"cornelmux/internal/wire"
+	"cornelmux/internal/wire/wireconnect"
+	"cornelmux/pkg/catalog"
+	"cornelmux/pkg/result"
+)
+
+// control answers operators over connect.
+type control struct {
+	wireconnect.UnimplementedControlServiceHandler
+	vm *VM
+}
+
+// Status is what a VM says of itself.
+type Status struct {
+	VM       string           `json:"vm"`
+	Region   string           `json:"region"`
+	Zone     string           `json:"zone"`
+	Revision uint64           `json:"revision"`
+	Leaving  bool             `json:"leaving"`
+	InFlight int              `json:"in_flight"`
+	Reached  []EndpointStatus `json:"endpoints"`
+}
+
+// EndpointStatus is what a VM knows of an endpoint.
+type EndpointStatus struct {
+	ID       string   `json:"id"`
+	Zone     string   `json:"zone"`
+	Versions []string `json:"versions,omitempty"`
+	Services []string `json:"services,omitempty"`
+	Leaving  bool     `json:"leaving"`
+	Suspect  bool     `json:"suspect"`
+	Queued   int      `json:"queued"`
+	Running  int      `json:"running"`
+}
+
+func (v *VM) controlHandler() http.Handler {
+	mux := http.NewServeMux()
+	path, handler := wireconnect.NewControlServiceHandler(&control{vm: v})
+	mux.Handle(path, requireKey(v.cfg.Keys.Operator, handler))
+	return mux
+}
+
+// requireKey lets only holders of the key through.
+func requireKey(key string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(bearer(r)), []byte(key)) != 1 {
+			writeError(w, result.Errorf(result.BadOperatorKey, "this port asks for a key"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Submit implements wireconnect.ControlServiceHandler.
+func (c *control) Submit(ctx context.Context, r *wire.SubmitRequest) (*wire.SubmitResponse, error) {
+	change, err := catalog.ParseChange(r.Change)
+	if err != nil {
+		return nil, connectError(result.Errorf(result.BadConfiguration, "%v", err))
+	}
+	revision, err := c.vm.configurations.Submit(ctx, configuration.Submission{
+		ChangeID: r.ChangeId, Author: r.Author, BaseRevision: r.BaseRevision, Change: change,
+	})
+	if err != nil {
+		return nil, connectError(err)
+	}
+	c.vm.log.Info("change accepted", "change_id", r.ChangeId, "author", r.Author, "revision", revision, "objects", change.Objects())
+	return &wire.SubmitResponse{Revision: revision}, nil
+}
+
+// Configuration implements wireconnect.ControlServiceHandler.
+func (c *control) Configuration(ctx context.Context, _ *wire.ConfigurationRequest) (*wire.ConfigurationResponse, error) {
+	s, err := c.vm.configurations.Current(ctx)
+	if err != nil {
+		return nil, connectError(err)
+	}
+	var b bytes.Buffer
+	if err := s.Catalog.Print(&b); err != nil {
+		return nil, connectError(err)
+	}
+	return &wire.ConfigurationResponse{Revision: s.Revision, Configuration: b.Bytes()}, nil
+}
+
+// Status implements wireconnect.ControlServiceHandler.
+func (c *control) Status(ctx context.Context, _ *wire.StatusRequest) (*wire.StatusResponse, error) {
+	s, err := c.vm.configurations.Current(ctx)
+	if err != nil {
+		return nil, connectError(err)
+	}
+	d, err := c.vm.drain.state(ctx)
+	if err != nil {
+		return nil, connectError(err)
+	}
+	list, err := c.vm.endpoints.Snapshot(ctx)
+	if err != nil {
+		return nil, connectError(err)
+	}
+	status := Status{
+		VM: c.vm.cfg.VM.Name, Region: c.vm.cfg.VM.Region, Zone: c.vm.cfg.VM.Zone,
+		Revision: s.Revision, Leaving: d.leaving, InFlight: d.inFlight,
+	}
+	for _, e := range list {
+		status.Reached = append(status.Reached, EndpointStatus{
+			ID: e.ID, Zone: e.Zone, Versions: e.Versions, Services: e.Services,
+			Leaving: e.Leaving, Suspect: e.Suspect, Queued: e.Queued, Running: e.Running,
+		})
+	}
+	data, err := json.Marshal(status)
+	if err != nil {
+		return nil, connectError(err)
+	}
+	return &wire.StatusResponse{Status: data}, nil
+}
+
+// connectError keeps the numbered code in the message, which the operators' commands print.
+func connectError(err error) error {
+	e := result.From(err)
+	code := connect.CodeInternal
+	switch e.Code {
+	case result.Conflict:
+		code = connect.CodeAborted
+	case result.BadConfiguration:
+		code = connect.CodeInvalidArgument
+	case result.PlatformDown, result.ChangeUnknown:
+		code = connect.CodeUnavailable
+	}
+	return connect.NewError(code, errors.New(e.Error()))
+}
--- /dev/null
+++ b/internal/entry/vm.go
@@ -0,0 +1,169 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"cornelmux/internal/cascade"
+	"cornelmux/internal/configuration"
+	"cornelmux/internal/endpoint"
+	"cornelmux/internal/filter"
+	"cornelmux/internal/journal"
+	"cornelmux/internal/platform"
+	"cornelmux/internal/session"
+	"cornelmux/internal/settings"
+	"cornelmux/internal/task"
+)
+
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 60 * time.Second
+	cleanupTimeout = 5 * time.Second
+)
+
+// VM is one entry VM: its controllers, its filter chain and its front ends.
+type VM struct {
+	cfg            settings.Settings
+	log            logr.Logger
+	drain          *drain
+	configurations *configuration.Controller
+	endpoints      *endpoint.Controller
+	sessions       *session.Controller
+	journal        *journal.Controller
+	chain          filter.Next
+	close          func()
+}
+
+// New wires a VM; Run starts it.
+func New(cfg settings.Settings, log logr.Logger) *VM {
+	store := platform.New(cfg.Reach.Platform, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, cfg.Reach.PlatformTimeout)
+	client := endpoint.NewClient(cfg.Reach.DialTimeout, cfg.Reach.Silence)
+	at := endpoint.Location{Region: cfg.VM.Region, Zone: cfg.VM.Zone}
+	v := &VM{
+		cfg:            cfg,
+		log:            log,
+		drain:          newDrain(),
+		configurations: configuration.New(store, log.WithName("configuration")),
+		endpoints:      endpoint.New(store, client, at, log.WithName("endpoint")),
+		sessions:       session.New(cfg.Limits.Freshness, cfg.Limits.SessionIdle),
+		close: func() {
+			client.Close()
+			store.HTTP.CloseIdleConnections()
+		},
+	}
+	v.journal = journal.New(store, journal.Options{
+		VM: cfg.VM.Name, Incarnation: uint64(time.Now().UnixNano()), ClaimFor: cfg.Limits.ClaimFor,
+	}, log.WithName("journal"))
+	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
+	v.chain = filter.Chain(
+		v.drain,
+		filter.Identify{Configurations: v.configurations},
+		filter.Authorize{},
+		filter.Deduplicate{Journal: v.journal, Cleanup: cleanupTimeout},
+		filter.Bill{Journal: v.journal},
+		filter.Cascade{Rater: rater},
+		filter.Choose{Sessions: v.sessions},
+		filter.Place{Endpoints: v.endpoints, MaxAttempts: cfg.Limits.MaxAttempts},
+		filter.Send{Configurations: v.configurations, Sender: client, MaxResumes: cfg.Limits.MaxResumes},
+	)
+	return v
+}
+
+type namedTask struct {
+	name string
+	run  func(context.Context) error
+}
+
+// Run serves until ctx ends, then stops gracefully: new requests are refused, those in flight end first.
+func (v *VM) Run(ctx context.Context) error {
+	callersListener, err := net.Listen("tcp", v.cfg.Listen.Callers)
+	if err != nil {
+		return fmt.Errorf("listen.callers: %w", err)
+	}
+	controlListener, err := net.Listen("tcp", v.cfg.Listen.Control)
+	if err != nil {
+		callersListener.Close()
+		return fmt.Errorf("listen.control: %w", err)
+	}
+	state, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer v.close()
+	tasks := []namedTask{
+		{"drain", v.drain.run},
+		{"configuration", v.configurations.Run},
+		{"endpoints", v.endpoints.Run},
+		{"sessions", v.sessions.Run},
+		{"journal", v.journal.Run},
+		{"control", serve(controlListener, v.controlHandler())},
+		{"callers", serve(callersListener, v.callersHandler())},
+	}
+	ends := make(chan task.End, len(tasks))
+	for _, t := range tasks {
+		task.Start(state, t.name, ends, t.run)
+	}
+	v.log.Info("serving", "callers", v.cfg.Listen.Callers, "control", v.cfg.Listen.Control)
+	select {
+	case end := <-ends:
+		ends <- end
+	case <-ctx.Done():
+		v.stop(state)
+	}
+	return task.Stop(cancel, ends, len(tasks))
+}
+
+// stop refuses new requests and waits for those in flight, at most for the stop timeout.
+func (v *VM) stop(ctx context.Context) {
+	v.log.Info("leaving")
+	idle := v.drain.leave(ctx)
+	grace := time.NewTimer(v.cfg.Limits.LeaveGrace)
+	defer grace.Stop()
+	limit := time.NewTimer(v.cfg.Limits.StopTimeout)
+	defer limit.Stop()
+	select {
+	case <-idle:
+		<-grace.C
+		v.log.Info("stopped", "in_flight", 0)
+	case <-limit.C:
+		state, _ := v.drain.state(ctx)
+		v.log.Info("stop timeout passed; requests are cut", "in_flight", state.inFlight)
+	}
+}
+
+func (v *VM) callersHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", health(v.drain, v.configurations))
+	mux.Handle("/", &callers{
+		chain: v.chain, bodyBytes: v.cfg.Limits.BodyBytes, timeout: v.cfg.Limits.RequestTimeout, log: v.log.WithName("callers"),
+	})
+	return mux
+}
+
+// serve returns a task that serves HTTP on the listener until its context ends, then lets requests in flight end.
+func serve(l net.Listener, h http.Handler) func(context.Context) error {
+	return func(ctx context.Context) error {
+		server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		ends := make(chan task.End, 1)
+		task.Start(ctx, "listener", ends, func(context.Context) error { return server.Serve(l) })
+		select {
+		case end := <-ends:
+			return end.Err
+		case <-ctx.Done():
+		}
+		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), cleanupTimeout)
+		defer cancel()
+		if err := server.Shutdown(stop); err != nil {
+			server.Close()
+		}
+		end := <-ends
+		if errors.Is(end.Err, http.ErrServerClosed) {
+			return nil
+		}
+		return end.Err
+	}
+}
--- /dev/null
+++ b/internal/entry/vm_test.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cornelmux/internal/standin"
+	"cornelmux/pkg/catalog"
+)
+
+const chatURL = "/v1/chat/completions"
+
+func chatBody(model, text string, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"messages":[{"role":"user","content":%q}]}`, model, stream, text)
+}
+
+func writeFile(path, text string) error { return os.WriteFile(path, []byte(text), 0o600) }
+
+func freeAddress(c *qt.C) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func TestWholePath(t *testing.T) {
+	s := newSite(t)
+	s.configure()
+	long := strings.Repeat("word ", 20)
+	rows := []struct {
+		name    string
+		call    call
+		status  int
+		version string
+		parts   []string
+	}{
+		{"plain chat", call{"POST", chatURL, "r1", "s1", chatBody("composer", "hello", false)}, 200, "composer/v1", []string{"[composer/v1] hello", "total_tokens"}},
+		{"streamed chat", call{"POST", chatURL, "r2", "s1", chatBody("composer", "hello", true)}, 200, "composer/v1", []string{" hello", "[DONE]"}},
+		{"cascade past a poor answer", call{"POST", chatURL, "r3", "s1", chatBody("draft", "hello", false)}, 200, "composer/v1", []string{"[composer/v1] hello"}},
+		{"stream that breaks is resumed", call{"POST", chatURL, "r4", "s1", chatBody("composer", long+standin.FaultBreak, false)}, 200, "composer/v1", []string{long + standin.FaultBreak}},
+		{"answer of another run is dropped and the own one resumed", call{"POST", chatURL, "r5", "s1", chatBody("composer", standin.FaultForeign, false)}, 200, "composer/v1", []string{"[composer/v1] " + standin.FaultForeign}},
+		{"model not granted", call{"POST", chatURL, "r6", "s1", chatBody("secret", "hello", false)}, 403, "", []string{`"code":2002`, `"run":"not_run"`}},
+		{"broken JSON", call{"POST", chatURL, "r7", "s1", `{"model":`}, 400, "", []string{`"code":1001`, `"run":"not_run"`}},
+		{"no such route", call{"POST", "/v2/other", "r8", "s1", "{}"}, 404, "", []string{`"code":1003`}},
+		{"service route", call{"POST", "/services/reminders/send", "r9", "", `{"a":1}`}, 200, "", []string{`"call":1`}},
+		{"same request ID again", call{"POST", "/services/reminders/send", "r9", "", `{"a":1}`}, 200, "", []string{`"call":1`}},
+		{"same request ID, other body", call{"POST", "/services/reminders/send", "r9", "", `{"a":2}`}, 422, "", []string{`"code":1004`}},
+		{"service route not listed", call{"DELETE", "/services/reminders/send", "r10", "", ""}, 403, "", []string{`"code":2004`}},
+	}
+	for _, row := range rows {
+		s.c.Run(row.name, func(c *qt.C) {
+			got := s.send(1, row.call)
+			c.Assert(got.status, qt.Equals, row.status, qt.Commentf("%s", got.body))
+			c.Assert(got.version, qt.Equals, row.version)
+			for _, part := range row.parts {
+				c.Assert(got.body, qt.Contains, part)
+			}
+		})
+	}
+}
+
+func TestWithdrawnVersionGetsNoNewWork(t *testing.T) {
+	s := newSite(t)
+	s.configure()
+	before := s.send(0, call{"POST", chatURL, "", "s1", chatBody("composer", "hello", false)})
+	s.c.Assert(before.version, qt.Equals, "composer/v1")
+	s.submit("withdraw", catalog.Change{Set: catalog.Configuration{Withdrawals: []catalog.Withdrawal{{Model: "composer", Version: "v1"}}}})
+	for vm := range s.vms {
+		after := s.send(vm, call{"POST", chatURL, "", "s1", chatBody("composer", "hello", false)})
+		s.c.Assert(after.status, qt.Equals, http.StatusOK)
+		s.c.Assert(after.version, qt.Equals, "composer/v2")
+	}
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,279 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"cornelmux/internal/endpoint"
+	"cornelmux/internal/task"
+)
+
+const (
+	engineMailbox = 1024
+	maxRuns       = 10_000
+	maxBodyBytes  = 8 << 20
+)
+
+// Engine is a stand-in of a model engine: it streams chat completions as server-sent events, resumes a run by
+// Last-Event-ID, reports its load and announces its leaving. Faults are asked for by words in the prompt.
+type Engine struct {
+	mailbox     chan engineMessage
+	incarnation uint64
+	versions    []string
+	// interval is the time between tokens.
+	interval time.Duration
+	running  int
+	leaving  bool
+	runs     map[string]*engineRun
+	order    []string
+	counts   map[string]int
+}
+
+type engineRun struct {
+	model  string
+	tokens []string
+}
+
+// Words in a prompt that ask an engine for a fault.
+const (
+	FaultBreak   = "fault:break"
+	FaultSilent  = "fault:silent"
+	FaultForeign = "fault:foreign"
+	FaultRefuse  = "fault:refuse"
+)
+
+type engineMessage interface{ handle(*Engine) }
+
+type (
+	startMessage struct {
+		id    string
+		model string
+		text  string
+		reply chan<- startReply
+	}
+	startReply struct {
+		run   *engineRun
+		known bool
+		ok    bool
+	}
+	resumeMessage struct {
+		id    string
+		reply chan<- *engineRun
+	}
+	endMessage    struct{}
+	reportMessage struct{ reply chan<- endpoint.Report }
+	leaveMessage  struct{ reply chan<- bool }
+	runsMessage   struct{ reply chan<- map[string]int }
+)
+
+// NewEngine makes an engine that has the versions, each as model/version, loaded.
+func NewEngine(versions []string, interval time.Duration) *Engine {
+	return &Engine{
+		mailbox: make(chan engineMessage, engineMailbox), incarnation: uint64(time.Now().UnixNano()),
+		versions: versions, interval: interval, runs: map[string]*engineRun{}, counts: map[string]int{},
+	}
+}
+
+// Run owns the state until ctx ends.
+func (e *Engine) Run(ctx context.Context) error {
+	for {
+		select {
+		case m := <-e.mailbox:
+			m.handle(e)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (m startMessage) handle(e *Engine) {
+	if e.leaving || !slices.Contains(e.versions, m.model) {
+		m.reply <- startReply{}
+		return
+	}
+	e.counts[m.id]++
+	e.running++
+	run := &engineRun{model: m.model, tokens: answerTokens(m.model, m.text)}
+	e.runs[m.id] = run
+	e.order = append(e.order, m.id)
+	if len(e.order) > maxRuns {
+		delete(e.runs, e.order[0])
+		e.order = e.order[1:]
+	}
+	m.reply <- startReply{run: run, ok: true}
+}
+
+func (m resumeMessage) handle(e *Engine) {
+	run := e.runs[m.id]
+	if run != nil {
+		e.running++
+	}
+	m.reply <- run
+}
+
+func (endMessage) handle(e *Engine) { e.running-- }
+
+func (m reportMessage) handle(e *Engine) {
+	m.reply <- endpoint.Report{Incarnation: e.incarnation, Running: e.running, Leaving: e.leaving, Versions: e.versions}
+}
+
+func (m leaveMessage) handle(e *Engine) {
+	e.leaving = true
+	m.reply <- true
+}
+
+func (m runsMessage) handle(e *Engine) {
+	counts := make(map[string]int, len(e.counts))
+	for k, n := range e.counts {
+		counts[k] = n
+	}
+	m.reply <- counts
+}
+
+// answerTokens makes the answer: what runs it, then the words of the prompt.
+func answerTokens(model, text string) []string {
+	tokens := []string{"[" + model + "]"}
+	for _, w := range strings.Fields(text) {
+		tokens = append(tokens, " "+w)
+	}
+	return tokens
+}
+
+// ServeHTTP serves the engine's interface.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/v1/chat/completions":
+		e.serveChat(w, r)
+	case "/load":
+		report, err := task.Ask(r.Context(), e.mailbox, func(reply chan<- endpoint.Report) engineMessage { return reportMessage{reply} })
+		writeJSON(w, report, err)
+	case "/leave":
+		left, err := task.Ask(r.Context(), e.mailbox, func(reply chan<- bool) engineMessage { return leaveMessage{reply} })
+		writeJSON(w, left, err)
+	case "/counts":
+		counts, err := task.Ask(r.Context(), e.mailbox, func(reply chan<- map[string]int) engineMessage { return runsMessage{reply} })
+		writeJSON(w, counts, err)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+type engineRequest struct {
+	Model    string `json:"model"`
+	Messages []struct {
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	var req engineRequest
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var text strings.Builder
+	for _, m := range req.Messages {
+		text.WriteString(m.Content + " ")
+	}
+	if last := r.Header.Get("Last-Event-ID"); last != "" {
+		e.serveResume(w, r, id, last)
+		return
+	}
+	if strings.Contains(text.String(), FaultRefuse) {
+		http.Error(w, "overloaded", http.StatusServiceUnavailable)
+		return
+	}
+	started, err := task.Ask(r.Context(), e.mailbox, func(reply chan<- startReply) engineMessage {
+		return startMessage{id, req.Model, text.String(), reply}
+	})
+	if err != nil || !started.ok {
+		http.Error(w, "not served here", http.StatusServiceUnavailable)
+		return
+	}
+	e.stream(w, r, id, started.run, 0, text.String())
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request, id, last string) {
+	offset, err := strconv.Atoi(last[strings.LastIndexByte(last, '#')+1:])
+	if err != nil {
+		http.Error(w, "bad Last-Event-ID", http.StatusBadRequest)
+		return
+	}
+	run, err := task.Ask(r.Context(), e.mailbox, func(reply chan<- *engineRun) engineMessage { return resumeMessage{id, reply} })
+	if err != nil || run == nil {
+		http.Error(w, "unknown run", http.StatusGone)
+		return
+	}
+	e.stream(w, r, id, run, offset+1, "")
+}
+
+// stream writes the run's events from offset; the event after the last token holds the usage.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id string, run *engineRun, offset int, text string) {
+	defer func() { e.mailbox <- endMessage{} }()
+	w.Header().Set("Content-Type", "text/event-stream")
+	if strings.Contains(text, FaultForeign) {
+		id = "another/" + id
+	}
+	flush := http.NewResponseController(w)
+	for i := offset; i <= len(run.tokens); i++ {
+		if !task.Sleep(r.Context(), e.interval) {
+			return
+		}
+		if i == len(run.tokens)/2 && strings.Contains(text, FaultBreak) {
+			panic(http.ErrAbortHandler)
+		}
+		if i == len(run.tokens)/2 && strings.Contains(text, FaultSilent) {
+			<-r.Context().Done()
+			return
+		}
+		if _, err := fmt.Fprintf(w, "id: %s#%d\ndata: %s\n\n", id, i, event(run, i)); err != nil {
+			return
+		}
+		if flush.Flush() != nil {
+			return
+		}
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n") // the router is gone if this fails
+}
+
+type chunkEvent struct {
+	Object  string        `json:"object"`
+	Model   string        `json:"model"`
+	Choices []chunkChoice `json:"choices"`
+	Usage   *chunkUsage   `json:"usage,omitempty"`
+}
+
+type chunkChoice struct {
+	Index int        `json:"index"`
+	Delta chunkDelta `json:"delta"`
+}
+
+type chunkDelta struct {
+	Content string `json:"content"`
+}
+
+type chunkUsage struct {
+	TotalTokens int `json:"total_tokens"`
+}
+
+func event(run *engineRun, i int) string {
+	c := chunkEvent{Object: "chat.completion.chunk", Model: run.model, Choices: []chunkChoice{}}
+	if i < len(run.tokens) {
+		c.Choices = append(c.Choices, chunkChoice{Delta: chunkDelta{run.tokens[i]}})
+	} else {
+		c.Usage = &chunkUsage{len(run.tokens)}
+	}
+	data, err := json.Marshal(c)
+	if err != nil {
+		return ""
+	}
+	return string(data)
+}
