--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test format lint generate build
+.PHONY: demo test format lint generate build measure
 
 TOOL = go tool -modfile=tools/go.mod
 
@@ -21,3 +21,6 @@
 generate:
 	$(TOOL) buf generate
 
+
+measure:
+	go run ./measure
--- /dev/null
+++ b/internal/peer/state.go
@@ -0,0 +1,96 @@
+// Package peer exchanges periodic state between entry VMs by datagrams. Nothing promised depends on one that arrives.
+package peer
+
+import (
+	"context"
+	"time"
+)
+
+// State is what one VM tells its peers. Every list is bounded by its sender so that a datagram stays small.
+type State struct {
+	VM          string
+	Incarnation uint64
+	Region      string
+	Zone        string
+	// ControlAddress is where the VM answers other entry VMs over connect, as host:port.
+	ControlAddress string
+	PeerAddress    string
+	Revision       uint64
+	Leaving        bool
+	Endpoints      []EndpointReport
+	Evidence       []VersionEvidence
+	Demand         []AccountDemand
+	Crashes        []CrashReport
+	Sessions       []SessionSet
+	Halts          []Halt
+}
+
+// EndpointReport is the load of an endpoint as the sender saw it Age ago.
+type EndpointReport struct {
+	Endpoint    string
+	Incarnation uint64
+	Queued      int
+	Running     int
+	Age         time.Duration
+	Leaving     bool
+	Suspect     bool
+	Versions    []string
+}
+
+// VersionEvidence counts a version's answers at the sender since the sender's start.
+type VersionEvidence struct {
+	Model    string
+	Version  string
+	Answers  uint64
+	Failures uint64
+	Rated    uint64
+	RatedBad uint64
+}
+
+// AccountDemand is the rate of requests of a client account at the sender.
+type AccountDemand struct {
+	Account           string
+	RequestsPerSecond float64
+}
+
+// CrashReport says that an endpoint crashed while it ran the request with the fingerprint.
+type CrashReport struct {
+	Fingerprint uint64
+	Endpoint    string
+}
+
+// SessionSet is a Bloom filter of the active sessions that the sender has on a version.
+type SessionSet struct {
+	Model   string
+	Version string
+	Filter  []byte
+}
+
+// Halt says that the sender halted a roll-out.
+type Halt struct {
+	Model   string
+	Version string
+	Reason  string
+}
+
+// Member is a VM that was heard of.
+type Member struct {
+	VM             string
+	Incarnation    uint64
+	Region         string
+	Zone           string
+	ControlAddress string
+	PeerAddress    string
+	Revision       uint64
+	Leaving        bool
+	HeardAt        time.Time
+}
+
+// Section is a controller's part of the state. The peers controller calls it before each send and after each receipt;
+// neither call may wait for the network.
+type Section interface {
+	// Collect adds the controller's own part to s.
+	Collect(ctx context.Context, s *State) error
+	// Receive takes in what a peer sent.
+	Receive(ctx context.Context, s State) error
+}
