--- /dev/null
+++ b/internal/audit/trail.go
@@ -0,0 +1,48 @@
+package audit
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"cornelmux/internal/platform"
+)
+
+// Store reads the platform.
+type Store interface {
+	Get(ctx context.Context, key string) (platform.Value, error)
+}
+
+// Read follows the chain back from the newest record, and returns at most limit records with a revision above after, oldest first.
+func Read(ctx context.Context, store Store, newest string, after uint64, limit int) ([]Record, error) {
+	var list []Record
+	for digest := newest; digest != "" && len(list) < limit; {
+		r, err := fetch(ctx, store, digest)
+		if err != nil {
+			return nil, err
+		}
+		if r.Revision <= after {
+			break
+		}
+		list = append(list, r)
+		digest = r.Previous
+	}
+	slices.Reverse(list)
+	return list, nil
+}
+
+func fetch(ctx context.Context, store Store, digest string) (Record, error) {
+	v, err := store.Get(ctx, Key(digest))
+	if err != nil {
+		return Record{}, err
+	}
+	if sum(v.Data) != digest {
+		return Record{}, fmt.Errorf("audit record %s is missing or was altered", digest)
+	}
+	var r Record
+	if err := json.Unmarshal(v.Data, &r); err != nil {
+		return Record{}, fmt.Errorf("audit record %s: %w", digest, err)
+	}
+	return r, nil
+}
--- a/internal/configuration/controller.go
+++ b/internal/configuration/controller.go
@@ -2,24 +2,22 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"slices"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"cornelmux/internal/peer"
 	"cornelmux/internal/platform"
 	"cornelmux/internal/task"
-	"cornelmux/pkg/catalog"
-	"cornelmux/pkg/result"
 )
 
 const (
-	mailboxSize    = 1024
-	watchWait      = 30 * time.Second
-	watchRetry     = 500 * time.Millisecond
-	submitAttempts = 8
+	mailboxSize  = 1024
+	watchWait    = 30 * time.Second
+	watchRetry   = 500 * time.Millisecond
+	memberMaxAge = 30 * time.Second
 )
 
 // Store is the part of the platform that holds the configuration.
@@ -27,73 +25,165 @@
 	Get(ctx context.Context, key string) (platform.Value, error)
 	Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Value, uint64, error)
 	CAS(ctx context.Context, key string, data []byte, version uint64) (bool, error)
+	Delete(ctx context.Context, key string, version uint64) (bool, error)
+}
+
+// Options say who the VM is, and how fresh a roll-out needs its configuration.
+type Options struct {
+	VM        string
+	Zone      string
+	Freshness time.Duration
 }
 
 // Controller owns the newest configuration that the VM knows.
 type Controller struct {
-	mailbox  chan message
-	store    Store
-	log      logr.Logger
-	snapshot Snapshot
-	head     Head
+	mailbox chan message
+	offers  chan offer
+	wake    chan struct{}
+	store   Store
+	peers   Peers
+	options Options
+	log     logr.Logger
+	held    Held
+	members map[string]member
+	subs    []chan Snapshot
+}
+
+// Held is the newest configuration that a VM knows, with the content of its parts. It is never written after it was made.
+type Held struct {
+	Head     Head
+	Snapshot Snapshot
+	// Parts is the content of each part by digest.
+	Parts map[string][]byte
+}
+
+func (h Held) blobs() []Blob {
+	list := make([]Blob, 0, len(h.Head.Parts))
+	for _, p := range h.Head.Parts {
+		list = append(list, Blob{p, h.Parts[p.Digest]})
+	}
+	return list
 }
 
-// Submission is a change that an operator sends.
-type Submission struct {
-	ChangeID     string
-	Author       string
-	BaseRevision uint64
-	Change       catalog.Change
+// member is another entry VM as its last datagram described it.
+type member struct {
+	vm       string
+	zone     string
+	address  string
+	revision uint64
+	heardAt  time.Time
 }
 
 // New makes a Controller; Run starts it.
-func New(store Store, log logr.Logger) *Controller {
-	return &Controller{mailbox: make(chan message, mailboxSize), store: store, log: log}
+func New(store Store, peers Peers, o Options, log logr.Logger) *Controller {
+	return &Controller{
+		mailbox: make(chan message, mailboxSize),
+		offers:  make(chan offer, 1),
+		wake:    make(chan struct{}, 1),
+		store:   store, peers: peers, options: o, log: log,
+		members: map[string]member{},
+	}
 }
 
 type message interface{ handle(*Controller) }
 
 type (
 	currentMessage struct{ reply chan<- Snapshot }
+	heldMessage    struct{ reply chan<- Held }
+	membersMessage struct{ reply chan<- []member }
 	learnMessage   struct {
-		head     Head
-		snapshot Snapshot
+		held  Held
+		reply chan<- struct{}
 	}
 	provenMessage struct {
-		revision uint64
-		at       time.Time
+		head Head
+		at   time.Time
 	}
+	peerMessage struct{ member member }
 )
 
-func (m currentMessage) handle(c *Controller) { m.reply <- c.snapshot }
+func (m currentMessage) handle(c *Controller) { m.reply <- c.held.Snapshot }
+
+func (m heldMessage) handle(c *Controller) { m.reply <- c.held }
+
+func (m membersMessage) handle(c *Controller) {
+	list := make([]member, 0, len(c.members))
+	for name, known := range c.members {
+		if time.Since(known.heardAt) > memberMaxAge {
+			delete(c.members, name)
+			continue
+		}
+		list = append(list, known)
+	}
+	m.reply <- list
+}
 
 // handle takes a newer revision and ignores any other: a VM moves only forward.
 func (m learnMessage) handle(c *Controller) {
-	if m.snapshot.Revision <= c.snapshot.Revision {
+	m.reply <- struct{}{}
+	if !Advances(c.held.Head, m.held.Head) {
 		return
 	}
-	c.head, c.snapshot = m.head, m.snapshot
-	c.log.Info("configuration in force", "revision", m.snapshot.Revision)
+	c.held = m.held
+	c.log.Info("configuration in force", "revision", m.held.Head.Revision)
+	for _, sub := range c.subs {
+		replace(sub, c.held.Snapshot)
+	}
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
 }
 
 func (m provenMessage) handle(c *Controller) {
-	if m.revision >= c.snapshot.Revision && m.at.After(c.snapshot.ProvenAt) {
-		c.snapshot.ProvenAt = m.at
+	proves := m.head.Revision == c.held.Head.Revision && m.head.SameContent(c.held.Head)
+	if proves && m.at.After(c.held.Snapshot.ProvenAt) {
+		c.held.Snapshot.ProvenAt = m.at
+	}
+}
+
+func (m peerMessage) handle(c *Controller) {
+	c.members[m.member.vm] = m.member
+	if m.member.revision <= c.held.Head.Revision || m.member.address == "" {
+		return
+	}
+	select {
+	case c.offers <- offer{m.member.address, m.member.revision}:
+	default:
+	}
+}
+
+// replace puts s into a channel with room for one value, in place of an older one that wasn't read.
+// Only the controller's goroutine sends.
+func replace(sub chan Snapshot, s Snapshot) {
+	select {
+	case <-sub:
+	default:
 	}
+	sub <- s
 }
 
-// Run owns the state and the watch until ctx ends.
+// Subscribe returns a channel with the newest snapshot after each change. It has to be called before Run.
+func (c *Controller) Subscribe() <-chan Snapshot {
+	sub := make(chan Snapshot, 1)
+	c.subs = append(c.subs, sub)
+	return sub
+}
+
+// Run owns the state and the tasks that learn, until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ends := make(chan task.End, 1)
+	ends := make(chan task.End, 3)
 	task.Start(ctx, "configuration watch", ends, c.watch)
+	task.Start(ctx, "configuration from peers", ends, c.learn)
+	task.Start(ctx, "configuration proof", ends, c.prove)
 	for {
 		select {
 		case m := <-c.mailbox:
 			m.handle(c)
 		case <-ctx.Done():
-			return task.Stop(cancel, ends, 1)
+			return task.Stop(cancel, ends, 3)
 		}
 	}
 }
@@ -103,6 +193,23 @@
 	return task.Ask(ctx, c.mailbox, func(reply chan<- Snapshot) message { return currentMessage{reply} })
 }
 
+// Held returns the newest configuration with its parts.
+func (c *Controller) Held(ctx context.Context) (Held, error) {
+	return task.Ask(ctx, c.mailbox, func(reply chan<- Held) message { return heldMessage{reply} })
+}
+
+// Collect implements peer.Section.
+func (c *Controller) Collect(ctx context.Context, s *peer.State) error {
+	now, err := c.Current(ctx)
+	s.Revision = now.Revision
+	return err
+}
+
+// Receive implements peer.Section.
+func (c *Controller) Receive(_ context.Context, s peer.State) error {
+	return task.Tell(c.mailbox, message(peerMessage{member{s.VM, s.Zone, s.ControlAddress, s.Revision, time.Now()}}))
+}
+
 func (c *Controller) watch(ctx context.Context) error {
 	var after uint64
 	for ctx.Err() == nil {
@@ -110,144 +217,73 @@
 		if err == nil {
 			err = c.follow(ctx, v)
 		}
-		if err != nil {
-			c.log.V(1).Info("configuration watch failed", "error", err.Error())
-			after = 0
-			if !task.Sleep(ctx, watchRetry) {
-				break
-			}
+		after = index
+		if err == nil {
 			continue
 		}
-		after = index
+		c.log.V(1).Info("configuration watch failed", "error", err.Error())
+		after = 0
+		if !task.Sleep(ctx, watchRetry/2+rand.N(watchRetry)) {
+			break
+		}
 	}
 	return nil
 }
 
-// follow learns the head v, and notes that the platform proved it to be the newest.
+// follow learns the head that the platform holds.
 func (c *Controller) follow(ctx context.Context, v platform.Value) error {
 	if v.Version == 0 {
 		return nil
 	}
-	at := time.Now()
-	var head Head
-	if err := json.Unmarshal(v.Data, &head); err != nil {
-		return fmt.Errorf("configuration head: %w", err)
-	}
-	now, err := c.Current(ctx)
-	if err != nil {
-		return err
-	}
-	if head.Revision <= now.Revision {
-		return task.Tell(c.mailbox, message(provenMessage{head.Revision, at}))
-	}
-	snapshot, err := c.fetch(ctx, head, at)
+	head, err := parseHead(v)
 	if err != nil {
 		return err
 	}
-	return task.Tell(c.mailbox, message(learnMessage{head, snapshot}))
+	return c.take(ctx, head, c.fromPlatform)
 }
 
-func (c *Controller) fetch(ctx context.Context, head Head, at time.Time) (Snapshot, error) {
-	blobs := make([]Blob, 0, len(head.Parts))
-	for _, p := range head.Parts {
-		v, err := c.store.Get(ctx, partPrefix+p.Digest)
-		if err != nil {
-			return Snapshot{}, err
-		}
-		blobs = append(blobs, Blob{p, v.Data})
-	}
-	cfg, err := Join(blobs)
+// take learns a head if it is newer, with the parts that the VM doesn't hold yet from the source.
+func (c *Controller) take(ctx context.Context, head Head, source func(context.Context, string) ([]byte, error)) error {
+	held, err := c.Held(ctx)
 	if err != nil {
-		return Snapshot{}, err
-	}
-	return NewSnapshot(head.Revision, cfg, at), nil
-}
-
-// Submit merges a change into the newest configuration and returns the revision that holds it.
-// The error is a *result.Error: Conflict, BadConfiguration, PlatformDown or ChangeUnknown.
-func (c *Controller) Submit(ctx context.Context, s Submission) (uint64, error) {
-	for range submitAttempts {
-		revision, done, err := c.trySubmit(ctx, s)
-		if done || err != nil {
-			return revision, err
-		}
-	}
-	return 0, result.Errorf(result.Conflict, "the configuration changed %d times meanwhile; submit again", submitAttempts)
-}
-
-func (c *Controller) trySubmit(ctx context.Context, s Submission) (uint64, bool, error) {
-	v, err := c.store.Get(ctx, HeadKey)
-	if err != nil {
-		return 0, false, result.Errorf(result.PlatformDown, "%v", err)
+		return err
 	}
-	var head Head
-	var cfg catalog.Configuration
-	if v.Version != 0 {
-		if err := json.Unmarshal(v.Data, &head); err != nil {
-			return 0, false, result.Errorf(result.Internal, "configuration head: %v", err)
-		}
-		old, err := c.fetch(ctx, head, time.Time{})
-		if err != nil {
-			return 0, false, result.Errorf(result.PlatformDown, "%v", err)
-		}
-		cfg = old.Catalog
+	if Contradicts(held.Head, head) {
+		c.log.Error(nil, "two configurations claim one revision; the one in force stays", "revision", head.Revision)
+		return nil
 	}
-	if i := slices.IndexFunc(head.Changes, func(n ChangeNote) bool { return n.ChangeID == s.ChangeID }); i >= 0 {
-		return head.Changes[i].Revision, true, nil
+	if !Advances(held.Head, head) {
+		return nil
 	}
-	next, blobs, err := Merge(head, cfg, s, time.Now())
+	next, err := assemble(ctx, held, head, source)
 	if err != nil {
-		return 0, false, err
+		return err
 	}
-	return c.commit(ctx, v.Version, next, blobs)
+	_, err = task.Ask(ctx, c.mailbox, func(reply chan<- struct{}) message { return learnMessage{next, reply} })
+	return err
 }
 
-func (c *Controller) commit(ctx context.Context, version uint64, next Head, blobs []Blob) (uint64, bool, error) {
-	for _, b := range blobs {
-		if _, err := c.store.CAS(ctx, partPrefix+b.Digest, b.Content, 0); err != nil {
-			return 0, false, result.Errorf(result.PlatformDown, "part %s: %v", b.Name, err)
+func assemble(ctx context.Context, held Held, head Head, source func(context.Context, string) ([]byte, error)) (Held, error) {
+	next := Held{Head: head, Parts: make(map[string][]byte, len(head.Parts))}
+	for _, p := range head.Parts {
+		content, ok := held.Parts[p.Digest]
+		if !ok {
+			var err error
+			if content, err = source(ctx, p.Digest); err != nil {
+				return next, fmt.Errorf("part %s: %w", p.Name, err)
+			}
 		}
+		next.Parts[p.Digest] = content
 	}
-	data, err := json.Marshal(next)
-	if err != nil {
-		return 0, false, result.Errorf(result.Internal, "configuration head: %v", err)
-	}
-	done, err := c.store.CAS(ctx, HeadKey, data, version)
+	cfg, err := Join(next.blobs())
 	if err != nil {
-		return 0, false, result.Errorf(result.ChangeUnknown, "%v", err)
+		return next, err
 	}
-	return next.Revision, done, nil
+	next.Snapshot = NewSnapshot(head.Revision, cfg, time.Time{})
+	return next, nil
 }
 
-// Merge makes the next head and its parts, or fails where a later change touched the same objects.
-func Merge(head Head, cfg catalog.Configuration, s Submission, now time.Time) (Head, []Blob, error) {
-	objects := s.Change.Objects()
-	for _, n := range head.Changes {
-		if n.Revision <= s.BaseRevision {
-			continue
-		}
-		for _, o := range n.Objects {
-			if slices.Contains(objects, o) {
-				return Head{}, nil, result.Errorf(result.Conflict, "change %s by %s set %s at revision %d", n.ChangeID, n.Author, o, n.Revision)
-			}
-		}
-	}
-	merged, err := s.Change.Apply(cfg)
-	if err != nil {
-		return Head{}, nil, result.Errorf(result.BadConfiguration, "%v", err)
-	}
-	blobs, err := Split(merged)
-	if err != nil {
-		return Head{}, nil, result.Errorf(result.Internal, "%v", err)
-	}
-	next := Head{Revision: head.Revision + 1}
-	for _, b := range blobs {
-		next.Parts = append(next.Parts, b.Part)
-	}
-	note := ChangeNote{ChangeID: s.ChangeID, Revision: next.Revision, Author: s.Author, UnixTime: now.Unix(), Objects: objects}
-	next.Changes = append(slices.Clone(head.Changes), note)
-	if n := len(next.Changes); n > maxKeptChanges {
-		next.Changes = next.Changes[n-maxKeptChanges:]
-	}
-	return next, blobs, nil
+func (c *Controller) fromPlatform(ctx context.Context, digest string) ([]byte, error) {
+	v, err := c.store.Get(ctx, partPrefix+digest)
+	return v.Data, err
 }
--- a/internal/configuration/head.go
+++ b/internal/configuration/head.go
@@ -5,8 +5,13 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
+	"cornelmux/internal/platform"
 	"cornelmux/pkg/catalog"
+	"cornelmux/pkg/result"
 )
 
 // Keys of the configuration in the platform.
@@ -15,7 +20,10 @@
 	partPrefix = "cornelmux/configuration/parts/"
 )
 
-const maxKeptChanges = 256
+const (
+	rulesPart    = "rules"
+	accountParts = 64
+)
 
 // Head is the value of the head key: the newest revision and the digests of its parts.
 type Head struct {
@@ -30,13 +38,19 @@
 	Digest string `json:"digest"`
 }
 
-// ChangeNote remembers an accepted change, so that a lost answer can be settled.
+// ChangeNote remembers an accepted change, so that a lost answer can be settled and a conflict can be named.
 type ChangeNote struct {
 	ChangeID string   `json:"change_id"`
 	Revision uint64   `json:"revision"`
 	Author   string   `json:"author"`
 	UnixTime int64    `json:"unix_time"`
-	Objects  []string `json:"objects"`
+	Objects  []string `json:"objects,omitempty"`
+	// Wide says that the change touched too many objects to list them.
+	Wide bool `json:"wide,omitempty"`
+	// ChangeDigest tells two changes with the same ID apart.
+	ChangeDigest string `json:"change_digest"`
+	// Record is the digest of the change's audit record.
+	Record string `json:"record,omitempty"`
 }
 
 // Blob is the content of a part.
@@ -45,20 +59,42 @@
 	Content []byte
 }
 
-// Split cuts a configuration into parts, each well under the platform's limit for a value.
+// SameContent reports whether two heads hold the same parts.
+func (h Head) SameContent(other Head) bool { return slices.Equal(h.Parts, other.Parts) }
+
+// has reports whether the head refers to the part.
+func (h Head) has(digest string) bool {
+	return slices.ContainsFunc(h.Parts, func(p Part) bool { return p.Digest == digest })
+}
+
+// lastRecord returns the digest of the newest audit record, or "".
+func (h Head) lastRecord() string {
+	if len(h.Changes) == 0 {
+		return ""
+	}
+	return h.Changes[len(h.Changes)-1].Record
+}
+
+// Split cuts a configuration into parts: the rules, and the accounts by a hash of their name,
+// so that a change of one account writes one part.
 func Split(c catalog.Configuration) ([]Blob, error) {
 	c.Sort()
-	accounts := c.Accounts
+	buckets := make([][]catalog.ClientAccount, accountParts)
+	for _, a := range c.Accounts {
+		i := xxhash.Sum64String(a.Name) % accountParts
+		buckets[i] = append(buckets[i], a)
+	}
 	c.Accounts = nil
-	rules, err := blob("rules", c)
+	rules, err := blob(rulesPart, c)
 	if err != nil {
 		return nil, err
 	}
 	blobs := []Blob{rules}
-	for i := 0; i < len(accounts); i += accountsPerPart {
-		b, err := blob(fmt.Sprintf("accounts_%d", i/accountsPerPart), catalog.Configuration{
-			Accounts: accounts[i:min(i+accountsPerPart, len(accounts))],
-		})
+	for i, accounts := range buckets {
+		if len(accounts) == 0 {
+			continue
+		}
+		b, err := blob(fmt.Sprintf("accounts_%d", i), catalog.Configuration{Accounts: accounts})
 		if err != nil {
 			return nil, err
 		}
@@ -67,33 +103,42 @@
 	return blobs, nil
 }
 
-const accountsPerPart = 1000
-
-// Join puts a configuration together from its parts.
+// Join puts a configuration together from its parts, each of which has to match its digest.
 func Join(blobs []Blob) (catalog.Configuration, error) {
 	var whole catalog.Configuration
 	for _, b := range blobs {
-		if digest(b.Content) != b.Digest {
-			return whole, fmt.Errorf("part %s: content differs from its digest", b.Name)
+		if err := b.verify(); err != nil {
+			return whole, err
 		}
-		accounts := whole.Accounts
-		if err := json.Unmarshal(b.Content, &whole); err != nil {
+		var c catalog.Configuration
+		if err := json.Unmarshal(b.Content, &c); err != nil {
 			return whole, fmt.Errorf("part %s: %w", b.Name, err)
 		}
-		if b.Name == "rules" {
-			whole.Accounts = accounts
-			continue
+		accounts := append(whole.Accounts, c.Accounts...)
+		if b.Name == rulesPart {
+			whole = c
 		}
-		whole.Accounts = append(accounts, whole.Accounts...)
+		whole.Accounts = accounts
 	}
+	whole.Sort()
 	return whole, nil
 }
 
+func (b Blob) verify() error {
+	if digest(b.Content) != b.Digest {
+		return fmt.Errorf("part %s: content differs from its digest", b.Name)
+	}
+	return nil
+}
+
 func blob(name string, c catalog.Configuration) (Blob, error) {
 	data, err := json.Marshal(c)
 	if err != nil {
 		return Blob{}, fmt.Errorf("part %s: %w", name, err)
 	}
+	if len(data) > platform.MaxValueBytes {
+		return Blob{}, result.Errorf(result.BadConfiguration, "part %s has %d bytes, over the platform's %d", name, len(data), platform.MaxValueBytes)
+	}
 	return Blob{Part{name, digest(data)}, data}, nil
 }
 
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -55,7 +55,7 @@
 		r.ID, r.Assigned = newID(), true
 	}
 	if r.Session == "" {
-		r.Session = newID()
+		r.Session, r.Transient = newID(), true
 	}
 	d.session = r.Session
 	switch {
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -16,6 +16,7 @@
 	"cornelmux/internal/filter"
 	"cornelmux/internal/journal"
 	"cornelmux/internal/platform"
+	"cornelmux/internal/rollout"
 	"cornelmux/internal/session"
 	"cornelmux/internal/settings"
 	"cornelmux/internal/task"
@@ -35,6 +36,7 @@
 	configurations *configuration.Controller
 	endpoints      *endpoint.Controller
 	sessions       *session.Controller
+	rollouts       *rollout.Controller
 	journal        *journal.Controller
 	chain          filter.Next
 	close          func()
@@ -44,21 +46,30 @@
 func New(cfg settings.Settings, log logr.Logger) *VM {
 	store := platform.New(cfg.Reach.Platform, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, cfg.Reach.PlatformTimeout)
 	client := endpoint.NewClient(cfg.Reach.DialTimeout, cfg.Reach.Silence)
+	peers := newPeerClient(cfg.Keys.Fleet, cfg.Reach.PlatformTimeout)
+	incarnation := uint64(time.Now().UnixNano())
 	at := endpoint.Location{Region: cfg.VM.Region, Zone: cfg.VM.Zone}
 	v := &VM{
-		cfg:            cfg,
-		log:            log,
-		drain:          newDrain(),
-		configurations: configuration.New(store, log.WithName("configuration")),
-		endpoints:      endpoint.New(store, client, at, log.WithName("endpoint")),
-		sessions:       session.New(cfg.Limits.Freshness, cfg.Limits.SessionIdle),
+		cfg:   cfg,
+		log:   log,
+		drain: newDrain(),
+		configurations: configuration.New(store, peers, configuration.Options{
+			VM: cfg.VM.Name, Zone: cfg.VM.Zone, Freshness: cfg.Limits.Freshness,
+		}, log.WithName("configuration")),
+		endpoints: endpoint.New(store, client, at, log.WithName("endpoint")),
 		close: func() {
 			client.Close()
 			store.HTTP.CloseIdleConnections()
+			peers.http.CloseIdleConnections()
 		},
 	}
+	v.sessions = session.New(v.configurations.Subscribe(), peers, session.Options{
+		VM: cfg.VM.Name, Incarnation: incarnation, Region: cfg.VM.Region, Freshness: cfg.Limits.Freshness,
+		Idle: cfg.Limits.SessionIdle, Settle: cfg.Limits.StepSettle, MaxSessions: cfg.Limits.MaxSessions,
+	}, log.WithName("session"))
+	v.rollouts = rollout.New(v.configurations.Subscribe(), v.configurations, v.sessions, cfg.VM.Name, log.WithName("rollout"))
 	v.journal = journal.New(store, journal.Options{
-		VM: cfg.VM.Name, Incarnation: uint64(time.Now().UnixNano()), ClaimFor: cfg.Limits.ClaimFor,
+		VM: cfg.VM.Name, Incarnation: incarnation, ClaimFor: cfg.Limits.ClaimFor,
 	}, log.WithName("journal"))
 	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
 	v.chain = filter.Chain(
@@ -67,8 +78,8 @@
 		filter.Authorize{},
 		filter.Deduplicate{Journal: v.journal, Cleanup: cleanupTimeout},
 		filter.Bill{Journal: v.journal},
-		filter.Cascade{Rater: rater},
-		filter.Choose{Sessions: v.sessions},
+		filter.Cascade{Rater: rater, Evidence: v.rollouts},
+		filter.Choose{Sessions: v.sessions, Evidence: v.rollouts},
 		filter.Place{Endpoints: v.endpoints, MaxAttempts: cfg.Limits.MaxAttempts},
 		filter.Send{Configurations: v.configurations, Sender: client, MaxResumes: cfg.Limits.MaxResumes},
 	)
@@ -99,6 +110,7 @@
 		{"configuration", v.configurations.Run},
 		{"endpoints", v.endpoints.Run},
 		{"sessions", v.sessions.Run},
+		{"roll-outs", v.rollouts.Run},
 		{"journal", v.journal.Run},
 		{"control", serve(controlListener, v.controlHandler())},
 		{"callers", serve(callersListener, v.callersHandler())},
--- a/internal/filter/cascade.go
+++ b/internal/filter/cascade.go
@@ -16,7 +16,8 @@
 
 // Cascade runs the levels of a cascade from cheap to strong until an answer rates well enough.
 type Cascade struct {
-	Rater Rater
+	Rater    Rater
+	Evidence Evidence
 }
 
 // Handle implements Filter.
@@ -49,6 +50,9 @@
 		}
 		x.Relayed = false
 		rating, err := f.Rater.Rate(ctx, x.Request.ID, x.Request.Prompt, held.text())
+		if err == nil {
+			f.Evidence.Rated(level.Model, x.Attempt.Version, rating < c.QualityTarget)
+		}
 		if (err == nil && rating >= c.QualityTarget) || (err != nil && c.AllowUnrated) {
 			x.Sink = sink
 			return held.release(ctx, sink)
--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -46,7 +46,9 @@
 	ID       string
 	Assigned bool
 	Session  string
-	Kind     Kind
+	// Transient says that the entry VM made the session for this request alone.
+	Transient bool
+	Kind      Kind
 	// Model names a model or a cascade.
 	Model       string
 	Service     string
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -37,14 +37,16 @@
 	Versions    []string
 }
 
-// VersionEvidence counts a version's answers at the sender since the sender's start.
+// VersionEvidence counts a version's answers at the sender during the run of a roll-out that began at StartedAt.
 type VersionEvidence struct {
-	Model    string
-	Version  string
-	Answers  uint64
-	Failures uint64
-	Rated    uint64
-	RatedBad uint64
+	Model   string
+	Version string
+	// StartedAt is in Unix seconds.
+	StartedAt int64
+	Answers   uint64
+	Failures  uint64
+	Rated     uint64
+	RatedBad  uint64
 }
 
 // AccountDemand is the rate of requests of a client account at the sender.
@@ -71,6 +73,8 @@
 	Model   string
 	Version string
 	Reason  string
+	// StartedAt is the run of the roll-out, in Unix seconds.
+	StartedAt int64
 }
 
 // Member is a VM that was heard of.
--- /dev/null
+++ b/internal/rollout/detect.go
@@ -0,0 +1,100 @@
+package rollout
+
+import (
+	"fmt"
+	"math"
+)
+
+const (
+	// haltScore is the logarithm of a thousand roll-outs times a million answers, the odds of a false halt.
+	haltScore       = 20.7
+	leastAnswers    = 50
+	forgetAnswers   = 2000
+	failureFloor    = 0.02
+	failureUnproven = 0.05
+	ratingFloor     = 0.05
+	confidence      = 2.0
+	riseFactor      = 5.0
+	riseLeast       = 0.1
+	badMost         = 0.95
+)
+
+// Test is a sequential test of one kind of evidence: a cumulative sum of the log-likelihood ratio of a version
+// that got worse than the stable one against a version that is as good. It starts again whenever it falls to 0,
+// so that a version that turns bad after a long good time is found as soon.
+type Test struct {
+	Score float64
+	// Trials and Bad are what was counted of the version so far.
+	Trials uint64
+	Bad    uint64
+	// StableTrials and StableBad are the stable version's lately.
+	StableTrials float64
+	StableBad    float64
+	seenTrials   uint64
+	seenBad      uint64
+}
+
+// Detector watches one run of a roll-out.
+type Detector struct {
+	Failures Test
+	Ratings  Test
+}
+
+// Next takes the evidence about the version and the stable version since the run began,
+// and returns the detector after it and the reason for a halt, or "".
+func (d Detector) Next(version, stable Count) (Detector, string) {
+	d.Failures.learnStable(stable.Answers, stable.Failures)
+	d.Ratings.learnStable(stable.Rated, stable.RatedBad)
+	d.Failures.learn(version.Answers, version.Failures, d.Failures.expected(failureFloor, failureUnproven))
+	if d.Ratings.StableTrials >= leastAnswers {
+		d.Ratings.learn(version.Rated, version.RatedBad, d.Ratings.expected(ratingFloor, badMost))
+	}
+	switch {
+	case d.Failures.Score >= haltScore:
+		return d, fmt.Sprintf("%d of %d requests failed", version.Failures, version.Answers)
+	case d.Ratings.Score >= haltScore:
+		return d, fmt.Sprintf("%d of %d ratings were below the quality target", version.RatedBad, version.Rated)
+	default:
+		return d, ""
+	}
+}
+
+// learnStable adds the stable version's new evidence, forgetting older evidence by halves.
+func (t *Test) learnStable(trials, bad uint64) {
+	t.StableTrials += float64(since(trials, t.seenTrials))
+	t.StableBad += float64(since(bad, t.seenBad))
+	t.seenTrials, t.seenBad = max(trials, t.seenTrials), max(bad, t.seenBad)
+	for t.StableTrials > forgetAnswers {
+		t.StableTrials /= 2
+		t.StableBad /= 2
+	}
+}
+
+// expected returns the rate that a good version may have: an upper bound of the stable version's.
+func (t *Test) expected(floor, unproven float64) float64 {
+	if t.StableTrials < leastAnswers {
+		return unproven
+	}
+	rate := min(t.StableBad/t.StableTrials, 1)
+	return max(floor, rate+confidence*math.Sqrt(rate*(1-rate)/t.StableTrials))
+}
+
+// learn moves the score by the version's new evidence.
+func (t *Test) learn(trials, bad uint64, good float64) {
+	newTrials, newBad := float64(since(trials, t.Trials)), float64(since(bad, t.Bad))
+	t.Trials, t.Bad = max(trials, t.Trials), max(bad, t.Bad)
+	worse := min(max(good*riseFactor, good+riseLeast), badMost)
+	if worse <= good || newTrials == 0 {
+		return
+	}
+	newGood := max(newTrials-newBad, 0)
+	change := newBad*math.Log(worse/good) + newGood*math.Log((1-worse)/(1-good))
+	t.Score = max(t.Score+change, 0)
+}
+
+func since(now, before uint64) uint64 {
+	if now < before {
+		return 0
+	}
+	return now - before
+}
--- /dev/null
+++ b/internal/rollout/evidence.go
@@ -0,0 +1,86 @@
+package rollout
+
+import "maps"
+
+// Run is one run of a roll-out: a start or a resume begins a new one, with evidence of its own.
+type Run struct {
+	Model   string
+	Version string
+	// StartedAt is in Unix seconds.
+	StartedAt int64
+}
+
+// Count is the evidence about a version.
+type Count struct {
+	Answers  uint64
+	Failures uint64
+	Rated    uint64
+	RatedBad uint64
+}
+
+func (c Count) plus(o Count) Count {
+	return Count{c.Answers + o.Answers, c.Failures + o.Failures, c.Rated + o.Rated, c.RatedBad + o.RatedBad}
+}
+
+func (c Count) atLeast(o Count) Count {
+	return Count{max(c.Answers, o.Answers), max(c.Failures, o.Failures), max(c.Rated, o.Rated), max(c.RatedBad, o.RatedBad)}
+}
+
+// Tally sums the evidence of this VM and its peers. Counts of a peer only grow within its incarnation,
+// so that datagrams may be lost, repeated or reordered.
+type Tally struct {
+	own   map[Run]Count
+	peers map[string]peerCounts
+	gone  map[Run]Count
+}
+
+type peerCounts struct {
+	incarnation uint64
+	counts      map[Run]Count
+}
+
+// NewTally makes an empty Tally.
+func NewTally() *Tally {
+	return &Tally{own: map[Run]Count{}, peers: map[string]peerCounts{}, gone: map[Run]Count{}}
+}
+
+// Add counts what happened at this VM.
+func (t *Tally) Add(r Run, c Count) { t.own[r] = t.own[r].plus(c) }
+
+// Receive takes in what a peer counted; counts of its earlier incarnation stay in the sum.
+func (t *Tally) Receive(vm string, incarnation uint64, r Run, c Count) {
+	p := t.peers[vm]
+	if incarnation < p.incarnation {
+		return
+	}
+	if incarnation > p.incarnation || p.counts == nil {
+		for run, n := range p.counts {
+			t.gone[run] = t.gone[run].plus(n)
+		}
+		p = peerCounts{incarnation, map[Run]Count{}}
+	}
+	p.counts[r] = p.counts[r].atLeast(c)
+	t.peers[vm] = p
+}
+
+// Own returns what this VM counted.
+func (t *Tally) Own() map[Run]Count { return t.own }
+
+// Sum returns the evidence of all VMs.
+func (t *Tally) Sum(r Run) Count {
+	sum := t.own[r].plus(t.gone[r])
+	for _, p := range t.peers {
+		sum = sum.plus(p.counts[r])
+	}
+	return sum
+}
+
+// Keep drops the evidence of every run that keep refuses.
+func (t *Tally) Keep(keep func(Run) bool) {
+	drop := func(r Run, _ Count) bool { return !keep(r) }
+	maps.DeleteFunc(t.own, drop)
+	maps.DeleteFunc(t.gone, drop)
+	for _, p := range t.peers {
+		maps.DeleteFunc(p.counts, drop)
+	}
+}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -1,7 +1,12 @@
-// Package rollout decides which version of a model a session runs on while versions are rolled out and withdrawn.
+// Package rollout decides which version of a model a session runs on while versions are rolled out and withdrawn,
+// when a roll-out takes its next step, and when the evidence halts it.
 package rollout
 
 import (
+	"fmt"
+	"slices"
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"cornelmux/pkg/catalog"
@@ -10,6 +15,33 @@
 
 const bucketCount = 1 << 20
 
+// Rule is what decides on new sessions of a model: its stable version and its roll-out, if it has one.
+type Rule struct {
+	Model   string
+	Stable  string
+	Version string
+	Share   float64
+	State   catalog.RollOutState
+	// StepAt and StartedAt are in Unix seconds.
+	StepAt    int64
+	StartedAt int64
+}
+
+// RuleOf returns the model's rule in a configuration.
+func RuleOf(c *catalog.Configuration, m catalog.Model) Rule {
+	r, _ := c.FindRollOut(m.Name)
+	return Rule{
+		Model: m.Name, Stable: m.Stable, Version: r.Version, Share: r.Share,
+		State: r.State, StepAt: r.StepAt, StartedAt: r.StartedAt,
+	}
+}
+
+// Halted returns the rule with its roll-out halted.
+func (r Rule) Halted() Rule {
+	r.State = catalog.RollOutHalted
+	return r
+}
+
 // Bucket places a session of a model in [0, 1); a roll-out takes the buckets below its share.
 func Bucket(model, session string) float64 {
 	return float64(xxhash.Sum64String(model+"\x00"+session)%bucketCount) / bucketCount
@@ -17,23 +49,22 @@
 
 // Pick returns the version that a session with no binding runs on.
 // It is a pure function of its arguments, so that every VM gives the same answer.
-// The error is a *result.Error: VersionWithdrawn, VersionNotAllowed or ModelNotAllowed.
-func Pick(c *catalog.Configuration, a catalog.ClientAccount, m catalog.Model, session string, fresh bool) (string, error) {
-	r, rolling := c.FindRollOut(m.Name)
-	if rolling && takes(r, m, session, fresh) && usable(c, a, m.Name, r.Version) {
+// The error is a *result.Error: VersionWithdrawn or VersionNotAllowed.
+func Pick(c *catalog.Configuration, a catalog.ClientAccount, m catalog.Model, r Rule, session string, fresh bool) (string, error) {
+	if r.takes(session, fresh) && Usable(c, a, m.Name, r.Version) {
 		return r.Version, nil
 	}
-	if usable(c, a, m.Name, m.Stable) {
-		return m.Stable, nil
+	if Usable(c, a, m.Name, r.Stable) {
+		return r.Stable, nil
 	}
 	return fallback(c, a, m, r)
 }
 
 // takes reports whether the roll-out moves the session; a VM whose configuration may be stale moves none.
-func takes(r catalog.RollOut, m catalog.Model, session string, fresh bool) bool {
+func (r Rule) takes(session string, fresh bool) bool {
 	switch r.State {
 	case catalog.RollOutRunning:
-		return fresh && Bucket(m.Name, session) < r.Share
+		return fresh && Bucket(r.Model, session) < r.Share
 	case catalog.RollOutDone:
 		return true
 	default:
@@ -42,19 +73,50 @@
 }
 
 // fallback returns the first version in the model's order that is still usable and not under roll-out.
-func fallback(c *catalog.Configuration, a catalog.ClientAccount, m catalog.Model, r catalog.RollOut) (string, error) {
-	withdrawn := c.Withdrawn(m.Name, m.Stable)
+func fallback(c *catalog.Configuration, a catalog.ClientAccount, m catalog.Model, r Rule) (string, error) {
 	for _, v := range m.Versions {
-		if v.Name != r.Version && usable(c, a, m.Name, v.Name) {
+		if v.Name != r.Version && Usable(c, a, m.Name, v.Name) {
 			return v.Name, nil
 		}
 	}
-	if withdrawn {
+	if c.Withdrawn(m.Name, m.Stable) {
 		return "", result.Errorf(result.VersionWithdrawn, "version %s/%s", m.Name, m.Stable)
 	}
 	return "", result.Errorf(result.VersionNotAllowed, "model %s", m.Name)
 }
 
-func usable(c *catalog.Configuration, a catalog.ClientAccount, model, version string) bool {
-	return a.Allows(model, version) && !c.Withdrawn(model, version)
+// Usable reports whether the version is in service, and the client account may use it.
+func Usable(c *catalog.Configuration, a catalog.ClientAccount, model, version string) bool {
+	return version != "" && a.Allows(model, version) && !c.Withdrawn(model, version)
+}
+
+// Next returns the roll-out after its next step, if that is due.
+func Next(r catalog.RollOut, now time.Time) (catalog.RollOut, bool) {
+	if r.State != catalog.RollOutRunning || r.StepSeconds == 0 || now.Unix() < r.StepAt+int64(r.StepSeconds) {
+		return r, false
+	}
+	return Step(r, now)
+}
+
+// Step returns the roll-out after its next step; behind the last it is done once its share is 1.
+func Step(r catalog.RollOut, now time.Time) (catalog.RollOut, bool) {
+	if r.State != catalog.RollOutRunning {
+		return r, false
+	}
+	i := slices.IndexFunc(r.Steps, func(share float64) bool { return share > r.Share })
+	switch {
+	case i >= 0:
+		r.Share = r.Steps[i]
+	case r.Share >= 1:
+		r.State = catalog.RollOutDone
+	default:
+		return r, false
+	}
+	r.StepAt = now.Unix()
+	return r, true
+}
+
+// StepID is the ID of the change that leads to r; VMs that propose the same step agree on it.
+func StepID(r catalog.RollOut) string {
+	return fmt.Sprintf("rollout-%s-%s-%d-%s-%g", r.Model, r.Version, r.StartedAt, r.State, r.Share)
 }
--- a/internal/session/controller.go
+++ b/internal/session/controller.go
@@ -5,7 +5,10 @@
 	"context"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"cornelmux/internal/configuration"
+	"cornelmux/internal/peer"
 	"cornelmux/internal/rollout"
 	"cornelmux/internal/task"
 	"cornelmux/pkg/catalog"
@@ -13,37 +16,76 @@
 )
 
 const (
-	mailboxSize   = 4096
-	sweepInterval = 10 * time.Second
+	mailboxSize    = 4096
+	ageInterval    = 10 * time.Second
+	startTime      = 10 * time.Second
+	activeValidity = 100 * time.Millisecond
+	memberMaxAge   = 30 * time.Second
+	// pullsPerIdle is how often within the idle time the sets of other VMs are read again.
+	pullsPerIdle = 3
 )
 
-// Key names a session of a model.
-type Key struct {
-	Account string
-	Model   string
-	Session string
-}
-
-// Binding is the version that a session keeps.
-type Binding struct {
-	Version string
-	UsedAt  time.Time
+// Options say who the VM is and how long sessions are kept.
+type Options struct {
+	VM          string
+	Incarnation uint64
+	Region      string
+	// Freshness is the age of the configuration's proof up to which versions under roll-out take new sessions.
+	Freshness time.Duration
+	// Idle is how long an unused session keeps its version.
+	Idle time.Duration
+	// Settle is the time from the acceptance of a step until it decides on new sessions.
+	Settle time.Duration
+	// MaxSessions bounds the sessions that are remembered.
+	MaxSessions int
 }
 
-// Controller owns the bindings of the sessions that were active here.
+// Controller owns the bindings of the sessions that were active here, and the sets of those that were active elsewhere.
 type Controller struct {
 	mailbox   chan message
-	freshness time.Duration
-	idle      time.Duration
-	bindings  map[Key]Binding
+	pulls     chan []string
+	snapshots <-chan configuration.Snapshot
+	peers     Peers
+	options   Options
+	log       logr.Logger
+	table     *table
+	foreign   *foreign
+	rules     map[string]ruleState
+	halts     map[string]halt
+	members   map[string]member
+	active    []Set
+	activeAt  time.Time
+	pulledAt  time.Time
+	startedAt time.Time
+	pulling   bool
+	again     bool
+	due       *time.Timer
+}
+
+// ruleState is the rule in force for a model, and the one that follows it.
+type ruleState struct {
+	current  rollout.Rule
+	next     rollout.Rule
+	effectAt time.Time
+}
+
+type halt struct {
+	version   string
+	startedAt int64
 }
 
-// New makes a Controller. Versions under roll-out are used only while the configuration was proven within freshness;
-// a binding ends after idle without use.
-func New(freshness, idle time.Duration) *Controller {
+type member struct {
+	address string
+	heardAt time.Time
+}
+
+// New makes a Controller that learns rules from snapshots; Run starts it.
+func New(snapshots <-chan configuration.Snapshot, peers Peers, o Options, log logr.Logger) *Controller {
 	return &Controller{
-		mailbox: make(chan message, mailboxSize), freshness: freshness, idle: idle,
-		bindings: map[Key]Binding{},
+		mailbox: make(chan message, mailboxSize), pulls: make(chan []string, 1),
+		snapshots: snapshots, peers: peers, options: o, log: log,
+		table: newTable(o.MaxSessions, o.Idle), foreign: newForeign(o.Idle),
+		rules: map[string]ruleState{}, halts: map[string]halt{}, members: map[string]member{},
 	}
 }
 
@@ -51,71 +93,222 @@
 
 type (
 	versionMessage struct {
-		snapshot configuration.Snapshot
-		account  catalog.ClientAccount
-		model    catalog.Model
-		session  string
-		reply    chan<- versionReply
+		query Query
+		reply chan<- versionReply
 	}
 	versionReply struct {
 		version string
 		err     error
 	}
+	setsMessage struct{ reply chan<- setsReply }
+	setsReply   struct {
+		sets []Set
+		err  error
+	}
+	haltMessage struct {
+		model string
+		halt  halt
+	}
+	memberMessage struct{ state peer.State }
+	pulledMessage struct {
+		startedAt time.Time
+		sets      []Set
+	}
 )
 
 // Run owns the state until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ends := make(chan task.End, 1)
+	task.Start(ctx, "sessions of other VMs", ends, c.pull)
+	ticker := time.NewTicker(ageInterval)
 	defer ticker.Stop()
+	c.startedAt = time.Now()
+	c.due = time.NewTimer(ageInterval)
+	defer c.due.Stop()
 	for {
 		select {
 		case m := <-c.mailbox:
 			m.handle(c)
+		case s := <-c.snapshots:
+			c.learn(s, time.Now())
+		case <-c.due.C:
+			c.requestPull() // every VM has stopped giving new sessions the old rule
 		case now := <-ticker.C:
-			c.sweep(now)
+			c.table.age(now)
+			c.foreign.age(now)
+			if now.Sub(c.pulledAt) >= c.options.Idle/pullsPerIdle {
+				c.requestPull()
+			}
 		case <-ctx.Done():
-			return ctx.Err()
+			return task.Stop(cancel, ends, 1)
 		}
 	}
 }
 
 // Version implements filter.Sessions.
-func (c *Controller) Version(ctx context.Context, s configuration.Snapshot, a catalog.ClientAccount, model, session string) (string, error) {
-	m, ok := s.Model(model)
-	if !ok {
-		return "", result.Errorf(result.ModelNotAllowed, "model %q", model)
-	}
-	r, err := task.Ask(ctx, c.mailbox, func(reply chan<- versionReply) message {
-		return versionMessage{s, a, m, session, reply}
-	})
+func (c *Controller) Version(ctx context.Context, q Query) (string, error) {
+	r, err := task.Ask(ctx, c.mailbox, func(reply chan<- versionReply) message { return versionMessage{q, reply} })
 	if err != nil {
 		return "", result.Errorf(result.QueueFull, "sessions: %v", err)
 	}
 	return r.version, r.err
 }
 
+// Sets returns the sets of active sessions here and, as far as known, elsewhere.
+func (c *Controller) Sets(ctx context.Context) ([]Set, error) {
+	r, err := task.Ask(ctx, c.mailbox, func(reply chan<- setsReply) message { return setsMessage{reply} })
+	if err != nil {
+		return nil, err
+	}
+	return r.sets, r.err
+}
+
+// Halt implements rollout.Halter: new sessions stay away from the version from now on.
+func (c *Controller) Halt(model, version string, startedAt int64) error {
+	return task.Tell(c.mailbox, message(haltMessage{model, halt{version, startedAt}}))
+}
+
+// Collect implements peer.Section; sets of sessions are too large for datagrams and are asked for.
+func (c *Controller) Collect(context.Context, *peer.State) error { return nil }
+
+// Receive implements peer.Section.
+func (c *Controller) Receive(_ context.Context, s peer.State) error {
+	if s.Region != c.options.Region || s.ControlAddress == "" {
+		return nil
+	}
+	return task.Tell(c.mailbox, message(memberMessage{s}))
+}
+
 func (m versionMessage) handle(c *Controller) {
+	version, err := c.version(m.query, time.Now())
+	m.reply <- versionReply{version, err}
+}
+
+func (c *Controller) version(q Query, now time.Time) (string, error) {
+	key := hashKey(q.Account.Name, q.Model.Name, q.Session)
+	known := Known{Fresh: now.Sub(q.Snapshot.ProvenAt) < c.options.Freshness}
+	if !q.Transient {
+		known.Bound = c.table.get(key)
+	}
+	if !q.Transient && known.Bound == "" {
+		known.Seen = c.foreign.seen(q.Model.Name, key)
+	}
+	version, err := Decide(q, c.rule(q), known)
+	if err == nil && !q.Transient {
+		c.table.put(key, binding{q.Model.Name, version}, now)
+	}
+	return version, err
+}
+
+// rule returns the rule in force, with a halt that this VM knows of.
+func (c *Controller) rule(q Query) rollout.Rule {
+	s, ok := c.rules[q.Model.Name]
+	if !ok {
+		s.current = rollout.RuleOf(&q.Snapshot.Catalog, q.Model)
+	}
+	if h, halted := c.halts[q.Model.Name]; halted && h == (halt{s.current.Version, s.current.StartedAt}) {
+		return s.current.Halted()
+	}
+	return s.current
+}
+
+func (m setsMessage) handle(c *Controller) {
 	now := time.Now()
-	key := Key{m.account.Name, m.model.Name, m.session}
-	version, err := Decide(m.snapshot, m.account, m.model, m.session, c.bindings[key], now.Sub(m.snapshot.ProvenAt) < c.freshness)
-	if err == nil {
-		c.bindings[key] = Binding{version, now}
+	if now.Sub(c.activeAt) >= activeValidity {
+		sets, err := activeSets(c.table, c.options.VM, c.options.Incarnation)
+		if err != nil {
+			m.reply <- setsReply{nil, err}
+			return
+		}
+		c.active, c.activeAt = sets, now
 	}
-	m.reply <- versionReply{version, err}
+	m.reply <- setsReply{append(c.foreign.list(now), c.active...), nil}
 }
 
-// Decide keeps a binding while its version is usable, and otherwise picks anew.
-func Decide(s configuration.Snapshot, a catalog.ClientAccount, m catalog.Model, session string, b Binding, fresh bool) (string, error) {
-	if b.Version != "" && a.Allows(m.Name, b.Version) && !s.Catalog.Withdrawn(m.Name, b.Version) {
-		return b.Version, nil
+func (m haltMessage) handle(c *Controller) { c.halts[m.model] = m.halt }
+
+func (m memberMessage) handle(c *Controller) {
+	now := time.Now()
+	_, known := c.members[m.state.VM]
+	c.members[m.state.VM] = member{m.state.ControlAddress, now}
+	if !known && now.Sub(c.startedAt) < startTime {
+		c.requestPull() // a VM that has just started can't know the sessions yet
 	}
-	return rollout.Pick(&s.Catalog, a, m, session, fresh)
 }
 
-func (c *Controller) sweep(now time.Time) {
-	for k, b := range c.bindings {
-		if now.Sub(b.UsedAt) > c.idle {
-			delete(c.bindings, k)
+// learn takes the rules of a new configuration; those that change take effect after a pull.
+func (c *Controller) learn(s configuration.Snapshot, now time.Time) {
+	for _, m := range s.Catalog.Models {
+		r := rollout.RuleOf(&s.Catalog, m)
+		old, known := c.rules[m.Name]
+		switch {
+		case !known:
+			c.rules[m.Name] = ruleState{current: r, next: r}
+		case r == old.next:
+		case r.State == catalog.RollOutHalted:
+			c.rules[m.Name] = ruleState{current: r, next: r}
+			c.requestPull()
+		default:
+			old.next, old.effectAt = r, effectAt(r, now, c.options.Settle)
+			c.rules[m.Name] = old
 		}
 	}
+	c.schedule(now)
+}
+
+// schedule sets the timer to the next rule that takes effect.
+func (c *Controller) schedule(now time.Time) {
+	first := ageInterval
+	pending := false
+	for _, s := range c.rules {
+		if s.current != s.next {
+			pending = true
+			first = min(first, max(s.effectAt.Sub(now), 0))
+		}
+	}
+	if pending {
+		c.due.Reset(first)
+	}
+}
+
+// requestPull asks the VMs of the region for their sessions; one pull is under way at a time.
+func (c *Controller) requestPull() {
+	if c.pulling {
+		c.again = true
+		return
+	}
+	addresses := make([]string, 0, len(c.members))
+	for vm, m := range c.members {
+		if time.Since(m.heardAt) > memberMaxAge {
+			delete(c.members, vm)
+			continue
+		}
+		addresses = append(addresses, m.address)
+	}
+	c.pulling = true
+	c.pulls <- addresses // has room: only one pull is under way
+}
+
+// handle puts the rules into force that were due when the pull began.
+func (m pulledMessage) handle(c *Controller) {
+	now := time.Now()
+	c.pulling, c.pulledAt = false, now
+	if err := c.foreign.add(m.sets, now); err != nil {
+		c.log.Info("a set of sessions was refused", "error", err.Error())
+	}
+	for name, s := range c.rules {
+		if s.current != s.next && !s.effectAt.After(m.startedAt) {
+			s.current = s.next
+			c.rules[name] = s
+			c.log.Info("roll-out step in force", "model", name, "version", s.current.Version, "share", s.current.Share, "state", s.current.State)
+		}
+	}
+	if c.again {
+		c.again = false
+		c.requestPull()
+		return
+	}
+	c.schedule(now)
 }
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -55,6 +55,8 @@
 	LeaveGrace     time.Duration
 	Freshness      time.Duration
 	SessionIdle    time.Duration
+	MaxSessions    int
+	StepSettle     time.Duration
 	ClaimFor       time.Duration
 	MaxAttempts    int
 	MaxResumes     int
@@ -96,6 +98,8 @@
 		{Section: "limits", Key: "leave_grace", Unit: "duration", Default: "1s", Help: "how long a leaving VM still answers refusals", set: duration(&s.Limits.LeaveGrace)},
 		{Section: "limits", Key: "rollout_freshness", Unit: "duration", Default: "5s", Help: "age of the configuration's proof up to which versions under roll-out take new sessions", set: duration(&s.Limits.Freshness)},
 		{Section: "limits", Key: "session_idle", Unit: "duration", Default: "30m", Help: "how long an unused session keeps its version", set: duration(&s.Limits.SessionIdle)},
+		{Section: "limits", Key: "max_sessions", Unit: "count", Default: "200000", Help: "most sessions whose version is remembered; beyond it the least recent are forgotten", set: number(&s.Limits.MaxSessions)},
+		{Section: "limits", Key: "step_settle", Unit: "duration", Default: "3s", Help: "time from the acceptance of a roll-out step until it decides on new sessions", set: duration(&s.Limits.StepSettle)},
 		{Section: "limits", Key: "claim_for", Unit: "duration", Default: "20s", Help: "how long a recorded request may still be sent", set: duration(&s.Limits.ClaimFor)},
 		{Section: "limits", Key: "max_attempts", Unit: "count", Default: "3", Help: "most endpoints tried for one run", set: number(&s.Limits.MaxAttempts)},
 		{Section: "limits", Key: "max_resumes", Unit: "count", Default: "2", Help: "most times a broken stream is resumed", set: number(&s.Limits.MaxResumes)},
--- a/internal/wire/wireconnect/peer.connect.go
+++ b/internal/wire/wireconnect/peer.connect.go
@@ -43,6 +43,8 @@
 	PeerServiceHeadProcedure = "/cornelmux.v1.PeerService/Head"
 	// PeerServicePartProcedure is the fully-qualified name of the PeerService's Part RPC.
 	PeerServicePartProcedure = "/cornelmux.v1.PeerService/Part"
+	// PeerServiceSessionsProcedure is the fully-qualified name of the PeerService's Sessions RPC.
+	PeerServiceSessionsProcedure = "/cornelmux.v1.PeerService/Sessions"
 	// ControlServiceSubmitProcedure is the fully-qualified name of the ControlService's Submit RPC.
 	ControlServiceSubmitProcedure = "/cornelmux.v1.ControlService/Submit"
 	// ControlServiceConfigurationProcedure is the fully-qualified name of the ControlService's
@@ -66,6 +68,8 @@
 	Head(context.Context, *wire.HeadRequest) (*wire.HeadResponse, error)
 	// Part returns a content-addressed part of the configuration.
 	Part(context.Context, *wire.PartRequest) (*wire.PartResponse, error)
+	// Sessions returns the sets of active sessions that the receiver knows.
+	Sessions(context.Context, *wire.SessionsRequest) (*wire.SessionsResponse, error)
 }
 
 // NewPeerServiceClient constructs a client for the cornelmux.v1.PeerService service. By default, it
@@ -103,15 +107,22 @@
 			connect.WithSchema(peerServiceMethods.ByName("Part")),
 			connect.WithClientOptions(opts...),
 		),
+		sessions: connect.NewClient[wire.SessionsRequest, wire.SessionsResponse](
+			httpClient,
+			baseURL+PeerServiceSessionsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Sessions")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	append *connect.Client[wire.AppendRequest, wire.AppendResponse]
-	answer *connect.Client[wire.AnswerRequest, wire.AnswerResponse]
-	head   *connect.Client[wire.HeadRequest, wire.HeadResponse]
-	part   *connect.Client[wire.PartRequest, wire.PartResponse]
+	append   *connect.Client[wire.AppendRequest, wire.AppendResponse]
+	answer   *connect.Client[wire.AnswerRequest, wire.AnswerResponse]
+	head     *connect.Client[wire.HeadRequest, wire.HeadResponse]
+	part     *connect.Client[wire.PartRequest, wire.PartResponse]
+	sessions *connect.Client[wire.SessionsRequest, wire.SessionsResponse]
 }
 
 // Append calls cornelmux.v1.PeerService.Append.
@@ -150,6 +161,15 @@
 	return nil, err
 }
 
+// Sessions calls cornelmux.v1.PeerService.Sessions.
+func (c *peerServiceClient) Sessions(ctx context.Context, req *wire.SessionsRequest) (*wire.SessionsResponse, error) {
+	response, err := c.sessions.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // PeerServiceHandler is an implementation of the cornelmux.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Append appends to the partition of the journal that the receiver likely owns.
@@ -160,6 +180,8 @@
 	Head(context.Context, *wire.HeadRequest) (*wire.HeadResponse, error)
 	// Part returns a content-addressed part of the configuration.
 	Part(context.Context, *wire.PartRequest) (*wire.PartResponse, error)
+	// Sessions returns the sets of active sessions that the receiver knows.
+	Sessions(context.Context, *wire.SessionsRequest) (*wire.SessionsResponse, error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -193,6 +215,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Part")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceSessionsHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceSessionsProcedure,
+		svc.Sessions,
+		connect.WithSchema(peerServiceMethods.ByName("Sessions")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/cornelmux.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceAppendProcedure:
@@ -203,6 +231,8 @@
 			peerServiceHeadHandler.ServeHTTP(w, r)
 		case PeerServicePartProcedure:
 			peerServicePartHandler.ServeHTTP(w, r)
+		case PeerServiceSessionsProcedure:
+			peerServiceSessionsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -228,6 +258,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cornelmux.v1.PeerService.Part is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Sessions(context.Context, *wire.SessionsRequest) (*wire.SessionsResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cornelmux.v1.PeerService.Sessions is not implemented"))
+}
+
 // ControlServiceClient is a client for the cornelmux.v1.ControlService service.
 type ControlServiceClient interface {
 	Submit(context.Context, *wire.SubmitRequest) (*wire.SubmitResponse, error)
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -124,6 +124,8 @@
 	StepSeconds int       `json:"step_seconds,omitempty"`
 	// StepAt is when the present step was taken, in Unix seconds.
 	StepAt int64 `json:"step_at,omitempty"`
+	// StartedAt tells the runs of a roll-out apart, in Unix seconds: a start or resume sets it anew.
+	StartedAt int64 `json:"started_at,omitempty"`
 }
 
 // Withdrawal takes a version out of service until a reinstatement names it.
--- a/pkg/catalog/change.go
+++ b/pkg/catalog/change.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"reflect"
+	"strings"
 )
 
 // Change sets and removes objects of a configuration. Operators' tools compute it with Diff.
@@ -40,7 +42,7 @@
 		list = append(list, object{"roll_out/" + v.Model, v})
 	}
 	for _, v := range c.Withdrawals {
-		list = append(list, object{"withdrawal/" + v.Model + "/" + v.Version, v})
+		list = append(list, object{withdrawalPrefix + v.Model + "/" + v.Version, v})
 	}
 	return list
 }
@@ -70,12 +72,33 @@
 	}
 	names = append(names, ch.Remove...)
 	for _, v := range ch.Reinstate {
-		names = append(names, "withdrawal/"+v)
+		names = append(names, withdrawalPrefix+v)
 	}
 	return names
 }
 
-// Diff returns the change that turns from into to. Withdrawals are only added: a reinstatement has to name them.
+// Encode returns the JSON of each named object that the configuration has.
+func (c *Configuration) Encode(names []string) (map[string]json.RawMessage, error) {
+	wanted := make(map[string]bool, len(names))
+	for _, n := range names {
+		wanted[n] = true
+	}
+	encoded := make(map[string]json.RawMessage, len(names))
+	for _, o := range c.objects() {
+		if !wanted[o.name] {
+			continue
+		}
+		data, err := json.Marshal(o.value)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", o.name, err)
+		}
+		encoded[o.name] = data
+	}
+	return encoded, nil
+}
+
+// Diff returns the change that turns from into to, without what an old file must not undo:
+// a withdrawal is only lifted by a reinstatement that names it, and a roll-out that exists belongs to the roll-out commands.
 func Diff(from, to Configuration) Change {
 	var ch Change
 	old := map[string]any{}
@@ -83,30 +106,42 @@
 		old[o.name] = o.value
 	}
 	for _, o := range to.objects() {
-		if v, ok := old[o.name]; !ok || !reflect.DeepEqual(v, o.value) {
-			ch.Set.add(o.value)
-		}
+		v, exists := old[o.name]
 		delete(old, o.name)
-	}
-	for _, o := range from.objects() {
-		if _, gone := old[o.name]; !gone {
+		if exists && (isManaged(v) || reflect.DeepEqual(v, o.value)) {
 			continue
 		}
-		if _, isWithdrawal := o.value.(Withdrawal); !isWithdrawal {
+		ch.Set.add(o.value)
+	}
+	for _, o := range from.objects() {
+		if _, gone := old[o.name]; gone && !isManaged(o.value) {
 			ch.Remove = append(ch.Remove, o.name)
 		}
 	}
 	return ch
 }
 
+// isManaged reports whether the object changes only by commands that name it.
+func isManaged(value any) bool {
+	switch value.(type) {
+	case Withdrawal, RollOut:
+		return true
+	default:
+		return false
+	}
+}
+
 // Apply returns the configuration with the change made, validated.
 func (ch *Change) Apply(c Configuration) (Configuration, error) {
+	if err := ch.permitted(&c); err != nil {
+		return c, err
+	}
 	drop := map[string]bool{}
 	for _, name := range ch.Remove {
 		drop[name] = true
 	}
 	for _, name := range ch.Reinstate {
-		drop["withdrawal/"+name] = true
+		drop[withdrawalPrefix+name] = true
 	}
 	for _, o := range ch.Set.objects() {
 		drop[o.name] = true
@@ -124,6 +159,32 @@
 	return next, next.Validate()
 }
 
+const withdrawalPrefix = "withdrawal/"
+
+// permitted refuses what would lift a withdrawal or a halt without naming it.
+func (ch *Change) permitted(c *Configuration) error {
+	var errs []error
+	for _, name := range ch.Remove {
+		if strings.HasPrefix(name, withdrawalPrefix) {
+			errs = append(errs, fmt.Errorf("%s: a withdrawal is lifted by a reinstatement that names it", name))
+		}
+	}
+	for _, name := range ch.Reinstate {
+		model, version, _ := strings.Cut(name, "/")
+		if !c.Withdrawn(model, version) {
+			errs = append(errs, fmt.Errorf("reinstate %s: the version is not withdrawn", name))
+		}
+	}
+	for _, r := range ch.Set.RollOuts {
+		old, exists := c.FindRollOut(r.Model)
+		halted := exists && old.State == RollOutHalted && old.Version == r.Version
+		if halted && r.State != RollOutHalted && r.StartedAt <= old.StartedAt {
+			errs = append(errs, fmt.Errorf("roll-out %s/%s is halted: resume it or start it anew", r.Model, r.Version))
+		}
+	}
+	return errors.Join(errs...)
+}
+
 // ParseChange reads a change as JSON.
 func ParseChange(data []byte) (Change, error) {
 	var ch Change
--- a/pkg/catalog/validate.go
+++ b/pkg/catalog/validate.go
@@ -11,6 +11,7 @@
 	MaxNameBytes    = 64
 	keyHashLength   = 64
 	maxCascadeLevel = 8
+	maxSteps        = 32
 )
 
 // Validate returns every error of the configuration, joined.
@@ -125,6 +126,13 @@
 		v.check(r.Share >= 0 && r.Share <= 1, "roll-out %s/%s: share is 0 to 1", r.Model, r.Version)
 		valid := r.State == RollOutRunning || r.State == RollOutHalted || r.State == RollOutDone
 		v.check(valid, "roll-out %s/%s: unknown state %q", r.Model, r.Version, r.State)
+		last := 0.0
+		for _, step := range r.Steps {
+			v.check(step > last && step <= 1, "roll-out %s/%s: steps grow from above 0 up to 1", r.Model, r.Version)
+			last = step
+		}
+		v.check(len(r.Steps) <= maxSteps, "roll-out %s/%s: over %d steps", r.Model, r.Version, maxSteps)
+		v.check(r.StepSeconds >= 0, "roll-out %s/%s: step_seconds is negative", r.Model, r.Version)
 	}
 }
 
