--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -31,6 +32,9 @@
 	instances map[string]platform.Instance
 	waiters   []waiter
 	counts    PlatformCounts
+	faults    PlatformFaults
+	// faultsChanged closes when the faults change.
+	faultsChanged chan struct{}
 }
 
 // PlatformCounts counts the calls that the stand-in served.
@@ -55,6 +59,8 @@
 		records:   map[string]record{},
 		touched:   map[string]uint64{},
 		instances: map[string]platform.Instance{},
+
+		faultsChanged: make(chan struct{}),
 	}
 }
 
@@ -101,6 +107,7 @@
 		index     uint64
 	}
 	waitMessage   struct{ waiter }
+	forgetMessage struct{ wake chan<- struct{} }
 	countsMessage struct{ reply chan<- PlatformCounts }
 )
 
@@ -174,6 +181,10 @@
 	p.waiters = append(p.waiters, m.waiter)
 }
 
+func (m forgetMessage) handle(p *Platform) {
+	p.waiters = slices.DeleteFunc(p.waiters, func(w waiter) bool { return w.wake == m.wake })
+}
+
 func (m countsMessage) handle(p *Platform) { m.reply <- p.counts }
 
 func listScope(service string) string { return "\x00" + service }
@@ -199,6 +210,13 @@
 // ServeHTTP serves the platform's interface.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	path := r.URL.Path
+	if path == "/faults" {
+		p.serveFaults(w, r)
+		return
+	}
+	if path != "/counts" && !p.before(w, r) {
+		return
+	}
 	switch {
 	case strings.HasPrefix(path, "/v1/kv/") && r.Method == http.MethodGet:
 		p.serveRead(w, r, strings.TrimPrefix(path, "/v1/kv/"))
@@ -254,6 +272,7 @@
 	done, err := task.Ask(r.Context(), p.mailbox, func(reply chan<- bool) platformMessage {
 		return writeMessage{key, data, r.Method == http.MethodDelete, cas, reply}
 	})
+	p.afterWrite(r, key)
 	writeJSON(w, done, err)
 }
 
@@ -301,9 +320,11 @@
 	defer timer.Stop()
 	select {
 	case <-wake:
+		return
 	case <-timer.C:
 	case <-r.Context().Done():
 	}
+	_ = task.Tell(p.mailbox, platformMessage(forgetMessage{wake})) // a waiter that stays is woken for nothing once
 }
 
 func writeJSON(w http.ResponseWriter, v any, err error) {
