Make sends whole under broken, silent and foreign answers

Cause: the silence timer also ran while a slow caller took a piece, and could fire on a whole answer; the gate ran before the library dialled, so a withdrawal could come between; a 4xx of an engine counted as a broken stream; a refusal by 503 counted as sent; a caller that left ended a run that may not be repeated and put the blame on the endpoint; an event over 32 KB broke the stream.

Change: deadlines on the connection's own reads and writes; the gate is asked through httptrace.GotConn, which the library calls in the goroutine of the request once it has the connection and before it writes, and a refusal closes that connection; Judge settles what a status means (pure); an answer whose header names another run is broken; a run that may not be repeated is bounded by the request's deadline alone; redirects are handed on and not followed. A resumed stream is work that the endpoint accepted before: its gate checks only the deadline, not a later withdrawal. The stand-ins take more faults.

Ruled out: a connection for each call also for idempotent ones (a round trip more before the first token, and no gain now that the gate stands at the connection).

--- /dev/null
+++ b/internal/endpoint/assembler_test.go
@@ -0,0 +1,73 @@
+package endpoint
+
+import (
+	"flag"
+	"os"
+	"strconv"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+const (
+	testSeed   = "20261204"
+	testChecks = "2000"
+)
+
+// TestMain fixes rapid's seed, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Set("rapid.seed", testSeed) != nil || flag.Set("rapid.checks", testChecks) != nil {
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
+
+func TestAssemblerGivesExactlyTheAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(t, "pieces")
+		asm := NewAssembler("own")
+		var got []string
+		for asm.Next() < n {
+			// The stream brings a run of fragments from anywhere, its own or another run's, and then the missing one.
+			for range rapid.IntRange(0, 10).Draw(t, "noise") {
+				f := Fragment{RunID: "own", Offset: rapid.IntRange(-2, n-1).Draw(t, "offset")}
+				f.Piece.Text = strconv.Itoa(f.Offset)
+				if rapid.Bool().Draw(t, "foreign") {
+					f.RunID, f.Piece.Text = "another", "foreign"
+				}
+				for _, p := range asm.Take(f) {
+					got = append(got, p.Text)
+				}
+			}
+			for _, p := range asm.Take(Fragment{RunID: "own", Offset: asm.Next(), Piece: Piece{Text: strconv.Itoa(asm.Next())}}) {
+				got = append(got, p.Text)
+			}
+		}
+		for i, text := range got[:n] {
+			if text != strconv.Itoa(i) {
+				t.Fatalf("piece %d is %q", i, text)
+			}
+		}
+	})
+}
+
+func TestAssemblerBounds(t *testing.T) {
+	rows := []struct {
+		name     string
+		fragment Fragment
+		kept     int
+	}{
+		{"in reach", Fragment{RunID: "own", Offset: maxAhead - 1}, 1},
+		{"too far ahead", Fragment{RunID: "own", Offset: maxAhead}, 0},
+		{"too large", Fragment{RunID: "own", Offset: 1, Piece: Piece{Data: make([]byte, maxWaitingBytes+1)}}, 0},
+	}
+	for _, row := range rows {
+		qt.New(t).Run(row.name, func(c *qt.C) {
+			asm := NewAssembler("own")
+			c.Assert(asm.Take(row.fragment), qt.HasLen, 0)
+			c.Assert(asm.waiting, qt.HasLen, row.kept)
+		})
+	}
+}
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -11,6 +11,10 @@
 	ErrNotSent = errors.New("not sent")
 	// ErrBroken reports that the call was sent and its answer ended early, went silent or belongs to another run.
 	ErrBroken = errors.New("answer broken")
+	// ErrUnknownRun reports that the endpoint doesn't know the run that a call resumes.
+	ErrUnknownRun = errors.New("run unknown to the endpoint")
+	// ErrDown reports that nothing listens at the endpoint's address.
+	ErrDown = errors.New("endpoint down")
 )
 
 // Gate is asked immediately before the first byte of a call.
@@ -63,42 +67,6 @@
 	Close()
 }
 
-// Assembler puts the fragments of one run in order and drops those that came before or belong to another run.
-type Assembler struct {
-	runID   string
-	next    int
-	waiting map[int]Piece
-}
-
-// maxWaiting bounds the fragments that came ahead of their turn.
-const maxWaiting = 1024
-
-// NewAssembler makes an Assembler for the run.
-func NewAssembler(runID string) *Assembler {
-	return &Assembler{runID: runID, waiting: map[int]Piece{}}
-}
-
-// Next returns the offset of the first piece that has not arrived.
-func (a *Assembler) Next() int { return a.next }
-
-// Take returns the pieces that follow in order once f has arrived.
-func (a *Assembler) Take(f Fragment) []Piece {
-	if f.RunID != a.runID || f.Offset < a.next || len(a.waiting) >= maxWaiting {
-		return nil
-	}
-	a.waiting[f.Offset] = f.Piece
-	var ready []Piece
-	for {
-		p, ok := a.waiting[a.next]
-		if !ok {
-			return ready
-		}
-		delete(a.waiting, a.next)
-		a.next++
-		ready = append(ready, p)
-	}
-}
-
 // Outcome tells how a call ended.
 type Outcome struct {
 	Endpoint string
--- a/internal/endpoint/controller.go
+++ b/internal/endpoint/controller.go
@@ -33,7 +33,7 @@
 
 // Reporter asks an endpoint for its load.
 type Reporter interface {
-	Report(ctx context.Context, address string) (Report, error)
+	Report(ctx context.Context, address string, fresh bool) (Report, error)
 }
 
 // Report is what an endpoint says of itself.
@@ -235,7 +235,7 @@
 		task.Start(ctx, "poll "+id, ends, func(ctx context.Context) error {
 			ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 			defer cancel()
-			r, err := c.reporter.Report(ctx, address)
+			r, err := c.reporter.Report(ctx, address, false)
 			return task.Tell(c.mailbox, message(reportMessage{id, r, err}))
 		})
 	}
--- a/internal/endpoint/http.go
+++ b/internal/endpoint/http.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -10,8 +9,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -20,9 +21,8 @@
 	headerRunID       = "X-Request-Id"
 	headerPriority    = "X-Priority"
 	headerLastEventID = "Last-Event-ID"
+	headerRetryAfter  = "Retry-After"
 	eventStream       = "text/event-stream"
-	maxEventBytes     = 1 << 20
-	serviceChunkBytes = 32 << 10
 	maxReportBytes    = 64 << 10
 )
 
@@ -30,30 +30,43 @@
 type Client struct {
 	pooled *http.Client
 	dialer net.Dialer
-	// Silence is how long an answer may stay silent before its connection counts as lost.
+	// silence is how long an answer may stay silent before its connection counts as lost.
 	silence time.Duration
 }
 
 // NewClient makes a Client.
 func NewClient(dialTimeout, silence time.Duration) *Client {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}
-	return &Client{pooled: &http.Client{Transport: transport}, dialer: dialer, silence: silence}
+	c := &Client{dialer: net.Dialer{Timeout: dialTimeout}, silence: silence}
+	c.pooled = &http.Client{
+		CheckRedirect: noRedirect,
+		Transport:     &http.Transport{DialContext: c.dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second},
+	}
+	return c
 }
 
+// noRedirect hands a redirect on as the answer, since following it would be a second send.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Close drops idle connections.
 func (c *Client) Close() { c.pooled.CloseIdleConnections() }
 
 // Report implements Reporter.
-func (c *Client) Report(ctx context.Context, address string) (Report, error) {
+func (c *Client) Report(ctx context.Context, address string, fresh bool) (Report, error) {
 	var r Report
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/load", nil)
 	if err != nil {
 		return r, err
 	}
-	resp, err := c.pooled.Do(req)
+	client := c.pooled
+	if fresh {
+		if client, err = c.dialOwn(ctx, address); err != nil {
+			return r, reportError(err)
+		}
+		defer client.CloseIdleConnections()
+	}
+	resp, err := client.Do(req)
 	if err != nil {
-		return r, err
+		return r, reportError(err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -62,49 +75,83 @@
 	return r, json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&r)
 }
 
+func reportError(err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return fmt.Errorf("%w: %w", ErrDown, err)
+	}
+	return err
+}
+
 // Open implements filter.Sender. A call that isn't idempotent, or resumes one, gets a connection of its own,
 // which can't have gone silent before and which the library never sends it twice on.
+// The library asks the gate in this goroutine, once it has the connection and before it writes.
 func (c *Client) Open(ctx context.Context, e Endpoint, call Call, gate Gate) (Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	req, err := newRequest(ctx, e, call)
+	guard := &guard{gate: gate, cancel: cancel}
+	resp, err := c.send(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: guard.gotConn}), e, call)
 	if err != nil {
 		cancel()
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		return nil, guard.explain(err)
 	}
-	client := c.pooled
-	if !call.Idempotent || call.Resume {
-		client, err = c.dialOwn(ctx, e.Address)
-		if err != nil {
-			cancel()
-			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-		}
+	s := newStream(resp, call, cancel)
+	if err := s.check(e); err != nil {
+		s.Close()
+		return nil, err
 	}
-	if err := gate(); err != nil {
-		client.CloseIdleConnections()
-		cancel()
+	return s, nil
+}
+
+func (c *Client) send(ctx context.Context, e Endpoint, call Call) (*http.Response, error) {
+	req, err := newRequest(ctx, e, call)
+	if err != nil {
 		return nil, err
 	}
-	silent := time.AfterFunc(c.silence, cancel)
-	resp, err := client.Do(req)
+	if call.Idempotent && !call.Resume {
+		return c.pooled.Do(req)
+	}
+	own, err := c.dialOwn(ctx, e.Address)
 	if err != nil {
-		silent.Stop()
-		cancel()
-		return nil, sendError(err)
+		return nil, err
+	}
+	resp, err := own.Do(req)
+	if err != nil {
+		own.CloseIdleConnections()
+	}
+	return resp, err
+}
+
+// guard asks the gate for each connection that the library is about to use; only the goroutine of the call uses it.
+type guard struct {
+	gate   Gate
+	cancel context.CancelFunc
+	passed bool
+	err    error
+}
+
+// gotConn closes the connection where the gate refuses, so that no byte can leave on it.
+func (g *guard) gotConn(info httptrace.GotConnInfo) {
+	if g.err = g.gate(); g.err != nil {
+		g.cancel()
+		info.Conn.Close()
+		return
 	}
-	return newStream(resp, call, cancel, silent, c.silence), nil
+	g.passed = true
 }
 
-func sendError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+func (g *guard) explain(err error) error {
+	switch {
+	case g.passed:
+		return fmt.Errorf("%w: %w", ErrBroken, err)
+	case g.err != nil:
+		return g.err
+	default:
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return fmt.Errorf("%w: %w", ErrBroken, err)
 }
 
 // dialOwn connects first, so that nothing can delay the first byte after the gate.
 func (c *Client) dialOwn(ctx context.Context, address string) (*http.Client, error) {
-	conn, err := c.dialer.DialContext(ctx, "tcp", address)
+	conn, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -118,7 +165,38 @@
 			return nil, errors.New("the connection was used")
 		}
 	}
-	return &http.Client{Transport: &http.Transport{DialContext: once, DisableKeepAlives: true}}, nil
+	return &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{DialContext: once, DisableKeepAlives: true}}, nil
+}
+
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := c.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &silentConn{Conn: conn, silence: c.silence}, nil
+}
+
+// silentConn fails a read or write that makes no progress for as long as the silence limit.
+// A reader that takes its time between reads is no silence of the endpoint.
+type silentConn struct {
+	net.Conn
+	silence time.Duration
+}
+
+// Read implements net.Conn.
+func (c *silentConn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.silence)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+// Write implements net.Conn. It also moves the deadline of the read that waits for the answer.
+func (c *silentConn) Write(p []byte) (int, error) {
+	if err := c.SetDeadline(time.Now().Add(c.silence)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
 }
 
 func newRequest(ctx context.Context, e Endpoint, call Call) (*http.Request, error) {
@@ -174,126 +252,3 @@
 	offset, err := strconv.Atoi(id[i+1:])
 	return id[:i], offset, err
 }
-
-type httpStream struct {
-	resp    *http.Response
-	call    Call
-	cancel  context.CancelFunc
-	silent  *time.Timer
-	silence time.Duration
-	reader  *bufio.Reader
-	offset  int
-	ended   bool
-}
-
-func newStream(resp *http.Response, call Call, cancel context.CancelFunc, silent *time.Timer, silence time.Duration) *httpStream {
-	return &httpStream{
-		resp: resp, call: call, cancel: cancel, silent: silent, silence: silence,
-		reader: bufio.NewReaderSize(resp.Body, serviceChunkBytes),
-	}
-}
-
-// Head implements Stream.
-func (s *httpStream) Head() Head {
-	return Head{Status: s.resp.StatusCode, ContentType: s.resp.Header.Get("Content-Type")}
-}
-
-// Close implements Stream; it cancels the run if it has not ended.
-func (s *httpStream) Close() {
-	s.silent.Stop()
-	s.cancel()
-	s.resp.Body.Close()
-}
-
-// Next implements Stream.
-func (s *httpStream) Next() (Fragment, error) {
-	s.silent.Reset(s.silence)
-	if s.ended {
-		return Fragment{}, io.EOF
-	}
-	if !s.call.Chat {
-		return s.nextServiceChunk()
-	}
-	if s.resp.StatusCode != http.StatusOK || !strings.HasPrefix(s.resp.Header.Get("Content-Type"), eventStream) {
-		return Fragment{}, fmt.Errorf("%w: status %d", ErrBroken, s.resp.StatusCode)
-	}
-	return s.nextEvent()
-}
-
-// nextServiceChunk fills a chunk, so that only the last one is short.
-func (s *httpStream) nextServiceChunk() (Fragment, error) {
-	buf := make([]byte, serviceChunkBytes)
-	n := 0
-	for n < len(buf) && !s.ended {
-		m, err := s.reader.Read(buf[n:])
-		n += m
-		s.silent.Reset(s.silence)
-		if err != nil && !errors.Is(err, io.EOF) {
-			return Fragment{}, fmt.Errorf("%w: %w", ErrBroken, err)
-		}
-		s.ended = err != nil
-	}
-	f := Fragment{RunID: s.call.RunID, Offset: s.offset, Piece: Piece{Data: buf[:n], Last: s.ended}}
-	s.offset++
-	return f, nil
-}
-
-// nextEvent reads one server-sent event.
-func (s *httpStream) nextEvent() (Fragment, error) {
-	var id string
-	var data []byte
-	for {
-		line, err := s.reader.ReadSlice('\n')
-		if err != nil {
-			return Fragment{}, fmt.Errorf("%w: %w", ErrBroken, err)
-		}
-		s.silent.Reset(s.silence)
-		line = bytes.TrimRight(line, "\r\n")
-		switch {
-		case bytes.HasPrefix(line, []byte("id: ")):
-			id = string(line[len("id: "):])
-		case bytes.HasPrefix(line, []byte("data: ")):
-			data = bytes.Clone(line[len("data: "):])
-		case len(line) == 0 && data != nil:
-			return newFragment(id, data)
-		}
-		if len(data) > maxEventBytes {
-			return Fragment{}, fmt.Errorf("%w: event over %d bytes", ErrBroken, maxEventBytes)
-		}
-	}
-}
-
-// chunk is the part of a chat completion chunk that the router reads.
-type chunk struct {
-	Choices []struct {
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-		FinishReason *string `json:"finish_reason"`
-	} `json:"choices"`
-	Usage *struct {
-		TotalTokens int `json:"total_tokens"`
-	} `json:"usage"`
-}
-
-func newFragment(id string, data []byte) (Fragment, error) {
-	runID, offset, err := parseEventID(id)
-	if err != nil {
-		return Fragment{}, fmt.Errorf("%w: %w", ErrBroken, err)
-	}
-	if string(data) == "[DONE]" {
-		return Fragment{}, fmt.Errorf("%w: no usage before the end", ErrBroken)
-	}
-	var c chunk
-	if err := json.Unmarshal(data, &c); err != nil {
-		return Fragment{}, fmt.Errorf("%w: %w", ErrBroken, err)
-	}
-	p := Piece{Data: data}
-	if len(c.Choices) > 0 {
-		p.Text = c.Choices[0].Delta.Content
-	}
-	if c.Usage != nil {
-		p.Tokens, p.Last = c.Usage.TotalTokens, true
-	}
-	return Fragment{RunID: runID, Offset: offset, Piece: p}, nil
-}
--- /dev/null
+++ b/internal/endpoint/stream.go
@@ -0,0 +1,187 @@
+package endpoint
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	maxEventBytes     = 1 << 20
+	serviceChunkBytes = 32 << 10
+	maxDrainBytes     = 4 << 10
+	// drainTimeout bounds the wait for the end of an answer whose last piece has come.
+	drainTimeout = 20 * time.Millisecond
+)
+
+type httpStream struct {
+	resp   *http.Response
+	call   Call
+	cancel context.CancelFunc
+	reader *bufio.Reader
+	events bool
+	offset int
+	ended  bool
+	// usage says that the event with the run's usage was read.
+	usage bool
+}
+
+func newStream(resp *http.Response, call Call, cancel context.CancelFunc) *httpStream {
+	return &httpStream{resp: resp, call: call, cancel: cancel, reader: bufio.NewReaderSize(resp.Body, serviceChunkBytes)}
+}
+
+// check settles what the head of the answer means.
+func (s *httpStream) check(e Endpoint) error {
+	if id := s.resp.Header.Get(headerRunID); id != "" && id != s.call.RunID {
+		return fmt.Errorf("%w: the answer of endpoint %s names another run", ErrBroken, e.ID)
+	}
+	h := s.Head()
+	switch Judge(s.call, h.Status, h.ContentType) {
+	case VerdictEvents:
+		s.events = true
+		return nil
+	case VerdictWhole:
+		return nil
+	case VerdictRefused:
+		seconds, _ := strconv.Atoi(s.resp.Header.Get(headerRetryAfter))
+		return &RefusedError{Status: h.Status, RetryAfter: time.Duration(max(seconds, 0)) * time.Second}
+	case VerdictUnknownRun:
+		return fmt.Errorf("%w: status %d", ErrUnknownRun, h.Status)
+	default:
+		return fmt.Errorf("%w: status %d", ErrBroken, h.Status)
+	}
+}
+
+// Head implements Stream.
+func (s *httpStream) Head() Head {
+	return Head{Status: s.resp.StatusCode, ContentType: s.resp.Header.Get("Content-Type")}
+}
+
+// Close implements Stream; it cancels the run if it has not ended. The connection of one that has can be used again.
+func (s *httpStream) Close() {
+	if s.usage {
+		drain := time.AfterFunc(drainTimeout, s.cancel)
+		_, _ = io.CopyN(io.Discard, s.reader, maxDrainBytes) // what is left is dropped with the connection
+		drain.Stop()
+	}
+	s.cancel()
+	s.resp.Body.Close()
+}
+
+// Next implements Stream.
+func (s *httpStream) Next() (Fragment, error) {
+	if s.ended {
+		return Fragment{}, io.EOF
+	}
+	if s.events {
+		return s.nextEvent()
+	}
+	return s.nextChunk()
+}
+
+// nextChunk fills a chunk, so that only the last one is short.
+func (s *httpStream) nextChunk() (Fragment, error) {
+	buf := make([]byte, serviceChunkBytes)
+	n := 0
+	for n < len(buf) && !s.ended {
+		m, err := s.reader.Read(buf[n:])
+		n += m
+		if err != nil && !errors.Is(err, io.EOF) {
+			return Fragment{}, fmt.Errorf("%w: %w", ErrBroken, err)
+		}
+		s.ended = err != nil
+	}
+	f := Fragment{RunID: s.call.RunID, Offset: s.offset, Piece: Piece{Data: buf[:n], Last: s.ended}}
+	s.offset++
+	return f, nil
+}
+
+// nextEvent reads one server-sent event; comments and fields that the router doesn't use are passed over.
+func (s *httpStream) nextEvent() (Fragment, error) {
+	var id string
+	var data []byte
+	left := maxEventBytes
+	for {
+		line, err := s.readLine(left)
+		if err != nil {
+			return Fragment{}, fmt.Errorf("%w: %w", ErrBroken, err)
+		}
+		left -= len(line)
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch {
+		case len(line) == 0 && data != nil:
+			f, err := newFragment(id, data)
+			s.usage = s.usage || f.Piece.Last
+			return f, err
+		case string(name) == "id":
+			id = string(value)
+		case string(name) == "data" && data != nil:
+			data = append(append(data, '\n'), value...)
+		case string(name) == "data":
+			data = bytes.Clone(value)
+		}
+	}
+}
+
+// readLine returns the next line, which may be no longer than limit.
+func (s *httpStream) readLine(limit int) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := s.reader.ReadSlice('\n')
+		if len(line)+len(part) > limit {
+			return nil, fmt.Errorf("event over %d bytes", maxEventBytes)
+		}
+		if err == nil && line == nil {
+			return bytes.TrimRight(part, "\r\n"), nil
+		}
+		line = append(line, part...)
+		if err == nil {
+			return bytes.TrimRight(line, "\r\n"), nil
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return nil, err
+		}
+	}
+}
+
+// chunk is the part of a chat completion chunk that the router reads.
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Usage *struct {
+		TotalTokens int `json:"total_tokens"`
+	} `json:"usage"`
+}
+
+func newFragment(id string, data []byte) (Fragment, error) {
+	if string(data) == "[DONE]" {
+		return Fragment{}, fmt.Errorf("%w: no usage before the end", ErrBroken)
+	}
+	runID, offset, err := parseEventID(id)
+	if err != nil {
+		return Fragment{}, fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return Fragment{}, fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	p := Piece{Data: data}
+	if len(c.Choices) > 0 {
+		p.Text = c.Choices[0].Delta.Content
+	}
+	if c.Usage != nil {
+		p.Tokens, p.Last = c.Usage.TotalTokens, true
+	}
+	return Fragment{RunID: runID, Offset: offset, Piece: p}, nil
+}
--- a/internal/entry/encode.go
+++ b/internal/entry/encode.go
@@ -47,10 +47,10 @@
 // Begin implements filter.Sink.
 func (s *sink) Begin(_ context.Context, h filter.Head) error {
 	s.head = h
-	s.chat = h.Version != ""
+	s.chat = h.Version != "" && h.Status == http.StatusOK
 	s.w.Header().Set(headerRequestID, h.RequestID)
 	s.w.Header().Set(headerSession, s.decoder.session)
-	if s.chat {
+	if h.Version != "" {
 		s.w.Header().Set(headerVersion, h.Model+"/"+h.Version)
 	}
 	if s.chat && !s.decoder.stream {
--- a/internal/filter/send.go
+++ b/internal/filter/send.go
@@ -9,9 +9,13 @@
 
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/journal"
+	"cornelmux/internal/task"
 	"cornelmux/pkg/result"
 )
 
+// resumePause is the wait before the second resumption, and grows with each further one.
+const resumePause = 100 * time.Millisecond
+
 // Sender opens a run at an endpoint. It calls gate immediately before the first byte and sends nothing if gate fails.
 // A failure before the first byte is endpoint.ErrNotSent or the gate's error.
 type Sender interface {
@@ -28,25 +32,52 @@
 
 // Handle implements Filter.
 func (f Send) Handle(ctx context.Context, x *Exchange, _ Next) error {
+	run, cancel := runContext(ctx, x)
+	defer cancel()
+	sentBefore := x.Sent
 	call := newCall(x)
 	gate := f.gate(ctx, x)
 	asm := endpoint.NewAssembler(call.RunID)
 	for resumes := 0; ; resumes++ {
-		err := f.relay(ctx, x, call, gate, asm)
-		switch {
-		case err == nil:
+		err := f.relay(run, x, call, gate, asm)
+		if err == nil {
 			return nil
-		case errors.Is(err, endpoint.ErrNotSent) && asm.Next() == 0:
-			return result.Errorf(result.EndpointFailed, "endpoint %s: %v", x.Attempt.Endpoint.ID, err)
-		case !errors.Is(err, endpoint.ErrBroken) && !errors.Is(err, endpoint.ErrNotSent):
+		}
+		if !f.mayResume(run, x, err, resumes) {
+			err = failure(run, x, asm, err)
+			x.Sent = x.Sent && (sentBefore || !neverRan(err))
 			return err
-		case x.Request.Kind != KindChat || resumes >= f.MaxResumes || ctx.Err() != nil:
-			return broken(x, asm, err)
 		}
+		task.Sleep(run, time.Duration(resumes)*resumePause)
 		call.Offset = asm.Next()
 		call.Resume = true
-		gate = func() error { return nil }
+		gate = resumeGate(run)
+	}
+}
+
+// runContext bounds a run. One that may not be repeated goes on when its caller goes, so that a resend gets its answer.
+func runContext(ctx context.Context, x *Exchange) (context.Context, context.CancelFunc) {
+	if x.Idempotent {
+		return context.WithCancel(ctx)
+	}
+	if x.Request.Deadline.IsZero() {
+		return context.WithCancel(context.WithoutCancel(ctx))
+	}
+	return context.WithDeadline(context.WithoutCancel(ctx), x.Request.Deadline)
+}
+
+// resumeGate lets a resumed stream through until its deadline: it is work that the endpoint accepted before, so a
+// version withdrawn since then doesn't stop it.
+func resumeGate(ctx context.Context) endpoint.Gate {
+	return func() error { return ctx.Err() }
+}
+
+// mayResume allows a new connection to the same endpoint for a chat run that the endpoint has accepted.
+func (f Send) mayResume(ctx context.Context, x *Exchange, err error, resumes int) bool {
+	if x.Request.Kind != KindChat || resumes >= f.MaxResumes || ctx.Err() != nil {
+		return false
 	}
+	return errors.Is(err, endpoint.ErrBroken) || (resumes > 0 && errors.Is(err, endpoint.ErrNotSent))
 }
 
 func newCall(x *Exchange) endpoint.Call {
@@ -133,9 +164,46 @@
 	return p.Last, x.Sink.Piece(ctx, p)
 }
 
-func broken(x *Exchange, asm *endpoint.Assembler, err error) error {
-	if asm.Next() > 0 {
+// failure gives the end of a run its result code, and its truth about what ran.
+func failure(ctx context.Context, x *Exchange, asm *endpoint.Assembler, err error) error {
+	var refused *endpoint.RefusedError
+	var settled *result.Error
+	switch {
+	case errors.As(err, &refused):
+		return result.Errorf(result.QueueFull, "endpoint %s: %v", x.Attempt.Endpoint.ID, err).After(refused.RetryAfter)
+	case errors.As(err, &settled):
+		return settled
+	case ctx.Err() != nil:
+		return ended(x)
+	case !isEndpointError(err):
+		return err
+	case !x.Sent:
+		return notRun(result.Errorf(result.EndpointFailed, "endpoint %s: %v", x.Attempt.Endpoint.ID, err))
+	case asm.Next() > 0:
 		return result.Errorf(result.AnswerBroken, "endpoint %s: %v", x.Attempt.Endpoint.ID, err)
+	default:
+		return result.Errorf(result.EndpointFailed, "endpoint %s: %v", x.Attempt.Endpoint.ID, err)
+	}
+}
+
+// ended reports a run whose deadline passed or whose caller is gone; the endpoint isn't to blame.
+func ended(x *Exchange) error {
+	if !x.Sent {
+		return result.Errorf(result.DeadlinePassed, "before the send")
 	}
-	return result.Errorf(result.EndpointFailed, "endpoint %s: %v", x.Attempt.Endpoint.ID, err)
+	e := result.Errorf(result.DeadlinePassed, "while endpoint %s ran the request", x.Attempt.Endpoint.ID)
+	e.Run = result.Unknown
+	return e
+}
+
+// neverRan reports a refusal by the endpoint itself.
+func neverRan(err error) bool { return result.From(err).Code == result.QueueFull }
+
+func isEndpointError(err error) bool {
+	return errors.Is(err, endpoint.ErrBroken) || errors.Is(err, endpoint.ErrNotSent) || errors.Is(err, endpoint.ErrUnknownRun)
+}
+
+func notRun(e *result.Error) *result.Error {
+	e.Run = result.NotRun
+	return e
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -19,6 +19,7 @@
 	engineMailbox = 1024
 	maxRuns       = 10_000
 	maxBodyBytes  = 8 << 20
+	oversizeBytes = 2 << 20
 )
 
 // Engine is a stand-in of a model engine: it streams chat completions as server-sent events, resumes a run by
@@ -34,11 +35,14 @@
 	runs     map[string]*engineRun
 	order    []string
 	counts   map[string]int
+	crashed  chan struct{}
 }
 
 type engineRun struct {
 	model  string
 	tokens []string
+	// crashed is closed when the engine crashes.
+	crashed <-chan struct{}
 }
 
 // Words in a prompt that ask an engine for a fault.
@@ -47,6 +51,22 @@
 	FaultSilent  = "fault:silent"
 	FaultForeign = "fault:foreign"
 	FaultRefuse  = "fault:refuse"
+	// FaultForget breaks the stream and forgets the run.
+	FaultForget = "fault:forget"
+	// FaultCrash ends every stream and starts the engine anew, with another incarnation and no runs.
+	FaultCrash = "fault:crash"
+	// FaultReject answers that the request is bad.
+	FaultReject = "fault:reject"
+	// FaultFail answers with an internal error.
+	FaultFail = "fault:fail"
+	// FaultEarly ends the stream before its last event.
+	FaultEarly = "fault:early"
+	// FaultTwice sends each event twice.
+	FaultTwice = "fault:twice"
+	// FaultShuffle sends the events in reverse order.
+	FaultShuffle = "fault:shuffle"
+	// FaultOversize sends an event over every limit.
+	FaultOversize = "fault:oversize"
 )
 
 type engineMessage interface{ handle(*Engine) }
@@ -68,6 +88,10 @@
 		reply chan<- *engineRun
 	}
 	endMessage    struct{}
+	forgetMessage struct {
+		id    string
+		crash bool
+	}
 	reportMessage struct{ reply chan<- endpoint.Report }
 	leaveMessage  struct{ reply chan<- bool }
 	runsMessage   struct{ reply chan<- map[string]int }
@@ -77,7 +101,7 @@
 func NewEngine(versions []string, interval time.Duration) *Engine {
 	return &Engine{
 		mailbox: make(chan engineMessage, engineMailbox), incarnation: uint64(time.Now().UnixNano()),
-		versions: versions, interval: interval, runs: map[string]*engineRun{}, counts: map[string]int{},
+		versions: versions, interval: interval, runs: map[string]*engineRun{}, counts: map[string]int{}, crashed: make(chan struct{}),
 	}
 }
 
@@ -100,7 +124,7 @@
 	}
 	e.counts[m.id]++
 	e.running++
-	run := &engineRun{model: m.model, tokens: answerTokens(m.model, m.text)}
+	run := &engineRun{model: m.model, tokens: answerTokens(m.model, m.text), crashed: e.crashed}
 	e.runs[m.id] = run
 	e.order = append(e.order, m.id)
 	if len(e.order) > maxRuns {
@@ -120,6 +144,16 @@
 
 func (endMessage) handle(e *Engine) { e.running-- }
 
+func (m forgetMessage) handle(e *Engine) {
+	delete(e.runs, m.id)
+	if m.crash {
+		e.incarnation++
+		clear(e.runs)
+		close(e.crashed)
+		e.crashed = make(chan struct{})
+	}
+}
+
 func (m reportMessage) handle(e *Engine) {
 	m.reply <- endpoint.Report{Incarnation: e.incarnation, Running: e.running, Leaving: e.leaving, Versions: e.versions}
 }
@@ -187,8 +221,8 @@
 		e.serveResume(w, r, id, last)
 		return
 	}
-	if strings.Contains(text.String(), FaultRefuse) {
-		http.Error(w, "overloaded", http.StatusServiceUnavailable)
+	if status := refusal(text.String()); status != 0 {
+		http.Error(w, "asked for by the prompt", status)
 		return
 	}
 	started, err := task.Ask(r.Context(), e.mailbox, func(reply chan<- startReply) engineMessage {
@@ -215,26 +249,38 @@
 	e.stream(w, r, id, run, offset+1, "")
 }
 
+// refusal returns the status that a prompt asks for, or 0.
+func refusal(text string) int {
+	switch {
+	case strings.Contains(text, FaultRefuse):
+		return http.StatusServiceUnavailable
+	case strings.Contains(text, FaultReject):
+		return http.StatusBadRequest
+	case strings.Contains(text, FaultFail):
+		return http.StatusInternalServerError
+	default:
+		return 0
+	}
+}
+
 // stream writes the run's events from offset; the event after the last token holds the usage.
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id string, run *engineRun, offset int, text string) {
 	defer func() { e.mailbox <- endMessage{} }()
 	w.Header().Set("Content-Type", "text/event-stream")
-	if strings.Contains(text, FaultForeign) {
-		id = "another/" + id
-	}
 	flush := http.NewResponseController(w)
 	for i := offset; i <= len(run.tokens); i++ {
 		if !task.Sleep(r.Context(), e.interval) {
 			return
 		}
-		if i == len(run.tokens)/2 && strings.Contains(text, FaultBreak) {
+		select {
+		case <-run.crashed:
 			panic(http.ErrAbortHandler)
+		default:
 		}
-		if i == len(run.tokens)/2 && strings.Contains(text, FaultSilent) {
-			<-r.Context().Done()
+		if i == len(run.tokens)/2 && e.fault(r, id, text) {
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %s#%d\ndata: %s\n\n", id, i, event(run, i)); err != nil {
+		if _, err := io.WriteString(w, events(run, id, i, text)); err != nil {
 			return
 		}
 		if flush.Flush() != nil {
@@ -244,6 +290,45 @@
 	_, _ = io.WriteString(w, "data: [DONE]\n\n") // the router is gone if this fails
 }
 
+// fault does what the prompt asks for in the middle of the stream, and reports whether the stream ends there.
+func (e *Engine) fault(r *http.Request, id, text string) bool {
+	switch {
+	case strings.Contains(text, FaultForget), strings.Contains(text, FaultCrash):
+		e.mailbox <- forgetMessage{id, strings.Contains(text, FaultCrash)}
+		panic(http.ErrAbortHandler)
+	case strings.Contains(text, FaultBreak):
+		panic(http.ErrAbortHandler)
+	case strings.Contains(text, FaultSilent):
+		<-r.Context().Done()
+		return true
+	case strings.Contains(text, FaultEarly):
+		return true
+	default:
+		return false
+	}
+}
+
+// events returns what the stream sends in place of event i.
+func events(run *engineRun, id string, i int, text string) string {
+	switch {
+	case strings.Contains(text, FaultForeign):
+		other := &engineRun{model: run.model, tokens: answerTokens(run.model, strings.Repeat("foreign ", len(run.tokens)-1))}
+		return eventLines(other, "another/"+id, i)
+	case strings.Contains(text, FaultTwice):
+		return eventLines(run, id, i) + eventLines(run, id, i)
+	case strings.Contains(text, FaultShuffle):
+		return eventLines(run, id, len(run.tokens)-i)
+	case strings.Contains(text, FaultOversize):
+		return ": " + strings.Repeat("x", oversizeBytes) + "\n" + eventLines(run, id, i)
+	default:
+		return eventLines(run, id, i)
+	}
+}
+
+func eventLines(run *engineRun, id string, i int) string {
+	return fmt.Sprintf("id: %s#%d\ndata: %s\n\n", id, i, event(run, i))
+}
+
 type chunkEvent struct {
 	Object  string        `json:"object"`
 	Model   string        `json:"model"`
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -102,6 +103,20 @@
 	if !task.Sleep(r.Context(), s.delay) {
 		return
 	}
+	switch {
+	case strings.Contains(string(body), FaultFail):
+		http.Error(w, "asked for by the body", http.StatusInternalServerError)
+		return
+	case strings.Contains(string(body), FaultBreak):
+		panic(http.ErrAbortHandler)
+	case strings.Contains(string(body), FaultSilent):
+		<-r.Context().Done()
+		return
+	case strings.Contains(string(body), FaultForeign):
+		w.Header().Set("X-Request-Id", "another/"+id)
+	case strings.Contains(string(body), FaultEarly):
+		w.Header().Set("Content-Length", strconv.Itoa(maxBodyBytes))
+	}
 	writeJSON(w, receipt{Service: s.name, RequestID: id, Path: r.URL.Path, Call: n, Body: string(body)}, nil)
 }
 
