Learn where each cascade starts, and hold answers until they are rated

Cause: a cascade always began at its first level, waited for a rating that was down on each request, took a rating that was absent for 0, marked a held level as relayed (so that it was never tried at another endpoint), said "not run" when an earlier level had run, and held answers without a bound.

Ruled out: one pass chance a level. Answers that come after a failed cheaper level are harder, so that a level looked worse the more it was climbed to; direct and climbed ratings are counted apart. A length of 1 token for a level that was never run: it made unseen strong levels look nearly free (TestLearnedStartFollowsDrift failed on it); the mean length of the seen levels stands in.

Change: internal/cascade has a controller that owns decayed counts a client account, cascade and level, and a breaker; Decide and Start are pure. Only the last level, the operator's reference, passes without a rating; others do so only where the cascade allows it. While the breaker is open no request waits for a rating, and only answers that were passed on already probe the service, in child tasks. A non-idempotent request runs the last level, or, where unrated answers are allowed, the cheapest level that passed nearly always; it is never sent to a second one.

--- /dev/null
+++ b/internal/cascade/controller.go
@@ -0,0 +1,246 @@
+package cascade
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"cornelmux/internal/task"
+)
+
+const (
+	mailboxSize = 4096
+	// maxLearned bounds the client accounts and cascades that estimates are kept for.
+	maxLearned = 20_000
+	// maxSamples bounds the answers that are being rated after they were passed on.
+	maxSamples = 32
+	// exploreShare is the share of rated requests that start at another level than the cheapest.
+	exploreShare = 0.01
+	// sampleShare is the share of answers of the last level that are rated after they were passed on.
+	sampleShare = 0.02
+)
+
+// Rater rates an answer from 0 to 1.
+type Rater interface {
+	Rate(ctx context.Context, requestID, prompt, answer string) (float64, error)
+}
+
+// Evidence takes in whether a version's answer met the quality target. It must not wait.
+type Evidence interface {
+	Rated(model, version string, passed bool)
+}
+
+// Key names a cascade of a client account.
+type Key struct {
+	Account string
+	Cascade string
+}
+
+// Query asks for the plan of a request. Levels hold models, prices and whether each is usable.
+type Query struct {
+	Key          Key
+	Levels       []Level
+	Idempotent   bool
+	AllowUnrated bool
+}
+
+// Sample is an answer that was passed on without a rating.
+type Sample struct {
+	Outcome   Outcome
+	Target    float64
+	RequestID string
+	Prompt    string
+	Answer    string
+}
+
+// Controller owns the estimates of each client account's cascades and the state of the rating service.
+type Controller struct {
+	mailbox  chan message
+	rater    Rater
+	evidence Evidence
+	log      logr.Logger
+	random   *rand.Rand
+	learned  map[Key][]Level
+	order    []Key
+	breaker  Breaker
+	samples  int
+}
+
+// New makes a Controller; Run starts it. Without a rater no answer is rated; evidence may be nil.
+func New(rater Rater, evidence Evidence, seed uint64, log logr.Logger) *Controller {
+	return &Controller{
+		mailbox: make(chan message, mailboxSize), rater: rater, evidence: evidence, log: log,
+		random: rand.New(rand.NewPCG(seed, seed)), learned: map[Key][]Level{},
+	}
+}
+
+// message is handled by the owner of the state; start runs a child task.
+type message interface {
+	handle(c *Controller, start starter)
+}
+
+type starter func(name string, f func(context.Context) error)
+
+type (
+	planMessage struct {
+		query Query
+		reply chan<- Plan
+	}
+	observeMessage struct{ outcome Outcome }
+	sampleMessage  struct{ sample Sample }
+	levelsMessage  struct {
+		key   Key
+		reply chan<- []Level
+	}
+)
+
+// Run owns the state until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ends := make(chan task.End, maxSamples)
+	start := func(name string, f func(context.Context) error) {
+		c.samples++
+		task.Start(ctx, name, ends, f)
+	}
+	for {
+		select {
+		case m := <-c.mailbox:
+			m.handle(c, start)
+		case end := <-ends:
+			c.samples--
+			if end.Err != nil {
+				c.log.V(1).Info("rating lost", "error", end.Err.Error())
+			}
+		case <-ctx.Done():
+			return task.Stop(cancel, ends, c.samples)
+		}
+	}
+}
+
+// Plan implements filter.Levels.
+func (c *Controller) Plan(ctx context.Context, q Query) (Plan, error) {
+	return task.Ask(ctx, c.mailbox, func(reply chan<- Plan) message { return planMessage{q, reply} })
+}
+
+// Observe implements filter.Levels.
+func (c *Controller) Observe(o Outcome) error {
+	return task.Tell(c.mailbox, message(observeMessage{o}))
+}
+
+// Sample implements filter.Levels.
+func (c *Controller) Sample(s Sample) error { return task.Tell(c.mailbox, message(sampleMessage{s})) }
+
+// Levels returns what was learned of a client account's cascade.
+func (c *Controller) Levels(ctx context.Context, k Key) ([]Level, error) {
+	return task.Ask(ctx, c.mailbox, func(reply chan<- []Level) message { return levelsMessage{k, reply} })
+}
+
+func (m planMessage) handle(c *Controller, _ starter) {
+	levels := c.recall(m.query)
+	s := Situation{
+		Levels: levels, Idempotent: m.query.Idempotent, AllowUnrated: m.query.AllowUnrated,
+		RatingUp: c.rater != nil && c.breaker.Closed(), Explore: NoLevel,
+	}
+	if len(levels) > 1 && c.random.Float64() < exploreShare {
+		s.Explore = c.random.IntN(len(levels) - 1)
+	}
+	plan := Decide(s)
+	plan.Sample = c.rater != nil && (c.breaker.ProbeDue(time.Now()) || c.random.Float64() < sampleShare)
+	m.reply <- plan
+}
+
+// recall returns the levels of the query with what was learned; a level whose model was replaced starts anew.
+func (c *Controller) recall(q Query) []Level {
+	old, known := c.learned[q.Key]
+	levels := make([]Level, len(q.Levels))
+	for i, l := range q.Levels {
+		if i < len(old) && old[i].Model == l.Model {
+			l.Direct, l.Climbed, l.Tokens = old[i].Direct, old[i].Climbed, old[i].Tokens
+		}
+		levels[i] = l
+	}
+	c.learned[q.Key] = levels
+	if !known {
+		c.order = append(c.order, q.Key)
+		c.evict()
+	}
+	return levels
+}
+
+func (c *Controller) evict() {
+	for len(c.order) > maxLearned {
+		delete(c.learned, c.order[0])
+		c.order = c.order[1:]
+	}
+}
+
+func (m observeMessage) handle(c *Controller, _ starter) {
+	o := m.outcome
+	if o.Verdict != VerdictNone {
+		c.rated(o)
+	}
+	levels := c.learned[o.Key]
+	if o.Level < len(levels) && levels[o.Level].Model == o.Model {
+		levels[o.Level] = Learn(levels[o.Level], o)
+	}
+}
+
+func (c *Controller) rated(o Outcome) {
+	closed := c.breaker.Closed()
+	c.breaker = c.breaker.After(o.Verdict != VerdictMissing, time.Now())
+	if closed != c.breaker.Closed() {
+		c.log.Info("rating service", "in_use", c.breaker.Closed())
+	}
+	if c.evidence != nil && o.Verdict != VerdictMissing {
+		c.evidence.Rated(o.Model, o.Version, o.Verdict == VerdictPassed)
+	}
+}
+
+// handle rates the sample in a child task; while the rating service is down only a probe at a time goes out.
+func (m sampleMessage) handle(c *Controller, start starter) {
+	now := time.Now()
+	if c.rater == nil || c.samples >= maxSamples {
+		return
+	}
+	if !c.breaker.Closed() {
+		if !c.breaker.ProbeDue(now) {
+			return
+		}
+		c.breaker = c.breaker.Probed(now)
+	}
+	start("rating", func(ctx context.Context) error { return c.rate(ctx, m.sample) })
+}
+
+func (c *Controller) rate(ctx context.Context, s Sample) error {
+	rating, err := c.rater.Rate(ctx, s.RequestID, s.Prompt, s.Answer)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	o := s.Outcome
+	o.Tokens = 0
+	o.Verdict = Judge(rating, err, s.Target)
+	if err := c.Observe(o); err != nil {
+		return fmt.Errorf("sample of request %s: %w", s.RequestID, err)
+	}
+	return nil
+}
+
+func (m levelsMessage) handle(c *Controller, _ starter) {
+	m.reply <- append([]Level(nil), c.learned[m.key]...)
+}
+
+// Judge compares a rating with the target. A rating that can't be one counts as missing.
+func Judge(rating float64, err error, target float64) Verdict {
+	switch {
+	case err != nil || !(rating >= 0 && rating <= 1):
+		return VerdictMissing
+	case rating >= target:
+		return VerdictPassed
+	default:
+		return VerdictFailed
+	}
+}
--- /dev/null
+++ b/internal/cascade/decide_test.go
@@ -0,0 +1,240 @@
+package cascade
+
+import (
+	"errors"
+	"flag"
+	"math"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "6") // the flag is registered by the import
+	_ = flag.Set("rapid.checks", "2000")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func drawLevel(t *rapid.T) Level {
+	rated := rapid.Float64Range(0, tallyWindow).Draw(t, "rated")
+	climbed := rapid.SampledFrom([]float64{0, 10}).Draw(t, "climbed")
+	return Level{
+		Usable: rapid.Bool().Draw(t, "usable"), Price: rapid.Float64Range(0, 10).Draw(t, "price"),
+		Direct:  Tally{rated * rapid.Float64Range(0, 1).Draw(t, "passed"), rated},
+		Tokens:  rapid.SampledFrom([]float64{0, 50, 400}).Draw(t, "tokens"),
+		Climbed: Tally{climbed * rapid.Float64Range(0, 1).Draw(t, "climbed passed"), climbed},
+	}
+}
+
+func TestDecideNeverPassesAnUnratedAnswerWhereTheTargetForbidsIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Situation{
+			Levels:     rapid.SliceOfN(rapid.Custom(drawLevel), 1, 5).Draw(t, "levels"),
+			Idempotent: rapid.Bool().Draw(t, "idempotent"), AllowUnrated: rapid.Bool().Draw(t, "allow"),
+			RatingUp: rapid.Bool().Draw(t, "up"), Explore: NoLevel,
+		}
+		if len(s.Levels) > 1 && rapid.Bool().Draw(t, "explore") {
+			s.Explore = rapid.IntRange(0, len(s.Levels)-2).Draw(t, "level")
+		}
+		last := len(s.Levels) - 1
+		seen := map[int]bool{}
+		plan := Decide(s)
+		if len(plan.Steps) == 0 {
+			t.Fatal("no step")
+		}
+		for _, step := range plan.Steps {
+			if !step.Rate && step.Level != last && !s.AllowUnrated {
+				t.Fatalf("unrated level %d in %+v", step.Level, plan)
+			}
+			if step.Rate && (!s.RatingUp || !s.Idempotent) {
+				t.Fatalf("waits for a rating in %+v", plan)
+			}
+			if !s.Levels[step.Level].Usable && step.Level != last {
+				t.Fatalf("unusable level %d in %+v", step.Level, plan)
+			}
+			if seen[step.Level] {
+				t.Fatalf("level %d twice in %+v", step.Level, plan)
+			}
+			seen[step.Level] = true
+		}
+	})
+}
+
+// leastCost tries every way up from the level.
+func leastCost(levels []Level, i int, direct bool) float64 {
+	above := math.Inf(1)
+	for j := i + 1; j < len(levels); j++ {
+		if levels[j].Usable {
+			above = min(above, leastCost(levels, j, false))
+		}
+	}
+	if math.IsInf(above, 1) {
+		above = 0
+	}
+	chance := levels[i].climbed()
+	if direct {
+		chance = levels[i].Direct.Chance()
+	}
+	return levels[i].cost(usualTokens(levels)) + (1-chance)*above
+}
+
+func TestStartHasTheLeastExpectedCost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		levels := rapid.SliceOfN(rapid.Custom(drawLevel), 1, 5).Draw(t, "levels")
+		start, _ := Start(levels)
+		best := math.Inf(1)
+		for i := range levels {
+			if levels[i].Usable {
+				best = min(best, leastCost(levels, i, true))
+			}
+		}
+		if start == NoLevel {
+			if !math.IsInf(best, 1) {
+				t.Fatal("no start although a level is usable")
+			}
+			return
+		}
+		if got := leastCost(levels, start, true); math.Abs(got-best) > 1e-9 {
+			t.Fatalf("start %d costs %v, the best %v", start, got, best)
+		}
+	})
+}
+
+func TestDecide(t *testing.T) {
+	sure := Tally{60, 60}
+	hopeless := Tally{0, 60}
+	cheap := Level{Usable: true, Price: 1}
+	strong := Level{Usable: true, Price: 10}
+	with := func(l Level, t Tally) Level {
+		l.Direct = t
+		return l
+	}
+	rows := []struct {
+		name string
+		s    Situation
+		want []Step
+	}{
+		{"cheap first", Situation{Levels: []Level{with(cheap, sure), strong}, Idempotent: true, RatingUp: true, Explore: NoLevel}, []Step{{0, true}, {1, false}}},
+		{"strong first where cheap hardly passes", Situation{Levels: []Level{with(cheap, hopeless), strong}, Idempotent: true, RatingUp: true, Explore: NoLevel}, []Step{{1, false}, {0, true}}},
+		{"explored", Situation{Levels: []Level{with(cheap, hopeless), strong}, Idempotent: true, RatingUp: true, Explore: 0}, []Step{{0, true}, {1, false}}},
+		{"no rating service", Situation{Levels: []Level{with(cheap, sure), strong}, Idempotent: true, Explore: NoLevel}, []Step{{Level: 1}}},
+		{"no rating service, unrated allowed", Situation{Levels: []Level{with(cheap, sure), strong}, Idempotent: true, AllowUnrated: true, Explore: NoLevel}, []Step{{Level: 0}, {Level: 1}}},
+		{"no rating service, unrated allowed, nothing learned", Situation{Levels: []Level{cheap, strong}, Idempotent: true, AllowUnrated: true, Explore: NoLevel}, []Step{{Level: 1}}},
+		{"non-idempotent", Situation{Levels: []Level{with(cheap, sure), strong}, RatingUp: true, Explore: NoLevel}, []Step{{Level: 1}}},
+		{"strong out of service", Situation{Levels: []Level{cheap, {Price: 10}}, Idempotent: true, RatingUp: true, Explore: NoLevel}, []Step{{0, true}}},
+		{"nothing in service", Situation{Levels: []Level{{}, {}}, Idempotent: true, RatingUp: true, Explore: NoLevel}, []Step{{Level: 1}}},
+	}
+	for _, row := range rows {
+		qt.New(t).Run(row.name, func(c *qt.C) { c.Assert(Decide(row.s).Steps, qt.DeepEquals, row.want) })
+	}
+}
+
+func TestLearnedStartFollowsDrift(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(6, 6))
+	levels := []Level{{Usable: true, Price: 1}, {Usable: true, Price: 10}}
+	phases := []struct {
+		passes float64
+		want   int
+	}{{0.9, 0}, {0.02, 1}, {0.9, 0}}
+	const requests = 20_000
+	for _, phase := range phases {
+		for range requests {
+			s := Situation{Levels: levels, Idempotent: true, RatingUp: true, Explore: NoLevel}
+			if random.Float64() < exploreShare {
+				s.Explore = 0
+			}
+			if first := Decide(s).Steps[0]; first.Rate {
+				verdict := Judge(random.Float64(), nil, 1-phase.passes)
+				levels[0] = Learn(levels[0], Outcome{Verdict: verdict, Tokens: 100})
+			}
+		}
+		start, _ := Start(levels)
+		c.Assert(start, qt.Equals, phase.want, qt.Commentf("passes %v: %+v", phase.passes, levels[0]))
+	}
+}
+
+func TestBreaker(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(0, 0)
+	var b Breaker
+	for range breakerFailures {
+		c.Assert(b.Closed(), qt.IsTrue)
+		c.Assert(b.ProbeDue(now.Add(time.Hour)), qt.IsFalse)
+		b = b.After(false, now)
+	}
+	rows := []struct {
+		name   string
+		after  time.Duration
+		probed bool
+		due    bool
+	}{
+		{"opens", 0, false, false},
+		{"tries again after the wait", breakerMinWait, false, true},
+		{"one probe at a time", breakerMinWait, true, false},
+		{"the next probe after another wait", 2 * breakerMinWait, true, true},
+	}
+	for _, row := range rows {
+		got := b
+		if row.probed {
+			got = got.Probed(now.Add(breakerMinWait))
+		}
+		c.Check(got.Closed(), qt.IsFalse, qt.Commentf(row.name))
+		c.Check(got.ProbeDue(now.Add(row.after)), qt.Equals, row.due, qt.Commentf(row.name))
+	}
+	c.Assert(b.After(false, now).Wait, qt.Equals, 2*breakerMinWait)
+	c.Assert(b.After(true, now), qt.Equals, Breaker{})
+}
+
+func TestParseRating(t *testing.T) {
+	rows := []struct {
+		name   string
+		body   string
+		rating float64
+		ok     bool
+	}{
+		{"good", `{"request_id":"r","rating":0.5}`, 0.5, true},
+		{"zero", `{"request_id":"r","rating":0}`, 0, true},
+		{"absent", `{"request_id":"r"}`, 0, false},
+		{"null", `{"request_id":"r","rating":null}`, 0, false},
+		{"another request", `{"request_id":"s","rating":0.9}`, 0, false},
+		{"above one", `{"request_id":"r","rating":1.01}`, 0, false},
+		{"below zero", `{"request_id":"r","rating":-0.01}`, 0, false},
+		{"infinite", `{"request_id":"r","rating":1e999}`, 0, false},
+		{"not a number", `{"request_id":"r","rating":NaN}`, 0, false},
+		{"text", `{"request_id":"r","rating":"0.9"}`, 0, false},
+		{"cut off", `{"request_id":"r","rating":0.`, 0, false},
+		{"two answers", `{"request_id":"r","rating":1}{"request_id":"r","rating":1}`, 0, false},
+		{"empty", ``, 0, false},
+	}
+	for _, row := range rows {
+		qt.New(t).Run(row.name, func(c *qt.C) {
+			rating, err := parseRating([]byte(row.body), "r")
+			c.Assert(err == nil, qt.Equals, row.ok, qt.Commentf("%v", err))
+			c.Assert(rating, qt.Equals, row.rating)
+		})
+	}
+}
+
+func TestJudge(t *testing.T) {
+	rows := []struct {
+		name   string
+		rating float64
+		err    error
+		want   Verdict
+	}{
+		{"at the target", 0.8, nil, VerdictPassed},
+		{"below", 0.79, nil, VerdictFailed},
+		{"no answer", 0.9, errors.New("timeout"), VerdictMissing},
+		{"not a number", math.NaN(), nil, VerdictMissing},
+		{"above one", 1.5, nil, VerdictMissing},
+	}
+	for _, row := range rows {
+		qt.Check(t, Judge(row.rating, row.err, 0.8), qt.Equals, row.want, qt.Commentf(row.name))
+	}
+}
--- a/internal/cascade/rating.go
+++ b/internal/cascade/rating.go
@@ -28,7 +28,7 @@
 	Timeout time.Duration
 }
 
-// Rate implements filter.Rater. An answer for another request or outside 0 to 1 is an error.
+// Rate implements Rater and filter.Rater. An answer for another request or outside 0 to 1 is an error.
 func (c *Client) Rate(ctx context.Context, requestID, prompt, answer string) (float64, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
@@ -49,12 +49,29 @@
 	if resp.StatusCode != http.StatusOK {
 		return 0, fmt.Errorf("rating: status %d", resp.StatusCode)
 	}
-	var r Rating
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxRatingBytes)).Decode(&r); err != nil {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxRatingBytes))
+	if err != nil {
+		return 0, fmt.Errorf("rating: %w", err)
+	}
+	return parseRating(body, requestID)
+}
+
+// answer is what the rating service says; a rating that is absent is no rating of 0.
+type answer struct {
+	RequestID string   `json:"request_id"`
+	Rating    *float64 `json:"rating"`
+}
+
+func parseRating(body []byte, requestID string) (float64, error) {
+	var a answer
+	if err := json.Unmarshal(body, &a); err != nil {
 		return 0, fmt.Errorf("rating: %w", err)
 	}
-	if r.RequestID != requestID || !(r.Rating >= 0 && r.Rating <= 1) {
-		return 0, fmt.Errorf("rating %v for request %q is out of place", r.Rating, r.RequestID)
+	if a.RequestID != requestID {
+		return 0, fmt.Errorf("rating of request %q came for request %q", a.RequestID, requestID)
+	}
+	if a.Rating == nil || !(*a.Rating >= 0 && *a.Rating <= 1) {
+		return 0, fmt.Errorf("rating of request %q is absent or outside 0 to 1", requestID)
 	}
-	return r.Rating, nil
+	return *a.Rating, nil
 }
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"cornelmux/internal/cascade"
@@ -25,6 +26,8 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 60 * time.Second
 	cleanupTimeout = 5 * time.Second
+	// heldBytes bounds an answer that a cascade holds back until it is rated.
+	heldBytes = 4 << 20
 )
 
 // VM is one entry VM: its controllers, its filter chain and its front ends.
@@ -36,6 +39,7 @@
 	endpoints      *endpoint.Controller
 	sessions       *session.Controller
 	journal        *journal.Controller
+	cascades       *cascade.Controller
 	chain          filter.Next
 	close          func()
 }
@@ -61,13 +65,14 @@
 		VM: cfg.VM.Name, Incarnation: uint64(time.Now().UnixNano()), ClaimFor: cfg.Limits.ClaimFor,
 	}, log.WithName("journal"))
 	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
+	v.cascades = newCascades(rater, cfg, log)
 	v.chain = filter.Chain(
 		v.drain,
 		filter.Identify{Configurations: v.configurations},
 		filter.Authorize{},
 		filter.Deduplicate{Journal: v.journal, Cleanup: cleanupTimeout},
 		filter.Bill{Journal: v.journal},
-		filter.Cascade{Rater: rater},
+		filter.Cascade{Levels: v.cascades, Rater: rater, HeldBytes: heldBytes},
 		filter.Choose{Sessions: v.sessions},
 		filter.Place{Endpoints: v.endpoints, MaxAttempts: cfg.Limits.MaxAttempts},
 		filter.Send{Configurations: v.configurations, Sender: client, MaxResumes: cfg.Limits.MaxResumes},
@@ -75,6 +80,14 @@
 	return v
 }
 
+// newCascades makes the controller of cascades; without a rating service no answer is rated.
+func newCascades(rater cascade.Rater, cfg settings.Settings, log logr.Logger) *cascade.Controller {
+	if cfg.Reach.Rating == "" {
+		rater = nil
+	}
+	return cascade.New(rater, nil, xxhash.Sum64String(cfg.VM.Name), log.WithName("cascade"))
+}
+
 type namedTask struct {
 	name string
 	run  func(context.Context) error
@@ -100,6 +113,7 @@
 		{"endpoints", v.endpoints.Run},
 		{"sessions", v.sessions.Run},
 		{"journal", v.journal.Run},
+		{"cascades", v.cascades.Run},
 		{"control", serve(controlListener, v.controlHandler())},
 		{"callers", serve(callersListener, v.callersHandler())},
 	}
--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -107,6 +107,8 @@
 	Sent bool
 	// Relayed says that a piece of the answer was passed to Sink.
 	Relayed bool
+	// Held says that Sink keeps the answer back, so that a run that failed may be done again from its first piece.
+	Held bool
 	// Runs lists every run that an endpoint did for the request.
 	Runs []journal.Run
 }
--- a/internal/filter/place.go
+++ b/internal/filter/place.go
@@ -31,6 +31,7 @@
 			return firstError(last, err)
 		}
 		x.Attempt.Endpoint = e
+		x.Relayed = x.Relayed && !x.Held
 		last = next(ctx, x)
 		_ = f.Endpoints.Done(ctx, endpoint.Outcome{Endpoint: e.ID, Failed: blamesEndpoint(last)}) // load figures age out
 		if last == nil || !mayRetry(ctx, x, last) {
@@ -73,7 +74,7 @@
 
 // mayRetry allows another endpoint where nothing was sent, or the request is idempotent and the caller has no piece yet.
 func mayRetry(ctx context.Context, x *Exchange, err error) bool {
-	if ctx.Err() != nil || x.Relayed || !blamesEndpoint(err) {
+	if ctx.Err() != nil || (x.Relayed && !x.Held) || !blamesEndpoint(err) {
 		return false
 	}
 	return x.Idempotent || !x.Sent
