--- a/internal/filter/choose.go
+++ b/internal/filter/choose.go
@@ -13,10 +13,9 @@
 	Version(ctx context.Context, q session.Query) (string, error)
 }
 
-// Evidence counts how attempts on a version ended and how its answers were rated.
+// Evidence counts how attempts on a version ended. It must not wait.
 type Evidence interface {
 	Answered(model, version string, failed bool)
-	Rated(model, version string, bad bool)
 }
 
 // Choose binds the attempt to the version of its session.
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -121,10 +121,10 @@
 	_ = task.Tell(c.mailbox, message(countMessage{model, version, n})) // a lost count only delays a halt
 }
 
-// Rated implements filter.Evidence: an answer of a version was rated.
-func (c *Controller) Rated(model, version string, bad bool) {
+// Rated implements cascade.Evidence: an answer of a version was rated.
+func (c *Controller) Rated(model, version string, passed bool) {
 	n := Count{Rated: 1}
-	if bad {
+	if !passed {
 		n.RatedBad = 1
 	}
 	_ = task.Tell(c.mailbox, message(countMessage{model, version, n})) // a lost count only delays a halt
