--- a/internal/rollout/detect.go
+++ b/internal/rollout/detect.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// haltScore is the logarithm of a thousand roll-outs times a million answers, the odds of a false halt.
-	haltScore       = 20.7
+	// haltScore is the logarithm of a thousand roll-outs times 100,000 failures of a good version in each:
+	// a rise of the score begins with a failure, and gets this far with a probability of at most exp(-haltScore).
+	haltScore       = 18.42
 	leastAnswers    = 50
 	forgetAnswers   = 2000
 	failureFloor    = 0.02
