--- a/cmd/cornelmux/main.go
+++ b/cmd/cornelmux/main.go
@@ -17,6 +17,7 @@
 	Get     getCommand     `command:"get" description:"print the configuration in force"`
 	Diff    diffCommand    `command:"diff" description:"print what apply would change"`
 	Status  statusCommand  `command:"status" description:"print a VM's status"`
+	Bills   billsCommand   `command:"bills" description:"print what requests cost, a bill for each request ID"`
 	Version versionCommand `command:"version" description:"print the version"`
 
 	Withdraw  withdrawCommand  `command:"withdraw" description:"take a version out of service"`
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"cornelmux/internal/endpoint"
+	"cornelmux/internal/journal"
+	"cornelmux/internal/peer"
+	"cornelmux/internal/settings"
+	"cornelmux/internal/wire"
+	"cornelmux/internal/wire/wireconnect"
+)
+
+func journalOptions(cfg settings.Settings) journal.Options {
+	return journal.Options{
+		VM:              cfg.VM.Name,
+		Incarnation:     uint64(time.Now().UnixNano()),
+		Address:         cfg.Listen.Control,
+		ClaimFor:        cfg.Limits.ClaimFor,
+		ResendWindow:    cfg.Limits.ResendWindow,
+		BillHold:        cfg.Journal.BillHold,
+		MaxBills:        cfg.Journal.MaxBills,
+		KeptBytes:       cfg.Journal.KeptBytes,
+		WritesPerSecond: cfg.Journal.WritesPerSecond,
+		ForwardTimeout:  cfg.Journal.ForwardTimeout,
+	}
+}
+
+// noMembers is the list of a VM that hears of no other.
+type noMembers struct{}
+
+// Members implements journal.Members.
+func (noMembers) Members(context.Context) ([]peer.Member, error) { return nil, nil }
+
+// peers calls other entry VMs over connect.
+type peers struct{ http *http.Client }
+
+// fleetTransport adds the fleet key to each call.
+type fleetTransport struct {
+	key  string
+	next http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t fleetTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+t.key)
+	return t.next.RoundTrip(r)
+}
+
+// CloseIdleConnections lets http.Client reach the transport below.
+func (t fleetTransport) CloseIdleConnections() {
+	if c, ok := t.next.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
+func newPeers(key string) peers {
+	return peers{&http.Client{Transport: fleetTransport{key, &http.Transport{IdleConnTimeout: idleTimeout}}}}
+}
+
+func (p peers) client(address string) wireconnect.PeerServiceClient {
+	return wireconnect.NewPeerServiceClient(p.http, "http://"+address)
+}
+
+// Append implements journal.Peers.
+func (p peers) Append(ctx context.Context, address, region string, partition int, entries []journal.Entry) ([]journal.Outcome, error) {
+	encoded, err := encodeEach(entries)
+	if err != nil {
+		return nil, err
+	}
+	r, err := p.client(address).Append(ctx, &wire.AppendRequest{Region: region, Partition: uint32(partition), Entries: encoded})
+	if err != nil {
+		return nil, err
+	}
+	return decodeEach[journal.Outcome](r.Outcomes)
+}
+
+// Answer implements journal.Peers.
+func (p peers) Answer(ctx context.Context, address string, k journal.Key, fingerprint uint64) (journal.Found, error) {
+	r, err := p.client(address).Answer(ctx, &wire.AnswerRequest{
+		Region: k.Region, Account: k.Account, RequestId: k.Request, Fingerprint: fingerprint,
+	})
+	if err != nil || !r.Found {
+		return journal.Found{NotRun: r.GetNotRun()}, err
+	}
+	a := &journal.Answer{Status: int(r.Status), ContentType: r.ContentType, Model: r.Model, Version: r.Version}
+	for _, piece := range r.Pieces {
+		a.Pieces = append(a.Pieces, endpoint.Piece{Text: piece.Text, Data: piece.Data, Tokens: int(piece.Tokens), Last: piece.Last})
+	}
+	return journal.Found{Answer: a}, nil
+}
+
+// peerService answers other entry VMs.
+type peerService struct {
+	wireconnect.UnimplementedPeerServiceHandler
+	vm *VM
+}
+
+// Append implements wireconnect.PeerServiceHandler.
+func (s *peerService) Append(ctx context.Context, r *wire.AppendRequest) (*wire.AppendResponse, error) {
+	entries, err := decodeEach[journal.Entry](r.Entries)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	outcomes, err := s.vm.journal.Append(ctx, r.Region, int(r.Partition), entries)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	encoded, err := encodeEach(outcomes)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return &wire.AppendResponse{Outcomes: encoded}, nil
+}
+
+// Answer implements wireconnect.PeerServiceHandler.
+func (s *peerService) Answer(ctx context.Context, r *wire.AnswerRequest) (*wire.AnswerResponse, error) {
+	k := journal.Key{Region: r.Region, Account: r.Account, Request: r.RequestId}
+	found, err := s.vm.journal.Find(ctx, k, r.Fingerprint)
+	if err != nil {
+		return nil, connectError(err)
+	}
+	if found.Answer == nil {
+		return &wire.AnswerResponse{NotRun: found.NotRun}, nil
+	}
+	a := found.Answer
+	resp := &wire.AnswerResponse{
+		Found: true, Status: int32(a.Status), ContentType: a.ContentType, Model: a.Model, Version: a.Version,
+	}
+	for _, p := range a.Pieces {
+		resp.Pieces = append(resp.Pieces, &wire.AnswerPiece{Text: p.Text, Data: p.Data, Tokens: int32(p.Tokens), Last: p.Last})
+	}
+	return resp, nil
+}
+
+func encodeEach[T any](list []T) ([][]byte, error) {
+	encoded := make([][]byte, len(list))
+	for i, v := range list {
+		data, err := json.Marshal(v)
+		if err != nil {
+			return nil, err
+		}
+		encoded[i] = data
+	}
+	return encoded, nil
+}
+
+func decodeEach[T any](list [][]byte) ([]T, error) {
+	decoded := make([]T, len(list))
+	for i, data := range list {
+		if err := json.Unmarshal(data, &decoded[i]); err != nil {
+			return nil, err
+		}
+	}
+	return decoded, nil
+}
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -36,6 +36,7 @@
 	endpoints      *endpoint.Controller
 	sessions       *session.Controller
 	journal        *journal.Controller
+	store          journal.Store
 	chain          filter.Next
 	close          func()
 }
@@ -44,6 +45,7 @@
 func New(cfg settings.Settings, log logr.Logger) *VM {
 	store := platform.New(cfg.Reach.Platform, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, cfg.Reach.PlatformTimeout)
 	client := endpoint.NewClient(cfg.Reach.DialTimeout, cfg.Reach.Silence)
+	others := newPeers(cfg.Keys.Fleet)
 	at := endpoint.Location{Region: cfg.VM.Region, Zone: cfg.VM.Zone}
 	v := &VM{
 		cfg:            cfg,
@@ -52,21 +54,21 @@
 		configurations: configuration.New(store, log.WithName("configuration")),
 		endpoints:      endpoint.New(store, client, at, log.WithName("endpoint")),
 		sessions:       session.New(cfg.Limits.Freshness, cfg.Limits.SessionIdle),
+		store:          store,
 		close: func() {
 			client.Close()
+			others.http.CloseIdleConnections()
 			store.HTTP.CloseIdleConnections()
 		},
 	}
-	v.journal = journal.New(store, journal.Options{
-		VM: cfg.VM.Name, Incarnation: uint64(time.Now().UnixNano()), ClaimFor: cfg.Limits.ClaimFor,
-	}, log.WithName("journal"))
+	v.journal = journal.New(store, noMembers{}, others, journalOptions(cfg), log.WithName("journal"))
 	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
 	v.chain = filter.Chain(
 		v.drain,
 		filter.Identify{Configurations: v.configurations},
 		filter.Authorize{},
 		filter.Deduplicate{Journal: v.journal, Cleanup: cleanupTimeout},
-		filter.Bill{Journal: v.journal},
+		filter.Bill{Journal: v.journal, Log: log.WithName("bill")},
 		filter.Cascade{Rater: rater},
 		filter.Choose{Sessions: v.sessions},
 		filter.Place{Endpoints: v.endpoints, MaxAttempts: cfg.Limits.MaxAttempts},
--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -113,7 +113,7 @@
 
 // Key returns the journal's key of the request.
 func (x *Exchange) Key() journal.Key {
-	return journal.Key{Account: x.Account.Name, Request: x.Request.ID}
+	return journal.Key{Region: x.Account.HomeRegion, Account: x.Account.Name, Request: x.Request.ID}
 }
 
 // Configurations gives the newest configuration.
--- a/internal/filter/deduplicate.go
+++ b/internal/filter/deduplicate.go
@@ -17,8 +17,8 @@
 	Open(ctx context.Context, k journal.Key, idempotent bool, fingerprint uint64) (journal.Opening, error)
 	// Release records that nothing was sent for the claim.
 	Release(ctx context.Context, c journal.Claim) error
-	// Finish keeps the answer, or records that the request failed with none.
-	Finish(ctx context.Context, k journal.Key, a *journal.Answer) error
+	// Finish keeps the answer, or tells those who joined with what error the request ended.
+	Finish(ctx context.Context, c journal.Claim, a *journal.Answer, err error) error
 	// Bill records the runs of a request; it waits no longer than the hold limit.
 	Bill(ctx context.Context, b journal.Bill) error
 }
@@ -51,21 +51,32 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.Cleanup)
 	defer cancel()
 	if err == nil {
-		return f.Journal.Finish(ctx, x.Key(), &r.answer)
+		return f.Journal.Finish(ctx, x.Claim, &r.answer, nil)
 	}
-	e := result.From(err)
-	if x.Idempotent {
-		_ = f.Journal.Finish(ctx, x.Key(), nil) // nothing durable hangs on it
-		return e
+	e := Ending(x.Idempotent, x.Sent, result.From(err))
+	if !x.Idempotent && !x.Sent {
+		_ = f.Journal.Release(ctx, x.Claim) // until it is written, a resend is told that the outcome is unknown
 	}
-	if x.Sent {
-		_ = f.Journal.Finish(ctx, x.Key(), nil) // the durable entry already says that it may have been sent
+	_ = f.Journal.Finish(ctx, x.Claim, nil, e) // fails only once the journal has ended
+	return e
+}
+
+// Ending returns the error that a request ended with, as its callers may be told: "not run" only where nothing was sent.
+func Ending(idempotent, sent bool, e *result.Error) *result.Error {
+	switch {
+	case !sent && e.Run != result.NotRun:
+		c := *e
+		c.Run = result.NotRun
+		return &c
+	case sent && !idempotent:
 		return result.Errorf(result.OutcomeUnknown, "%s", e.Detail)
+	case sent && e.Run == result.NotRun:
+		c := *e
+		c.Run = result.Unknown
+		return &c
+	default:
+		return e
 	}
-	if releaseErr := f.Journal.Release(ctx, x.Claim); releaseErr != nil {
-		return result.Errorf(result.OutcomeUnknown, "not sent, but the journal can't say so: %v", releaseErr)
-	}
-	return e
 }
 
 // Fingerprint identifies the content of a request.
--- a/internal/filter/send.go
+++ b/internal/filter/send.go
@@ -41,6 +41,7 @@
 		case !errors.Is(err, endpoint.ErrBroken) && !errors.Is(err, endpoint.ErrNotSent):
 			return err
 		case x.Request.Kind != KindChat || resumes >= f.MaxResumes || ctx.Err() != nil:
+			x.Runs = append(x.Runs, newRun(x, 0, true))
 			return broken(x, asm, err)
 		}
 		call.Offset = asm.Next()
@@ -125,14 +126,19 @@
 		x.Relayed = true
 	}
 	if p.Last {
-		x.Runs = append(x.Runs, journal.Run{
-			Model: x.Attempt.Model, Version: x.Attempt.Version, Service: x.Request.Service,
-			Level: x.Attempt.Level, Tokens: p.Tokens, Endpoint: x.Attempt.Endpoint.ID,
-		})
+		x.Runs = append(x.Runs, newRun(x, p.Tokens, false))
 	}
 	return p.Last, x.Sink.Piece(ctx, p)
 }
 
+// newRun describes the attempt; a lost one is at the operator's cost.
+func newRun(x *Exchange, tokens int, lost bool) journal.Run {
+	return journal.Run{
+		Model: x.Attempt.Model, Version: x.Attempt.Version, Service: x.Request.Service,
+		Level: x.Attempt.Level, Tokens: tokens, Endpoint: x.Attempt.Endpoint.ID, OperatorCost: lost,
+	}
+}
+
 func broken(x *Exchange, asm *endpoint.Assembler, err error) error {
 	if asm.Next() > 0 {
 		return result.Errorf(result.AnswerBroken, "endpoint %s: %v", x.Attempt.Endpoint.ID, err)
--- a/internal/journal/controller.go
+++ b/internal/journal/controller.go
@@ -2,248 +2,227 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
-	"cornelmux/internal/platform"
 	"cornelmux/internal/task"
 	"cornelmux/pkg/result"
 )
 
 const (
-	mailboxSize    = 4096
-	partitions     = 16
-	appendAttempts = 16
-	maxKept        = 10_000
+	mailboxSize   = 4096
+	partitions    = 4
+	maxPartitions = 256
+	sweepInterval = 10 * time.Second
 )
 
-// Store is the part of the platform that holds the journal.
-type Store interface {
-	Get(ctx context.Context, key string) (platform.Value, error)
-	CAS(ctx context.Context, key string, data []byte, version uint64) (bool, error)
-}
-
 // Options are the journal's settings.
 type Options struct {
 	VM          string
 	Incarnation uint64
-	// ClaimFor is how long a claim may be used.
-	ClaimFor time.Duration
-}
-
-// Controller owns the requests that this VM runs and the answers that it keeps.
+	// Address is where this VM answers other entry VMs.
+	Address string
+	// ClaimFor is how long a claim may be used; ResendWindow is how long a request ID is remembered.
+	ClaimFor     time.Duration
+	ResendWindow time.Duration
+	// BillHold is how long the end of an answer waits for its bill.
+	BillHold time.Duration
+	// MaxBills bounds the requests that run or whose bill isn't written.
+	MaxBills  int
+	KeptBytes int
+	// WritesPerSecond bounds the writes of one partition by this VM.
+	WritesPerSecond int
+	ForwardTimeout  time.Duration
+}
+
+// Controller owns the requests that this VM runs and the answers that it keeps, and starts the partitions.
 type Controller struct {
 	mailbox chan message
+	ends    chan task.End
 	store   Store
+	members Members
+	peers   Peers
 	log     logr.Logger
 	opts    Options
-	live    map[Key]*live
-	order   []Key
-	entries uint64
+
+	partitions map[partitionID]inbox
+	live       map[Key]*request
+	kept       []keptAnswer
+	keptBytes  int
+	entries    uint64
+	// outstanding counts the requests that run here and the bills that aren't written.
+	outstanding int
 }
 
-type live struct {
-	fingerprint uint64
-	running     bool
-	answer      *Answer
-	waiters     []chan<- openReply
+// inbox is where a partition takes messages. The room for bills is that of MaxBills, so that no bill is refused.
+type inbox struct {
+	appends chan<- appendMessage
+	bills   chan<- appendMessage
 }
 
 // New makes a Controller; Run starts it.
-func New(store Store, opts Options, log logr.Logger) *Controller {
-	return &Controller{mailbox: make(chan message, mailboxSize), store: store, log: log, opts: opts, live: map[Key]*live{}}
+func New(store Store, members Members, peers Peers, opts Options, log logr.Logger) *Controller {
+	return &Controller{
+		mailbox: make(chan message, mailboxSize), ends: make(chan task.End, maxPartitions),
+		store: store, members: members, peers: peers, log: log, opts: opts,
+		partitions: map[partitionID]inbox{}, live: map[Key]*request{},
+	}
 }
 
-type message interface{ handle(*Controller) }
+type message interface {
+	handle(context.Context, *Controller)
+}
 
 type (
-	openMessage struct {
-		key         Key
-		fingerprint uint64
-		reply       chan<- openReply
-	}
-	openReply struct {
-		answer *Answer
-		run    bool
-		id     string
-		err    error
+	partitionMessage struct {
+		id    partitionID
+		reply chan<- inbox
 	}
-	finishMessage struct {
-		key    Key
-		answer *Answer
+	billMessage struct {
+		bill  Bill
+		reply chan<- Outcome
 	}
+	billedMessage struct{ bills int }
 )
 
-// Run owns the state until ctx ends.
+// Run owns the state until ctx ends and the partitions have written what waits.
 func (c *Controller) Run(ctx context.Context) error {
+	running, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
 	for {
 		select {
 		case m := <-c.mailbox:
-			m.handle(c)
+			m.handle(running, c)
+		case now := <-sweep.C:
+			c.evict(now)
+		case end := <-c.ends:
+			c.ends <- end
+			return task.Stop(cancel, c.ends, len(c.partitions))
 		case <-ctx.Done():
+			if err := task.Stop(cancel, c.ends, len(c.partitions)); err != nil {
+				return err
+			}
 			return ctx.Err()
 		}
 	}
 }
 
-func (m openMessage) handle(c *Controller) {
-	l, ok := c.live[m.key]
-	switch {
-	case ok && l.fingerprint != m.fingerprint:
-		m.reply <- openReply{err: result.Errorf(result.RequestIDReused, "request ID %q", m.key.Request)}
-	case ok && l.running:
-		l.waiters = append(l.waiters, m.reply)
-	case ok && l.answer != nil:
-		m.reply <- openReply{answer: l.answer}
-	default:
-		c.live[m.key] = &live{fingerprint: m.fingerprint, running: true}
-		c.order = append(c.order, m.key)
-		c.evict()
-		c.entries++
-		m.reply <- openReply{run: true, id: fmt.Sprintf("%s-%d-%d", c.opts.VM, c.opts.Incarnation, c.entries)}
+// partition returns the inbox of the partition and starts its task if it doesn't run yet.
+func (c *Controller) partition(ctx context.Context, id partitionID) inbox {
+	in, ok := c.partitions[id]
+	if ok || len(c.partitions) >= maxPartitions {
+		return in
 	}
+	p := newPartition(id, c)
+	in = inbox{p.mailbox, p.bills}
+	c.partitions[id] = in
+	task.Start(ctx, p.id.key("task"), c.ends, p.run)
+	return in
 }
 
-func (m finishMessage) handle(c *Controller) {
-	l, ok := c.live[m.key]
-	if !ok {
-		return
-	}
-	l.running, l.answer = false, m.answer
-	for _, w := range l.waiters {
-		if m.answer != nil {
-			w <- openReply{answer: m.answer}
-			continue
-		}
-		w <- openReply{err: result.Errorf(result.OutcomeUnknown, "the first send of request %q had no answer", m.key.Request)}
-	}
-	l.waiters = nil
-	if m.answer == nil {
-		delete(c.live, m.key)
-	}
-}
-
-func (c *Controller) evict() {
-	for len(c.order) > maxKept {
-		oldest := c.order[0]
-		if l, ok := c.live[oldest]; ok && l.running {
-			return
-		}
-		c.order = c.order[1:]
-		delete(c.live, oldest)
-	}
+func (m partitionMessage) handle(ctx context.Context, c *Controller) {
+	m.reply <- c.partition(ctx, m.id)
 }
 
-// Open implements filter.Journal.
-func (c *Controller) Open(ctx context.Context, k Key, idempotent bool, fingerprint uint64) (Opening, error) {
-	r, err := task.Ask(ctx, c.mailbox, func(reply chan<- openReply) message { return openMessage{k, fingerprint, reply} })
-	if err != nil {
-		return Opening{}, result.Errorf(result.QueueFull, "journal: %v", err)
-	}
-	if r.err != nil || r.answer != nil {
-		return Opening{Answer: r.answer}, r.err
+func (m billMessage) handle(ctx context.Context, c *Controller) {
+	if r, ok := c.live[m.bill.Key]; ok && !r.billed && r.running {
+		r.billed = true
+	} else {
+		c.outstanding++
 	}
-	claim := Claim{Key: k, Until: time.Now().Add(c.opts.ClaimFor)}
-	if idempotent {
-		return Opening{Claim: claim}, nil
+	e := c.entry(EntryBilled, m.bill.Key)
+	e.Runs = m.bill.Runs
+	in := c.partition(ctx, partitionOf(m.bill.Key))
+	if err := task.Tell(in.bills, appendMessage{entry: e, reply: m.reply}); err != nil {
+		c.outstanding--
+		c.log.Error(err, "bill lost", "account", m.bill.Key.Account, "request_id", m.bill.Key.Request, "runs", m.bill.Runs)
 	}
-	e := Entry{ID: r.id, Kind: EntryStarted, Key: k, VM: c.opts.VM, Fingerprint: fingerprint, UnixMs: time.Now().UnixMilli()}
-	if err := c.append(ctx, e); err != nil {
-		_ = c.Finish(ctx, k, nil) // a full mailbox leaves the entry to be evicted
-		return Opening{}, err
-	}
-	return Opening{Claim: claim}, nil
 }
 
-// Finish implements filter.Journal.
-func (c *Controller) Finish(_ context.Context, k Key, a *Answer) error {
-	return task.Tell(c.mailbox, message(finishMessage{k, a}))
-}
+func (m billedMessage) handle(_ context.Context, c *Controller) { c.outstanding -= m.bills }
 
-// Release implements filter.Journal.
-func (c *Controller) Release(ctx context.Context, claim Claim) error {
-	e := Entry{ID: "release/" + claim.Key.Request, Kind: EntryReleased, Key: claim.Key, VM: c.opts.VM, UnixMs: time.Now().UnixMilli()}
-	if err := c.append(ctx, e); err != nil {
-		return err
+// entry makes an entry with an ID that no other has.
+func (c *Controller) entry(kind EntryKind, k Key) Entry {
+	c.entries++
+	return Entry{
+		ID:   fmt.Sprintf("%s-%x-%d", c.opts.VM, c.opts.Incarnation, c.entries),
+		Kind: kind, Key: k, VM: c.opts.VM, UnixMs: time.Now().UnixMilli(),
 	}
-	return c.Finish(ctx, claim.Key, nil)
 }
 
-// Bill implements filter.Journal.
+// Bill implements filter.Journal. It returns once the bill is written or has been held for the limit; a bill that was
+// taken is written later however long the platform is out.
 func (c *Controller) Bill(ctx context.Context, b Bill) error {
-	e := Entry{ID: "bill/" + b.Key.Request, Kind: EntryBilled, Key: b.Key, VM: c.opts.VM, UnixMs: time.Now().UnixMilli(), Runs: b.Runs}
-	return c.append(ctx, e)
+	reply := make(chan Outcome, 1)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
+	defer cancel()
+	if err := c.send(ctx, billMessage{b, reply}); err != nil {
+		return result.Errorf(result.BillsFull, "%v", err)
+	}
+	hold := time.NewTimer(c.opts.BillHold)
+	defer hold.Stop()
+	select {
+	case <-reply:
+	case <-hold.C:
+	case <-ctx.Done():
+	}
+	return nil
 }
 
-// Partition returns the partition that holds the key's entries.
-func Partition(k Key) int {
-	return int(xxhash.Sum64String(k.Account+"\x00"+k.Request) % partitions)
+// send waits for room in the mailbox, for what must not be refused.
+func (c *Controller) send(ctx context.Context, m message) error {
+	select {
+	case c.mailbox <- m:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
-func partitionKey(n int) string { return "cornelmux/journal/" + strconv.Itoa(n) }
-
-// append adds the entry to its partition's log unless the log rules it out.
-func (c *Controller) append(ctx context.Context, e Entry) error {
-	key := partitionKey(Partition(e.Key))
-	for range appendAttempts {
-		v, err := c.store.Get(ctx, key)
-		if err != nil {
-			return result.Errorf(result.JournalUnavailable, "%v", err)
-		}
-		var entries []Entry
-		if v.Version != 0 {
-			if err := json.Unmarshal(v.Data, &entries); err != nil {
-				return result.Errorf(result.Internal, "journal %s: %v", key, err)
-			}
-		}
-		appended, err := Admit(entries, e)
-		if err != nil || appended {
-			return err
-		}
-		data, err := json.Marshal(append(entries, e))
-		if err != nil {
-			return result.Errorf(result.Internal, "journal %s: %v", key, err)
-		}
-		done, err := c.store.CAS(ctx, key, data, v.Version)
-		if err != nil && !errors.Is(err, platform.ErrOutcomeUnknown) {
-			return result.Errorf(result.JournalUnavailable, "%v", err)
-		}
-		if done {
-			return nil
-		}
+// inbox asks for the partition's inbox.
+func (c *Controller) inbox(ctx context.Context, id partitionID) (inbox, error) {
+	in, err := task.Ask(ctx, c.mailbox, func(reply chan<- inbox) message { return partitionMessage{id, reply} })
+	if err == nil && in.appends == nil {
+		err = task.ErrFull
 	}
-	return result.Errorf(result.JournalUnavailable, "partition %s is contended", key)
+	return in, err
 }
 
-// Admit decides whether e may follow the entries of its log. It reports true if e itself already stands there.
-func Admit(entries []Entry, e Entry) (appended bool, err error) {
-	started := false
-	for _, old := range entries {
-		if old.Key != e.Key {
-			continue
-		}
-		if old.ID == e.ID && old.Kind == e.Kind {
-			return true, nil
+// Append writes entries of another VM to the log, in order, and fails if one of them could not be written.
+func (c *Controller) Append(ctx context.Context, region string, number int, entries []Entry) ([]Outcome, error) {
+	if number < 0 || number >= partitions {
+		return nil, fmt.Errorf("partition %d is not one of %d", number, partitions)
+	}
+	in, err := c.inbox(ctx, partitionID{region, number})
+	if err != nil {
+		return nil, err
+	}
+	replies := make(chan Outcome, len(entries))
+	outcomes := make([]Outcome, 0, len(entries))
+	for _, e := range entries {
+		if err := task.Tell(in.appends, appendMessage{entry: e, direct: true, reply: replies}); err != nil {
+			return nil, err
 		}
-		switch old.Kind {
-		case EntryStarted:
-			started = true
-			if e.Kind == EntryStarted && old.Fingerprint != e.Fingerprint {
-				err = result.Errorf(result.RequestIDReused, "request ID %q", e.Key.Request)
+	}
+	for range entries {
+		select {
+		case o := <-replies:
+			if o.Failed {
+				return nil, fmt.Errorf("partition can't be written: %s", o.Detail)
 			}
-		case EntryReleased:
-			started, err = false, nil
-		case EntryBilled:
+			outcomes = append(outcomes, o)
+		case <-ctx.Done():
+			return nil, ctx.Err()
 		}
 	}
-	if e.Kind == EntryStarted && started && err == nil {
-		err = result.Errorf(result.OutcomeUnknown, "request %q was sent before and its answer is not here", e.Key.Request)
-	}
-	return false, err
+	return outcomes, nil
+}
+
+func partitionOf(k Key) partitionID {
+	return partitionID{k.Region, int(xxhash.Sum64String(k.Account+"\x00"+k.Request) % partitions)}
 }
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -15,6 +15,8 @@
 	Keys   KeySettings
 	Reach  ReachSettings
 	Limits LimitSettings
+	// Journal bounds what the journal holds and writes.
+	Journal JournalSettings
 }
 
 // VMSettings say where the VM stands.
@@ -56,10 +58,20 @@
 	Freshness      time.Duration
 	SessionIdle    time.Duration
 	ClaimFor       time.Duration
+	ResendWindow   time.Duration
 	MaxAttempts    int
 	MaxResumes     int
 }
 
+// JournalSettings bound what the journal holds and writes.
+type JournalSettings struct {
+	BillHold        time.Duration
+	MaxBills        int
+	KeptBytes       int
+	WritesPerSecond int
+	ForwardTimeout  time.Duration
+}
+
 // Option describes one key of the INI file.
 type Option struct {
 	Section  string
@@ -97,8 +109,14 @@
 		{Section: "limits", Key: "rollout_freshness", Unit: "duration", Default: "5s", Help: "age of the configuration's proof up to which versions under roll-out take new sessions", set: duration(&s.Limits.Freshness)},
 		{Section: "limits", Key: "session_idle", Unit: "duration", Default: "30m", Help: "how long an unused session keeps its version", set: duration(&s.Limits.SessionIdle)},
 		{Section: "limits", Key: "claim_for", Unit: "duration", Default: "20s", Help: "how long a recorded request may still be sent", set: duration(&s.Limits.ClaimFor)},
+		{Section: "limits", Key: "resend_window", Unit: "duration", Default: "10m", Help: "how long a request ID is remembered", set: duration(&s.Limits.ResendWindow)},
 		{Section: "limits", Key: "max_attempts", Unit: "count", Default: "3", Help: "most endpoints tried for one run", set: number(&s.Limits.MaxAttempts)},
 		{Section: "limits", Key: "max_resumes", Unit: "count", Default: "2", Help: "most times a broken stream is resumed", set: number(&s.Limits.MaxResumes)},
+		{Section: "journal", Key: "bill_hold", Unit: "duration", Default: "250ms", Help: "how long the end of an answer waits for its bill", set: duration(&s.Journal.BillHold)},
+		{Section: "journal", Key: "max_bills", Unit: "count", Default: "4096", Help: "most requests that run or whose bill is not written", set: number(&s.Journal.MaxBills)},
+		{Section: "journal", Key: "kept_bytes", Unit: "bytes", Default: "33554432", Help: "most bytes of answers kept for resends", set: number(&s.Journal.KeptBytes)},
+		{Section: "journal", Key: "writes_per_second", Unit: "count per second", Default: "20", Help: "most platform writes of one partition by this VM", set: number(&s.Journal.WritesPerSecond)},
+		{Section: "journal", Key: "forward_timeout", Unit: "duration", Default: "1s", Help: "limit of an append at another entry VM", set: duration(&s.Journal.ForwardTimeout)},
 	}
 }
 
