--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -40,6 +40,7 @@
 	sessions       *session.Controller
 	journal        *journal.Controller
 	cascades       *cascade.Controller
+	store          journal.Store
 	chain          filter.Next
 	close          func()
 }
@@ -48,6 +49,7 @@
 func New(cfg settings.Settings, log logr.Logger) *VM {
 	store := platform.New(cfg.Reach.Platform, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, cfg.Reach.PlatformTimeout)
 	client := endpoint.NewClient(cfg.Reach.DialTimeout, cfg.Reach.Silence)
+	others := newPeers(cfg.Keys.Fleet)
 	at := endpoint.Location{Region: cfg.VM.Region, Zone: cfg.VM.Zone}
 	v := &VM{
 		cfg:            cfg,
@@ -56,14 +58,14 @@
 		configurations: configuration.New(store, log.WithName("configuration")),
 		endpoints:      endpoint.New(store, client, at, log.WithName("endpoint")),
 		sessions:       session.New(cfg.Limits.Freshness, cfg.Limits.SessionIdle),
+		store:          store,
 		close: func() {
 			client.Close()
+			others.http.CloseIdleConnections()
 			store.HTTP.CloseIdleConnections()
 		},
 	}
-	v.journal = journal.New(store, journal.Options{
-		VM: cfg.VM.Name, Incarnation: uint64(time.Now().UnixNano()), ClaimFor: cfg.Limits.ClaimFor,
-	}, log.WithName("journal"))
+	v.journal = journal.New(store, noMembers{}, others, journalOptions(cfg), log.WithName("journal"))
 	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
 	v.cascades = newCascades(rater, cfg, log)
 	v.chain = filter.Chain(
@@ -71,7 +73,7 @@
 		filter.Identify{Configurations: v.configurations},
 		filter.Authorize{},
 		filter.Deduplicate{Journal: v.journal, Cleanup: cleanupTimeout},
-		filter.Bill{Journal: v.journal},
+		filter.Bill{Journal: v.journal, Log: log.WithName("bill")},
 		filter.Cascade{Levels: v.cascades, Rater: rater, HeldBytes: heldBytes},
 		filter.Choose{Sessions: v.sessions},
 		filter.Place{Endpoints: v.endpoints, MaxAttempts: cfg.Limits.MaxAttempts},
