Exchange state between entry VMs by authenticated datagrams

Cause: the VMs knew nothing of each other, so leaving, halts, revision, load and evidence could not pass between them.

Change: internal/peer has a controller that owns the fleet's state. Each second it sends to three VMs of its zone, one of its region, one of elsewhere and one that seems dead, 1,200 bytes at most. A datagram holds a format version, an HMAC-SHA256 over everything, the sender's incarnation and sequence, as much of the sections' lists as fits in turn, and what the sender last heard of others. Sequence rule, health by silence, choice of targets and filling are pure (fleet.go, fill.go, rumors.go); encoding is codec.go; gnet's event loop only copies into the mailbox (socket.go); one goroutine calls the sections, so the controller never waits for another. A VM registers with the platform, again when it is missing, and takes itself off on a planned stop, which it announces three times to all.

Ruled out: a datagram to every VM (30 a second in a zone of 31 alone costs 36 KB/s); a second socket for sending (peers would see another port); duplicating gnet's socket outside OnBoot (a data race with its own close, seen under -race); gnet's own check of a port in use (it shares UDP ports, so a plain bind is tried first).

Broken builds, each caught: MAC check off (TestDecodeRefuses, TestNoMACNoState); version check off (TestDecodeRefuses); Accept or Relayed with < for <= (TestAcceptOnlyNewer, TestNothingTwice, TestReplayedAndForeignDatagramsChangeNothing, TestCutHeals); older incarnations let in (TestAcceptOnlyNewer, TestNothingTwice); no probe of dead members (TestCutHeals, TestTargetsOfARound); Fill 50 bytes over (TestFill); no rotation (TestEveryItemGetsItsTurn); facts not passed on (TestHaltReachesEveryVM); leaving not announced (TestLeavingIsSaidAtOnce); news of the dead passed on (TestNewsAboutTheDeadStops); no second registration (TestRegistersAgainWhenMissing).

Conclusion: the package's tests pass under -race.

--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -15,6 +15,7 @@
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/filter"
 	"cornelmux/internal/journal"
+	"cornelmux/internal/peer"
 	"cornelmux/internal/platform"
 	"cornelmux/internal/session"
 	"cornelmux/internal/settings"
@@ -36,6 +37,7 @@
 	endpoints      *endpoint.Controller
 	sessions       *session.Controller
 	journal        *journal.Controller
+	peers          *peer.Controller
 	chain          filter.Next
 	close          func()
 }
@@ -57,9 +59,13 @@
 			store.HTTP.CloseIdleConnections()
 		},
 	}
+	incarnation := uint64(time.Now().UnixNano())
 	v.journal = journal.New(store, journal.Options{
-		VM: cfg.VM.Name, Incarnation: uint64(time.Now().UnixNano()), ClaimFor: cfg.Limits.ClaimFor,
+		VM: cfg.VM.Name, Incarnation: incarnation, ClaimFor: cfg.Limits.ClaimFor,
 	}, log.WithName("journal"))
+	v.peers = peer.New(peerOptions(cfg, incarnation), peer.NewSocket(cfg.Listen.Peers, log.WithName("peer")), store, []peer.Section{
+		revision{v.configurations},
+	}, log.WithName("peer"))
 	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
 	v.chain = filter.Chain(
 		v.drain,
@@ -75,6 +81,13 @@
 	return v
 }
 
+func peerOptions(cfg settings.Settings, incarnation uint64) peer.Options {
+	return peer.Options{
+		VM: cfg.VM.Name, Incarnation: incarnation, Region: cfg.VM.Region, Zone: cfg.VM.Zone,
+		ControlAddress: cfg.Listen.Control, PeerAddress: cfg.Listen.Peers, Key: []byte(cfg.Keys.Fleet),
+	}
+}
+
 type namedTask struct {
 	name string
 	run  func(context.Context) error
@@ -100,6 +113,7 @@
 		{"endpoints", v.endpoints.Run},
 		{"sessions", v.sessions.Run},
 		{"journal", v.journal.Run},
+		{"peers", v.peers.Run},
 		{"control", serve(controlListener, v.controlHandler())},
 		{"callers", serve(callersListener, v.callersHandler())},
 	}
@@ -120,6 +134,9 @@
 // stop refuses new requests and waits for those in flight, at most for the stop timeout.
 func (v *VM) stop(ctx context.Context) {
 	v.log.Info("leaving")
+	if err := v.peers.Leave(ctx); err != nil {
+		v.log.Info("leaving not announced to peers", "error", err.Error())
+	}
 	idle := v.drain.leave(ctx)
 	grace := time.NewTimer(v.cfg.Limits.LeaveGrace)
 	defer grace.Stop()
--- a/internal/entry/vm_test.go
+++ b/internal/entry/vm_test.go
@@ -77,3 +77,16 @@
 		s.c.Assert(after.version, qt.Equals, "composer/v2")
 	}
 }
+
+func TestVMsKnowEachOther(t *testing.T) {
+	s := newSite(t)
+	for _, vm := range s.vms {
+		s.until(func() error {
+			members, err := vm.peers.Members(t.Context())
+			if err == nil && (len(members) != 1 || members[0].HeardAt.IsZero() || members[0].ControlAddress == "") {
+				err = fmt.Errorf("members %+v", members)
+			}
+			return err
+		}, "the other VM is heard")
+	}
+}
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,219 @@
+package peer
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cornelmux/internal/wire"
+)
+
+const (
+	// MaxPacketBytes is the largest datagram that is sent; a larger one is refused unread.
+	MaxPacketBytes = 1200
+	formatVersion  = 1
+	versionBytes   = 1
+	macBytes       = sha256.Size
+	headerBytes    = versionBytes + macBytes
+	// fieldBytes is the most that protobuf adds to an embedded message: two bytes of tag and two of length.
+	fieldBytes = 4
+)
+
+// Errors of a datagram that isn't taken in.
+var (
+	ErrTruncated = errors.New("datagram is too short")
+	ErrOversize  = errors.New("datagram is too long")
+	ErrVersion   = errors.New("datagram has an unknown format version")
+	ErrMAC       = errors.New("datagram has a wrong MAC")
+	ErrMalformed = errors.New("datagram is malformed")
+)
+
+// Packet is the content of one datagram: the sender's own state and what it passes on of other VMs.
+type Packet struct {
+	State
+	Relayed []State
+}
+
+// cursor says where the next datagram goes on in each list that didn't fit.
+type cursor struct{ start [listCount]int }
+
+const (
+	listHalts = iota
+	listCrashes
+	listSessions
+	listEvidence
+	listDemand
+	listEndpoints
+	listRelayed
+	listCount
+)
+
+// Encode makes a datagram of p with as much of its lists as fits, and returns how many of p.Relayed it holds.
+// The first of p.Relayed go first; the other lists rotate from one datagram to the next.
+func (c *cursor) Encode(key []byte, p Packet) ([]byte, int, error) {
+	d := identity(p.State)
+	room := MaxPacketBytes - headerBytes - proto.Size(d)
+	if room < 0 {
+		return nil, 0, fmt.Errorf("%w: names and addresses", ErrOversize)
+	}
+	full := toWire(p.State)
+	relayed := make([]*wire.Datagram, 0, len(p.Relayed))
+	for _, s := range p.Relayed {
+		relayed = append(relayed, toWire(s))
+	}
+	sizes := [][]int{
+		sizesOf(full.Halts), sizesOf(full.Crashes), sizesOf(full.Sessions), sizesOf(full.Evidence),
+		sizesOf(full.Demand), sizesOf(full.Endpoints), sizesOf(relayed),
+	}
+	for i, list := range sizes {
+		c.start[i] %= max(len(list), 1)
+	}
+	c.start[listRelayed] = 0
+	n := Fill(room, sizes, c.start[:])
+	d.Halts = rotate(full.Halts, c.start[listHalts], n[listHalts])
+	d.Crashes = rotate(full.Crashes, c.start[listCrashes], n[listCrashes])
+	d.Sessions = rotate(full.Sessions, c.start[listSessions], n[listSessions])
+	d.Evidence = rotate(full.Evidence, c.start[listEvidence], n[listEvidence])
+	d.Demand = rotate(full.Demand, c.start[listDemand], n[listDemand])
+	d.Endpoints = rotate(full.Endpoints, c.start[listEndpoints], n[listEndpoints])
+	d.Relayed = relayed[:n[listRelayed]]
+	for i := range c.start {
+		c.start[i] += n[i]
+	}
+	data, err := seal(key, d)
+	return data, n[listRelayed], err
+}
+
+func seal(key []byte, d *wire.Datagram) ([]byte, error) {
+	packet := make([]byte, headerBytes, MaxPacketBytes)
+	packet[0] = formatVersion
+	packet, err := proto.MarshalOptions{}.MarshalAppend(packet, d)
+	if err != nil {
+		return nil, fmt.Errorf("datagram: %w", err)
+	}
+	copy(packet[versionBytes:], sum(key, packet))
+	return packet, nil
+}
+
+// sum is the MAC over everything but the MAC itself.
+func sum(key, packet []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write(packet[:versionBytes])
+	h.Write(packet[headerBytes:])
+	return h.Sum(nil)
+}
+
+// Decode reads a datagram whose MAC is right; it never keeps data.
+func Decode(key, data []byte) (Packet, error) {
+	switch {
+	case len(data) < headerBytes:
+		return Packet{}, ErrTruncated
+	case len(data) > MaxPacketBytes:
+		return Packet{}, ErrOversize
+	case data[0] != formatVersion:
+		return Packet{}, ErrVersion
+	case !hmac.Equal(data[versionBytes:headerBytes], sum(key, data)):
+		return Packet{}, ErrMAC
+	}
+	var d wire.Datagram
+	if err := proto.Unmarshal(data[headerBytes:], &d); err != nil {
+		return Packet{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	p := Packet{State: fromWire(&d)}
+	for _, r := range d.Relayed {
+		p.Relayed = append(p.Relayed, fromWire(r))
+	}
+	if !p.named() {
+		return Packet{}, fmt.Errorf("%w: no VM, incarnation or sequence", ErrMalformed)
+	}
+	return p, nil
+}
+
+// named reports whether every state says whose it is.
+func (p Packet) named() bool {
+	for _, s := range append([]State{p.State}, p.Relayed...) {
+		if s.VM == "" || s.Incarnation == 0 || s.Sequence == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func sizesOf[M proto.Message](list []M) []int {
+	sizes := make([]int, len(list))
+	for i, m := range list {
+		sizes[i] = proto.Size(m) + fieldBytes
+	}
+	return sizes
+}
+
+// identity holds the fields that every datagram carries.
+func identity(s State) *wire.Datagram {
+	return &wire.Datagram{
+		Vm: s.VM, Incarnation: s.Incarnation, Sequence: s.Sequence, Region: s.Region, Zone: s.Zone,
+		ControlAddress: s.ControlAddress, PeerAddress: s.PeerAddress, Revision: s.Revision, Leaving: s.Leaving,
+	}
+}
+
+func toWire(s State) *wire.Datagram {
+	d := identity(s)
+	for _, e := range s.Endpoints {
+		d.Endpoints = append(d.Endpoints, &wire.EndpointReport{
+			Endpoint: e.Endpoint, Incarnation: e.Incarnation, Queued: uint32(max(e.Queued, 0)), Running: uint32(max(e.Running, 0)),
+			AgeMs: uint32(max(e.Age.Milliseconds(), 0)), Leaving: e.Leaving, Suspect: e.Suspect, Versions: e.Versions,
+		})
+	}
+	for _, e := range s.Evidence {
+		d.Evidence = append(d.Evidence, &wire.VersionEvidence{
+			Model: e.Model, Version: e.Version, Answers: e.Answers, Failures: e.Failures, Rated: e.Rated, RatedBad: e.RatedBad,
+		})
+	}
+	for _, a := range s.Demand {
+		d.Demand = append(d.Demand, &wire.AccountDemand{Account: a.Account, RequestsPerSecond: a.RequestsPerSecond})
+	}
+	for _, c := range s.Crashes {
+		d.Crashes = append(d.Crashes, &wire.CrashReport{Fingerprint: c.Fingerprint, Endpoint: c.Endpoint})
+	}
+	for _, b := range s.Sessions {
+		d.Sessions = append(d.Sessions, &wire.SessionSet{Model: b.Model, Version: b.Version, Filter: b.Filter})
+	}
+	for _, h := range s.Halts {
+		d.Halts = append(d.Halts, &wire.Halt{Model: h.Model, Version: h.Version, Reason: h.Reason})
+	}
+	return d
+}
+
+func fromWire(d *wire.Datagram) State {
+	s := State{
+		VM: d.Vm, Incarnation: d.Incarnation, Sequence: d.Sequence, Region: d.Region, Zone: d.Zone,
+		ControlAddress: d.ControlAddress, PeerAddress: d.PeerAddress, Revision: d.Revision, Leaving: d.Leaving,
+	}
+	for _, e := range d.Endpoints {
+		s.Endpoints = append(s.Endpoints, EndpointReport{
+			Endpoint: e.Endpoint, Incarnation: e.Incarnation, Queued: int(e.Queued), Running: int(e.Running),
+			Age: time.Duration(e.AgeMs) * time.Millisecond, Leaving: e.Leaving, Suspect: e.Suspect, Versions: e.Versions,
+		})
+	}
+	for _, e := range d.Evidence {
+		s.Evidence = append(s.Evidence, VersionEvidence{
+			Model: e.Model, Version: e.Version, Answers: e.Answers, Failures: e.Failures, Rated: e.Rated, RatedBad: e.RatedBad,
+		})
+	}
+	for _, a := range d.Demand {
+		s.Demand = append(s.Demand, AccountDemand{Account: a.Account, RequestsPerSecond: a.RequestsPerSecond})
+	}
+	for _, c := range d.Crashes {
+		s.Crashes = append(s.Crashes, CrashReport{Fingerprint: c.Fingerprint, Endpoint: c.Endpoint})
+	}
+	for _, b := range d.Sessions {
+		s.Sessions = append(s.Sessions, SessionSet{Model: b.Model, Version: b.Version, Filter: b.Filter})
+	}
+	for _, h := range d.Halts {
+		s.Halts = append(s.Halts, Halt{Model: h.Model, Version: h.Version, Reason: h.Reason})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/peer/fleet_test.go
@@ -0,0 +1,159 @@
+package peer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var (
+	testSelf = Member{VM: "self", Incarnation: 1, Region: "vest", Zone: "vest-1"}
+	testNow  = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+)
+
+func TestAcceptOnlyNewer(t *testing.T) {
+	rows := []struct {
+		name    string
+		first   [2]uint64
+		second  [2]uint64
+		relayed bool
+		want    bool
+	}{
+		{"next", [2]uint64{5, 1}, [2]uint64{5, 2}, false, true},
+		{"the same again", [2]uint64{5, 1}, [2]uint64{5, 1}, false, false},
+		{"reordered", [2]uint64{5, 9}, [2]uint64{5, 8}, false, false},
+		{"restarted", [2]uint64{5, 9}, [2]uint64{6, 1}, false, true},
+		{"from before a restart", [2]uint64{5, 1}, [2]uint64{4, 9}, false, false},
+		{"passed on, newer", [2]uint64{5, 1}, [2]uint64{5, 2}, true, true},
+		{"passed on, known", [2]uint64{5, 2}, [2]uint64{5, 2}, true, false},
+		{"passed on, from before a restart", [2]uint64{5, 1}, [2]uint64{4, 9}, true, false},
+	}
+	c := qt.New(t)
+	for _, row := range rows {
+		c.Run(row.name, func(c *qt.C) {
+			f := NewFleet(testSelf)
+			c.Assert(f.Accept(State{VM: "a", Incarnation: row.first[0], Sequence: row.first[1]}, testNow), qt.IsTrue)
+			s := State{VM: "a", Incarnation: row.second[0], Sequence: row.second[1]}
+			if row.relayed {
+				c.Assert(f.Relayed(s, testNow), qt.Equals, row.want)
+			} else {
+				c.Assert(f.Accept(s, testNow), qt.Equals, row.want)
+			}
+		})
+	}
+}
+
+// TestNothingTwice delivers datagrams in any order, many times, some of them passed on before: none is accepted twice.
+func TestNothingTwice(t *testing.T) {
+	type datagram struct {
+		vm                    string
+		incarnation, sequence uint64
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		f := NewFleet(testSelf)
+		accepted, news := map[datagram]bool{}, map[datagram]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			d := datagram{
+				rapid.SampledFrom([]string{"a", "b", "self"}).Draw(t, "vm"),
+				rapid.Uint64Range(1, 3).Draw(t, "incarnation"), rapid.Uint64Range(1, 5).Draw(t, "sequence"),
+			}
+			s := State{VM: d.vm, Incarnation: d.incarnation, Sequence: d.sequence}
+			seen, take := accepted, f.Accept
+			if rapid.Bool().Draw(t, "relayed") {
+				seen, take = news, f.Relayed
+			}
+			if !take(s, testNow) {
+				continue
+			}
+			if seen[d] || d.vm == "self" {
+				t.Fatalf("%+v accepted again", d)
+			}
+			seen[d] = true
+		}
+	})
+}
+
+func TestHealthBySilence(t *testing.T) {
+	suspect := SuspectAfter(2)
+	rows := []struct {
+		name    string
+		silence time.Duration
+		listed  bool
+		leaving bool
+		want    Health
+	}{
+		{"just heard", 0, false, false, Alive},
+		{"a little silent", suspect, false, false, Alive},
+		{"silent", suspect + 1, false, false, Suspect},
+		{"long silent", deadFactor*suspect + 1, false, false, Dead},
+		{"gone", forgetAfter + 1, false, false, 0},
+		{"gone but listed", forgetAfter + 1, true, false, Dead},
+		{"left", deadFactor*suspect + 1, false, true, 0},
+	}
+	c := qt.New(t)
+	for _, row := range rows {
+		c.Run(row.name, func(c *qt.C) {
+			f := NewFleet(testSelf)
+			f.Accept(State{VM: "a", Incarnation: 1, Sequence: 1, Leaving: row.leaving}, testNow)
+			if row.listed {
+				f.Learn([]Member{{VM: "a", Incarnation: 1}}, testNow)
+			}
+			f.Judge(testNow.Add(row.silence))
+			var got Health
+			if r, ok := f.Members["a"]; ok {
+				got = r.Health
+			}
+			c.Assert(got, qt.Equals, row.want)
+		})
+	}
+}
+
+func TestTargetsOfARound(t *testing.T) {
+	c := qt.New(t)
+	f := NewFleet(testSelf)
+	for i := range 40 {
+		s := State{VM: fmt.Sprint("vm-", i), Incarnation: 1, Sequence: 1, PeerAddress: fmt.Sprint(i), Region: "vest", Zone: "vest-1"}
+		switch {
+		case i >= 30:
+			s.Region, s.Zone = "ost", "ost-1"
+		case i >= 20:
+			s.Zone = "vest-2"
+		}
+		s.Leaving = i == 0
+		f.Accept(s, testNow)
+	}
+	f.Members["vm-39"].Health = Dead
+	seen := map[string]bool{}
+	r := rand.New(rand.NewPCG(1, 1))
+	for range 200 {
+		targets := f.Choose(r)
+		c.Assert(targets.Near, qt.HasLen, zoneFanout+regionFanout)
+		c.Assert(targets.Far, qt.HasLen, farFanout+probeFanout)
+		for _, address := range append(targets.Near, targets.Far...) {
+			seen[address] = true
+		}
+	}
+	c.Assert(seen, qt.HasLen, 39, qt.Commentf("all but the one that leaves"))
+}
+
+func TestNewsAboutTheDeadStops(t *testing.T) {
+	c := qt.New(t)
+	f := NewFleet(testSelf)
+	for i, vm := range []string{"a", "b", "c"} {
+		f.Accept(State{VM: vm, Incarnation: 1, Sequence: 1}, testNow.Add(time.Duration(i)*time.Second))
+	}
+	f.Passed(f.News(1))
+	names := func() (out []string) {
+		for _, s := range f.News(5) {
+			out = append(out, s.VM)
+		}
+		return out
+	}
+	c.Assert(names(), qt.DeepEquals, []string{"b", "a", "c"})
+	f.Judge(testNow.Add(SuspectAfter(4) + 1500*time.Millisecond))
+	c.Assert(names(), qt.DeepEquals, []string{"c"})
+}
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -10,8 +10,10 @@
 type State struct {
 	VM          string
 	Incarnation uint64
-	Region      string
-	Zone        string
+	// Sequence grows with each datagram of an incarnation.
+	Sequence uint64
+	Region   string
+	Zone     string
 	// ControlAddress is where the VM answers other entry VMs over connect, as host:port.
 	ControlAddress string
 	PeerAddress    string
@@ -73,7 +75,17 @@
 	Reason  string
 }
 
-// Member is a VM that was heard of.
+// Health is what silence says of a member.
+type Health int
+
+// The values of Health.
+const (
+	Alive Health = iota + 1
+	Suspect
+	Dead
+)
+
+// Member is another VM that the platform lists or that was heard of.
 type Member struct {
 	VM             string
 	Incarnation    uint64
@@ -83,11 +95,14 @@
 	PeerAddress    string
 	Revision       uint64
 	Leaving        bool
-	HeardAt        time.Time
+	// HeardAt is when the VM's newest datagram was taken in, here or at the peer that passed it on.
+	HeardAt time.Time
+	Health  Health
 }
 
 // Section is a controller's part of the state. The peers controller calls it before each send and after each receipt;
-// neither call may wait for the network.
+// neither call may wait for the network. What doesn't fit into one datagram goes into a later one, so a list that is
+// absent or short is no news about the rest. A state may also come by way of another VM, without loads and sessions.
 type Section interface {
 	// Collect adds the controller's own part to s.
 	Collect(ctx context.Context, s *State) error
