--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"cornelmux/internal/cascade"
@@ -26,6 +27,8 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 60 * time.Second
 	cleanupTimeout = 5 * time.Second
+	// heldBytes bounds an answer that a cascade holds back until it is rated.
+	heldBytes = 4 << 20
 )
 
 // VM is one entry VM: its controllers, its filter chain and its front ends.
@@ -38,6 +41,7 @@
 	sessions       *session.Controller
 	journal        *journal.Controller
 	peers          *peer.Controller
+	cascades       *cascade.Controller
 	chain          filter.Next
 	close          func()
 }
@@ -67,13 +71,14 @@
 		revision{v.configurations},
 	}, log.WithName("peer"))
 	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
+	v.cascades = newCascades(rater, cfg, log)
 	v.chain = filter.Chain(
 		v.drain,
 		filter.Identify{Configurations: v.configurations},
 		filter.Authorize{},
 		filter.Deduplicate{Journal: v.journal, Cleanup: cleanupTimeout},
 		filter.Bill{Journal: v.journal},
-		filter.Cascade{Rater: rater},
+		filter.Cascade{Levels: v.cascades, Rater: rater, HeldBytes: heldBytes},
 		filter.Choose{Sessions: v.sessions},
 		filter.Place{Endpoints: v.endpoints, MaxAttempts: cfg.Limits.MaxAttempts},
 		filter.Send{Configurations: v.configurations, Sender: client, MaxResumes: cfg.Limits.MaxResumes},
@@ -88,6 +93,14 @@
 	}
 }
 
+// newCascades makes the controller of cascades; without a rating service no answer is rated.
+func newCascades(rater cascade.Rater, cfg settings.Settings, log logr.Logger) *cascade.Controller {
+	if cfg.Reach.Rating == "" {
+		rater = nil
+	}
+	return cascade.New(rater, nil, xxhash.Sum64String(cfg.VM.Name), log.WithName("cascade"))
+}
+
 type namedTask struct {
 	name string
 	run  func(context.Context) error
@@ -114,6 +127,7 @@
 		{"sessions", v.sessions.Run},
 		{"journal", v.journal.Run},
 		{"peers", v.peers.Run},
+		{"cascades", v.cascades.Run},
 		{"control", serve(controlListener, v.controlHandler())},
 		{"callers", serve(callersListener, v.callersHandler())},
 	}
