Measure requests, datagrams and platform calls with OpenTelemetry

Cause: nothing showed requests by result code, times, tokens or sends.

Change: internal/metric holds the instruments, each with its unit, exported by the Prometheus exporter under /metrics on the control port, without a key: scrapers have none and the metrics hold no key, account, prompt or request ID. internal/filter/observe.go stands at the head of the chain, so refusals count too; an Exchange counts its sends. Platform calls are counted by a RoundTripper around the platform client's, by method and area of the keys, watches included, since each call costs. State (configuration, members, datagrams) is asked for when the metrics are read.

Ruled out: labels by client account (their number is unbounded); counters inside the controllers (the state would be shared with the scraper).

Broken builds, each caught: time of the first piece not noted and the code of a refusal dropped (TestObserve); in flight not taken back (TestMetrics).

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -50,6 +50,7 @@
 	mux := http.NewServeMux()
 	path, handler := wireconnect.NewControlServiceHandler(&control{vm: v})
 	mux.Handle(path, requireKey(v.cfg.Keys.Operator, handler))
+	mux.Handle("GET /metrics", v.metrics) // without a key: it holds no secret, and scrapers have none
 	return mux
 }
 
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -16,6 +16,7 @@
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/filter"
 	"cornelmux/internal/journal"
+	"cornelmux/internal/metric"
 	"cornelmux/internal/peer"
 	"cornelmux/internal/platform"
 	"cornelmux/internal/session"
@@ -41,6 +42,7 @@
 	sessions       *session.Controller
 	journal        *journal.Controller
 	peers          *peer.Controller
+	metrics        *metric.Metrics
 	cascades       *cascade.Controller
 	chain          filter.Next
 	close          func()
@@ -48,12 +50,15 @@
 
 // New wires a VM; Run starts it.
 func New(cfg settings.Settings, log logr.Logger) *VM {
-	store := platform.New(cfg.Reach.Platform, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, cfg.Reach.PlatformTimeout)
+	metrics := metric.New(log.WithName("metric"))
+	transport := metric.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 16}, Metrics: metrics}
+	store := platform.New(cfg.Reach.Platform, &http.Client{Transport: transport}, cfg.Reach.PlatformTimeout)
 	client := endpoint.NewClient(cfg.Reach.DialTimeout, cfg.Reach.Silence)
 	at := endpoint.Location{Region: cfg.VM.Region, Zone: cfg.VM.Zone}
 	v := &VM{
 		cfg:            cfg,
 		log:            log,
+		metrics:        metrics,
 		drain:          newDrain(),
 		configurations: configuration.New(store, log.WithName("configuration")),
 		endpoints:      endpoint.New(store, client, at, log.WithName("endpoint")),
@@ -72,7 +77,9 @@
 	}, log.WithName("peer"))
 	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
 	v.cascades = newCascades(rater, cfg, log)
+	metrics.Watch(v.configurations, v.peers, log.WithName("metric"))
 	v.chain = filter.Chain(
+		filter.Observe{Meter: metrics},
 		v.drain,
 		filter.Identify{Configurations: v.configurations},
 		filter.Authorize{},
--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -105,6 +105,8 @@
 	Attempt Attempt
 	// Sent says that a byte of the request may have reached an endpoint.
 	Sent bool
+	// Sends counts how often a first byte went to an endpoint.
+	Sends int
 	// Relayed says that a piece of the answer was passed to Sink.
 	Relayed bool
 	// Held says that Sink keeps the answer back, so that a run that failed may be done again from its first piece.
--- /dev/null
+++ b/internal/filter/observe_test.go
@@ -0,0 +1,66 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cornelmux/internal/endpoint"
+	"cornelmux/pkg/result"
+)
+
+type tally struct {
+	started int
+	ended   []Observation
+}
+
+func (m *tally) Started(context.Context) { m.started++ }
+
+func (m *tally) Ended(_ context.Context, o Observation) { m.ended = append(m.ended, o) }
+
+type nowhere struct{}
+
+func (nowhere) Begin(context.Context, Head) error { return nil }
+
+func (nowhere) Piece(context.Context, endpoint.Piece) error { return nil }
+
+func TestObserve(t *testing.T) {
+	answer := func(ctx context.Context, x *Exchange) error {
+		x.Sends = 2
+		return errors.Join(x.Sink.Begin(ctx, Head{Model: "composer", Version: "v1"}), x.Sink.Piece(ctx, endpoint.Piece{Last: true}))
+	}
+	refuse := func(context.Context, *Exchange) error { return result.Errorf(result.QueueFull, "busy") }
+	breakOff := func(context.Context, *Exchange) error { return errors.New("unnumbered") }
+	rows := []struct {
+		name  string
+		next  Next
+		code  result.Code
+		run   result.Run
+		model string
+		sends int
+	}{
+		{"answered", answer, result.OK, result.Ran, "composer", 2},
+		{"refused", refuse, result.QueueFull, result.NotRun, "", 0},
+		{"failed without a code", breakOff, result.Internal, result.Unknown, "", 0},
+	}
+	c := qt.New(t)
+	for _, row := range rows {
+		c.Run(row.name, func(c *qt.C) {
+			m := &tally{}
+			x := &Exchange{Sink: nowhere{}, Arrived: time.Now().Add(-time.Second)}
+			_ = Observe{Meter: m}.Handle(context.Background(), x, row.next)
+			c.Assert(m.started, qt.Equals, 1)
+			c.Assert(m.ended, qt.HasLen, 1)
+			o := m.ended[0]
+			c.Assert(o.Code, qt.Equals, row.code)
+			c.Assert(o.Run, qt.Equals, row.run)
+			c.Assert(o.Model, qt.Equals, row.model)
+			c.Assert(o.Sends, qt.Equals, row.sends)
+			c.Assert(o.Whole >= time.Second, qt.IsTrue)
+			c.Assert(o.FirstPiece >= time.Second, qt.Equals, row.model != "")
+		})
+	}
+}
--- a/internal/filter/send.go
+++ b/internal/filter/send.go
@@ -116,6 +116,7 @@
 			return result.Errorf(result.DeadlinePassed, "the journal's claim expired before the send")
 		}
 		x.Sent = true
+		x.Sends++
 		return nil
 	}
 }
--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,141 @@
+// Package metric counts what a VM does, by OpenTelemetry, and shows it in Prometheus' text format.
+package metric
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"cornelmux/internal/configuration"
+	"cornelmux/internal/filter"
+	"cornelmux/internal/peer"
+)
+
+const (
+	scopeName     = "cornelmux"
+	scrapeTimeout = 2 * time.Second
+)
+
+// secondsBounds are the histograms' bounds; they hold the targets of 63 ms and 0.86 s.
+var secondsBounds = []float64{0.001, 0.005, 0.01, 0.025, 0.063, 0.1, 0.25, 0.5, 0.86, 2, 5, 10, 30, 60, 120}
+
+// Configurations gives the newest configuration.
+type Configurations interface {
+	Current(ctx context.Context) (configuration.Snapshot, error)
+}
+
+// Peers gives what the VM knows of the others and of its datagrams.
+type Peers interface {
+	Members(ctx context.Context) ([]peer.Member, error)
+	Counts(ctx context.Context) (peer.Counts, error)
+}
+
+// Metrics holds the instruments. Its methods may be called from any goroutine.
+type Metrics struct {
+	handler    http.Handler
+	meter      metric.Meter
+	requests   metric.Int64Counter
+	inFlight   metric.Int64UpDownCounter
+	whole      metric.Float64Histogram
+	firstPiece metric.Float64Histogram
+	sends      metric.Int64Counter
+	answers    metric.Int64Counter
+	runs       metric.Int64Counter
+	tokens     metric.Int64Counter
+	calls      metric.Int64Counter
+	callTime   metric.Float64Histogram
+}
+
+// New makes the instruments. One that can't be made is logged and counts nothing.
+func New(log logr.Logger) *Metrics {
+	registry := prometheus.NewRegistry()
+	var options []sdk.Option
+	reader, err := exporter.New(exporter.WithRegisterer(registry), exporter.WithoutScopeInfo(), exporter.WithoutTargetInfo())
+	if err != nil {
+		log.Error(err, "no metrics")
+	} else {
+		options = append(options, sdk.WithReader(reader))
+	}
+	b := &builder{meter: sdk.NewMeterProvider(options...).Meter(scopeName)}
+	m := &Metrics{
+		handler:    promhttp.HandlerFor(registry, promhttp.HandlerOpts{Timeout: 2 * scrapeTimeout}),
+		requests:   b.counter("cornelmux.requests", "{request}", "Requests that ended, by result code."),
+		inFlight:   b.upDown("cornelmux.requests.in_flight", "{request}", "Requests in flight."),
+		whole:      b.seconds("cornelmux.request.duration", "Time from arrival to the end of the answer."),
+		firstPiece: b.seconds("cornelmux.request.first_piece", "Time from arrival to the first piece of the answer."),
+		sends:      b.counter("cornelmux.sends", "{send}", "Sends to endpoints, retries included."),
+		answers:    b.counter("cornelmux.answers", "{answer}", "Answers passed on, by version and cascade level."),
+		runs:       b.counter("cornelmux.runs", "{run}", "Runs at endpoints that answers were made of, rejected cascade levels included."),
+		tokens:     b.counter("cornelmux.tokens", "{token}", "Tokens of all runs."),
+		calls:      b.counter("cornelmux.platform.calls", "{call}", "Calls of the platform, by method, area and status."),
+		callTime:   b.seconds("cornelmux.platform.duration", "Time of the platform's calls that are no watch."),
+	}
+	b.report(log)
+	m.meter = b.meter
+	return m
+}
+
+// Watch adds the state that is asked for whenever the metrics are read.
+func (m *Metrics) Watch(configurations Configurations, peers Peers, log logr.Logger) {
+	b := &builder{meter: m.meter}
+	b.observeConfiguration(configurations)
+	b.observePeers(peers)
+	b.report(log)
+}
+
+// ServeHTTP implements http.Handler.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.handler.ServeHTTP(w, r) }
+
+// Started implements filter.Meter.
+func (m *Metrics) Started(ctx context.Context) { m.inFlight.Add(ctx, 1) }
+
+// Ended implements filter.Meter.
+func (m *Metrics) Ended(ctx context.Context, o filter.Observation) {
+	m.inFlight.Add(ctx, -1)
+	kind := attribute.String("kind", kindName(o.Kind))
+	m.requests.Add(ctx, 1, metric.WithAttributes(kind, attribute.Int("code", int(o.Code)), attribute.String("run", string(o.Run))))
+	m.whole.Record(ctx, o.Whole.Seconds(), metric.WithAttributes(kind))
+	m.sends.Add(ctx, int64(o.Sends), metric.WithAttributes(kind))
+	if o.FirstPiece > 0 {
+		m.firstPiece.Record(ctx, o.FirstPiece.Seconds(), metric.WithAttributes(kind))
+		m.answers.Add(ctx, 1, metric.WithAttributes(
+			attribute.String("model", o.Model), attribute.String("version", o.Version),
+			attribute.String("service", o.Service), attribute.Int("level", o.Level),
+		))
+	}
+	for _, run := range o.Runs {
+		of := metric.WithAttributes(attribute.String("model", run.Model), attribute.String("version", run.Version), attribute.String("service", run.Service))
+		m.runs.Add(ctx, 1, of)
+		m.tokens.Add(ctx, int64(run.Tokens), of)
+	}
+}
+
+// PlatformCall counts a call of the platform; status is 0 where no answer came.
+func (m *Metrics) PlatformCall(ctx context.Context, method, area string, status int, watch bool, took time.Duration) {
+	m.calls.Add(ctx, 1, metric.WithAttributes(
+		attribute.String("method", method), attribute.String("area", area), attribute.String("status", strconv.Itoa(status)),
+	))
+	if !watch {
+		m.callTime.Record(ctx, took.Seconds(), metric.WithAttributes(attribute.String("method", method)))
+	}
+}
+
+func kindName(k filter.Kind) string {
+	switch k {
+	case filter.KindChat:
+		return "chat"
+	case filter.KindService:
+		return "service"
+	default:
+		return "unread"
+	}
+}
--- /dev/null
+++ b/internal/metric/metric_test.go
@@ -0,0 +1,90 @@
+package metric
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"cornelmux/internal/configuration"
+	"cornelmux/internal/filter"
+	"cornelmux/internal/journal"
+	"cornelmux/internal/peer"
+	"cornelmux/pkg/catalog"
+	"cornelmux/pkg/result"
+)
+
+type fixed struct{}
+
+func (fixed) Current(context.Context) (configuration.Snapshot, error) {
+	return configuration.NewSnapshot(7, catalog.Configuration{}, time.Now()), nil
+}
+
+func (fixed) Members(context.Context) ([]peer.Member, error) {
+	return []peer.Member{{Health: peer.Alive}, {Health: peer.Alive}, {Health: peer.Suspect}}, nil
+}
+
+func (fixed) Counts(context.Context) (peer.Counts, error) {
+	return peer.Counts{Sent: 5, SentBytes: 600, BadMAC: 2}, nil
+}
+
+func read(c *qt.C, m *Metrics) string {
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	c.Assert(w.Code, qt.Equals, http.StatusOK)
+	return w.Body.String()
+}
+
+func TestMetrics(t *testing.T) {
+	c := qt.New(t)
+	m := New(logr.Discard())
+	m.Watch(fixed{}, fixed{}, logr.Discard())
+	ctx := context.Background()
+	for range 3 {
+		m.Started(ctx)
+	}
+	m.Ended(ctx, filter.Observation{
+		Kind: filter.KindChat, Code: result.OK, Run: result.Ran, Model: "composer", Version: "v1", Level: 1, Sends: 3,
+		Runs:  []journal.Run{{Model: "cheap", Version: "v1", Tokens: 10}, {Model: "composer", Version: "v1", Tokens: 20}},
+		Whole: 200 * time.Millisecond, FirstPiece: 50 * time.Millisecond,
+	})
+	m.Ended(ctx, filter.Observation{Code: result.BadKey, Run: result.NotRun, Whole: time.Millisecond})
+	m.PlatformCall(ctx, http.MethodPut, "journal", http.StatusOK, false, time.Millisecond)
+	text := read(c, m)
+	rows := []string{
+		`cornelmux_requests_total{code="0",kind="chat",run="ran"} 1`,
+		`cornelmux_requests_total{code="2001",kind="unread",run="not_run"} 1`,
+		`cornelmux_requests_in_flight 1`,
+		`cornelmux_request_duration_seconds_bucket{kind="chat",le="0.25"} 1`,
+		`cornelmux_request_first_piece_seconds_bucket{kind="chat",le="0.063"} 1`,
+		`cornelmux_sends_total{kind="chat"} 3`,
+		`cornelmux_answers_total{level="1",model="composer",service="",version="v1"} 1`,
+		`cornelmux_tokens_total{model="cheap",service="",version="v1"} 10`,
+		`cornelmux_platform_calls_total{area="journal",method="PUT",status="200"} 1`,
+		`cornelmux_configuration_revision 7`,
+		`cornelmux_members{health="alive"} 2`,
+		`cornelmux_datagrams_total{outcome="bad_mac"} 2`,
+		`cornelmux_datagrams_size_bytes_total{outcome="sent"} 600`,
+	}
+	for _, row := range rows {
+		c.Check(text, qt.Contains, row)
+	}
+}
+
+func TestArea(t *testing.T) {
+	rows := []struct{ path, want string }{
+		{"/v1/kv/cornelmux/journal/3/17", "journal"},
+		{"/v1/kv/cornelmux/configuration/head", "configuration"},
+		{"/v1/kv/other", "other"},
+		{"/v1/catalog/service/endpoint", "catalog"},
+		{"/v1/agent/service/register", "agent"},
+	}
+	c := qt.New(t)
+	for _, row := range rows {
+		c.Check(area(row.path), qt.Equals, row.want)
+	}
+}
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -85,6 +85,18 @@
 	Dead
 )
 
+// String implements fmt.Stringer.
+func (h Health) String() string {
+	switch h {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	default:
+		return "dead"
+	}
+}
+
 // Member is another VM that the platform lists or that was heard of.
 type Member struct {
 	VM             string
