--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -16,6 +16,8 @@
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/filter"
 	"cornelmux/internal/journal"
+	"cornelmux/internal/metric"
+	"cornelmux/internal/peer"
 	"cornelmux/internal/platform"
 	"cornelmux/internal/session"
 	"cornelmux/internal/settings"
@@ -39,6 +41,8 @@
 	endpoints      *endpoint.Controller
 	sessions       *session.Controller
 	journal        *journal.Controller
+	peers          *peer.Controller
+	metrics        *metric.Metrics
 	cascades       *cascade.Controller
 	store          journal.Store
 	chain          filter.Next
@@ -47,13 +51,16 @@
 
 // New wires a VM; Run starts it.
 func New(cfg settings.Settings, log logr.Logger) *VM {
-	store := platform.New(cfg.Reach.Platform, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, cfg.Reach.PlatformTimeout)
+	metrics := metric.New(log.WithName("metric"))
+	transport := metric.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 16}, Metrics: metrics}
+	store := platform.New(cfg.Reach.Platform, &http.Client{Transport: transport}, cfg.Reach.PlatformTimeout)
 	client := endpoint.NewClient(cfg.Reach.DialTimeout, cfg.Reach.Silence)
 	others := newPeers(cfg.Keys.Fleet)
 	at := endpoint.Location{Region: cfg.VM.Region, Zone: cfg.VM.Zone}
 	v := &VM{
 		cfg:            cfg,
 		log:            log,
+		metrics:        metrics,
 		drain:          newDrain(),
 		configurations: configuration.New(store, log.WithName("configuration")),
 		endpoints:      endpoint.New(store, client, at, log.WithName("endpoint")),
@@ -65,10 +72,16 @@
 			store.HTTP.CloseIdleConnections()
 		},
 	}
-	v.journal = journal.New(store, noMembers{}, others, journalOptions(cfg), log.WithName("journal"))
+	incarnation := uint64(time.Now().UnixNano())
+	v.peers = peer.New(peerOptions(cfg, incarnation), peer.NewSocket(cfg.Listen.Peers, log.WithName("peer")), store, []peer.Section{
+		revision{v.configurations},
+	}, log.WithName("peer"))
+	v.journal = journal.New(store, v.peers, others, journalOptions(cfg, incarnation), log.WithName("journal"))
 	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
 	v.cascades = newCascades(rater, cfg, log)
+	metrics.Watch(v.configurations, v.peers, log.WithName("metric"))
 	v.chain = filter.Chain(
+		filter.Observe{Meter: metrics},
 		v.drain,
 		filter.Identify{Configurations: v.configurations},
 		filter.Authorize{},
@@ -82,6 +95,13 @@
 	return v
 }
 
+func peerOptions(cfg settings.Settings, incarnation uint64) peer.Options {
+	return peer.Options{
+		VM: cfg.VM.Name, Incarnation: incarnation, Region: cfg.VM.Region, Zone: cfg.VM.Zone,
+		ControlAddress: cfg.Listen.Control, PeerAddress: cfg.Listen.Peers, Key: []byte(cfg.Keys.Fleet),
+	}
+}
+
 // newCascades makes the controller of cascades; without a rating service no answer is rated.
 func newCascades(rater cascade.Rater, cfg settings.Settings, log logr.Logger) *cascade.Controller {
 	if cfg.Reach.Rating == "" {
@@ -115,6 +135,7 @@
 		{"endpoints", v.endpoints.Run},
 		{"sessions", v.sessions.Run},
 		{"journal", v.journal.Run},
+		{"peers", v.peers.Run},
 		{"cascades", v.cascades.Run},
 		{"control", serve(controlListener, v.controlHandler())},
 		{"callers", serve(callersListener, v.callersHandler())},
@@ -136,6 +157,9 @@
 // stop refuses new requests and waits for those in flight, at most for the stop timeout.
 func (v *VM) stop(ctx context.Context) {
 	v.log.Info("leaving")
+	if err := v.peers.Leave(ctx); err != nil {
+		v.log.Info("leaving not announced to peers", "error", err.Error())
+	}
 	idle := v.drain.leave(ctx)
 	grace := time.NewTimer(v.cfg.Limits.LeaveGrace)
 	defer grace.Stop()
