--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -169,7 +169,7 @@
 	}
 	for _, e := range s.Evidence {
 		d.Evidence = append(d.Evidence, &wire.VersionEvidence{
-			Model: e.Model, Version: e.Version, Answers: e.Answers, Failures: e.Failures, Rated: e.Rated, RatedBad: e.RatedBad,
+			Model: e.Model, Version: e.Version, Answers: e.Answers, Failures: e.Failures, Rated: e.Rated, RatedBad: e.RatedBad, StartedAt: e.StartedAt,
 		})
 	}
 	for _, a := range s.Demand {
@@ -182,7 +182,7 @@
 		d.Sessions = append(d.Sessions, &wire.SessionSet{Model: b.Model, Version: b.Version, Filter: b.Filter})
 	}
 	for _, h := range s.Halts {
-		d.Halts = append(d.Halts, &wire.Halt{Model: h.Model, Version: h.Version, Reason: h.Reason})
+		d.Halts = append(d.Halts, &wire.Halt{Model: h.Model, Version: h.Version, Reason: h.Reason, StartedAt: h.StartedAt})
 	}
 	return d
 }
@@ -200,7 +200,7 @@
 	}
 	for _, e := range d.Evidence {
 		s.Evidence = append(s.Evidence, VersionEvidence{
-			Model: e.Model, Version: e.Version, Answers: e.Answers, Failures: e.Failures, Rated: e.Rated, RatedBad: e.RatedBad,
+			Model: e.Model, Version: e.Version, Answers: e.Answers, Failures: e.Failures, Rated: e.Rated, RatedBad: e.RatedBad, StartedAt: e.StartedAt,
 		})
 	}
 	for _, a := range d.Demand {
@@ -213,7 +213,7 @@
 		s.Sessions = append(s.Sessions, SessionSet{Model: b.Model, Version: b.Version, Filter: b.Filter})
 	}
 	for _, h := range d.Halts {
-		s.Halts = append(s.Halts, Halt{Model: h.Model, Version: h.Version, Reason: h.Reason})
+		s.Halts = append(s.Halts, Halt{Model: h.Model, Version: h.Version, Reason: h.Reason, StartedAt: h.StartedAt})
 	}
 	return s
 }
