Place runs on endpoints that are proved to stay, within a retry budget

Cause: a leaving endpoint was known only by the platform's list and one's own polls of every endpoint; a lost Done or a caller that left while it waited counted a run as in flight for good; a poll whose answer found the mailbox full was never repeated; each placement copied the whole list; a failed endpoint came back by the clock without a proof; retries had no bound over all requests; a refusal after an earlier attempt could say not_run.

Change: Table (no input or output, time as an argument) holds what is known, indexed by version and distance. An endpoint gets work only with a report at most 3 s old that doesn't say leaving; leaving holds for an incarnation, whatever a stale list says. Two VMs of its zone poll each endpoint (rendezvous over the VMs heard of), others hear of it through the peers' section, with the age of the report; what is too old is asked for directly, at most 16 in an interval. A failed endpoint stays suspect until it answers a probe on a new connection. Pick takes the less loaded of two, or the endpoint that rendezvous hashing prefers while its load is within 1.25 of the mean. Full endpoints make a run wait in a bounded queue by priority and deadline. Retries draw on a budget of a tenth of the requests. A lost connection counts as a crash once the endpoint shows a new incarnation or nothing listens at its address.

Ruled out: forgetting an endpoint that the platform's list lacks (an empty answer of a restarted platform would take all endpoints away); a peer's suspicion as one's own (the peer may be the one that is cut off).

Tests, 2,000 cases each: TestPlacementKeepsToItsRules, TestEachEndpointIsPolledByTwoVMsOfItsZone, TestRetriesStayWithinTheirShare, TestPlaceSendsOnceWhatMayNotBeRepeated; tables for leaving, crashes, polls, queue and the controller under a fake clock.

--- a/internal/endpoint/assembler_test.go
+++ b/internal/endpoint/assembler_test.go
@@ -18,8 +18,10 @@
 // TestMain fixes rapid's seed, so that each run gives the same verdict.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if flag.Set("rapid.seed", testSeed) != nil || flag.Set("rapid.checks", testChecks) != nil {
-		os.Exit(1)
+	for _, f := range []struct{ name, value string }{{"seed", testSeed}, {"checks", testChecks}, {"nofailfile", "true"}} {
+		if err := flag.Set("rapid."+f.name, f.value); err != nil {
+			panic(err)
+		}
 	}
 	os.Exit(m.Run())
 }
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -1,9 +1,6 @@
 package endpoint
 
-import (
-	"errors"
-	"time"
-)
+import "errors"
 
 // Errors of a call.
 var (
@@ -70,7 +67,17 @@
 // Outcome tells how a call ended.
 type Outcome struct {
 	Endpoint string
-	Failed   bool
-	// FirstToken is the time from send to the first piece; 0 where there was none.
-	FirstToken time.Duration
+	// Incarnation is the endpoint's at the time of the send.
+	Incarnation uint64
+	Failed      bool
+	// Lost says that the connection was lost after the send, as a crash would show.
+	Lost        bool
+	Fingerprint uint64
+}
+
+func (o Outcome) crashes() []Crash {
+	if !o.Lost {
+		return nil
+	}
+	return []Crash{{o.Fingerprint, o.Endpoint}}
 }
--- a/internal/endpoint/controller.go
+++ b/internal/endpoint/controller.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"cornelmux/internal/peer"
 	"cornelmux/internal/platform"
 	"cornelmux/internal/task"
 	"cornelmux/pkg/result"
@@ -19,11 +17,16 @@
 	mailboxSize    = 4096
 	listWait       = 30 * time.Second
 	listRetry      = 500 * time.Millisecond
-	pollInterval   = 500 * time.Millisecond
 	pollTimeout    = 2 * time.Second
-	suspectFor     = 3 * time.Second
+	maxRunning     = 256
 	serviceName    = "endpoint"
-	metaIncarnated = "incarnation"
+	queueLimit     = 256
+	queueWait      = 2 * time.Second
+	retryAfter     = time.Second
+	doneTimeout    = time.Second
+	memberTimeout  = 200 * time.Millisecond
+	retryShare     = 0.1
+	retriesSavedUp = 10
 )
 
 // Lister gives the platform's list of endpoints.
@@ -31,63 +34,82 @@
 	Instances(ctx context.Context, service string, after uint64, wait time.Duration) ([]platform.Instance, uint64, error)
 }
 
-// Reporter asks an endpoint for its load.
+// Reporter asks an endpoint for its load, on a new connection if it has to be fresh.
 type Reporter interface {
 	Report(ctx context.Context, address string, fresh bool) (Report, error)
 }
 
-// Report is what an endpoint says of itself.
-type Report struct {
-	Incarnation uint64   `json:"incarnation"`
-	Queued      int      `json:"queued"`
-	Running     int      `json:"running"`
-	Leaving     bool     `json:"leaving"`
-	Versions    []string `json:"versions"`
-	Services    []string `json:"services"`
+// Members knows the VMs that were heard of.
+type Members interface {
+	Members(ctx context.Context) ([]peer.Member, error)
 }
 
-// Controller owns what the VM knows of the endpoints.
+// Crashes is told of each crash of an endpoint. It must not wait.
+type Crashes interface {
+	Crashed(ctx context.Context, fingerprint uint64, endpoint string) error
+}
+
+// Options say which VM this is.
+type Options struct {
+	VM string
+	At Location
+}
+
+// Controller owns what the VM knows of the endpoints, and the runs that wait for one.
 type Controller struct {
 	mailbox  chan message
 	lister   Lister
 	reporter Reporter
-	at       Location
+	members  Members
+	crashes  Crashes
+	vm       string
 	log      logr.Logger
-	known    map[string]*entry
+	table    *Table
+	queue    *Queue
+	budget   Budget
+	// answers and ends have room for every poll that runs.
+	answers chan answer
+	ends    chan task.End
+	running int
 }
 
-type entry struct {
-	Endpoint
-	suspectUntil time.Time
-	polling      bool
-}
-
-// New makes a Controller; Run starts it.
-func New(lister Lister, reporter Reporter, at Location, log logr.Logger) *Controller {
+// New makes a Controller; Run starts it. Without members, the VM polls every endpoint.
+func New(lister Lister, reporter Reporter, members Members, crashes Crashes, o Options, log logr.Logger) *Controller {
 	return &Controller{
-		mailbox: make(chan message, mailboxSize), lister: lister, reporter: reporter, at: at, log: log,
-		known: map[string]*entry{},
+		mailbox: make(chan message, mailboxSize), lister: lister, reporter: reporter, members: members, crashes: crashes,
+		vm: o.VM, log: log, table: NewTable(o.At), queue: NewQueue(queueLimit),
+		budget:  Budget{Share: retryShare, Limit: retriesSavedUp, Tokens: retriesSavedUp},
+		answers: make(chan answer, maxRunning), ends: make(chan task.End, maxRunning),
 	}
 }
 
-type message interface{ handle(*Controller) }
+type message interface {
+	handle(ctx context.Context, c *Controller)
+}
+
+// answer is the end of a poll.
+type answer struct {
+	id     string
+	report Report
+	err    error
+}
 
 type (
-	listMessage   struct{ list []platform.Instance }
-	reportMessage struct {
-		id     string
-		report Report
-		err    error
-	}
-	chooseMessage struct {
+	listMessage    struct{ list []platform.Instance }
+	membersMessage struct{ list []peer.Member }
+	chooseMessage  struct {
 		query Query
 		reply chan<- chooseReply
 	}
 	chooseReply struct {
 		endpoint Endpoint
-		ok       bool
+		choice   Choice
 	}
+	// abandonMessage says that nobody reads the reply any more.
+	abandonMessage  struct{ reply chan chooseReply }
 	doneMessage     struct{ outcome Outcome }
+	hearMessage     struct{ reports []peer.EndpointReport }
+	collectMessage  struct{ reply chan<- []peer.EndpointReport }
 	snapshotMessage struct{ reply chan<- []Endpoint }
 )
 
@@ -95,44 +117,77 @@
 func (c *Controller) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ends := make(chan task.End, 1)
-	task.Start(ctx, "endpoint list", ends, c.follow)
-	polls := make(chan task.End, mailboxSize)
-	running := 0
+	watchers := make(chan task.End, 2)
+	task.Start(ctx, "endpoint list", watchers, c.follow)
+	task.Start(ctx, "members", watchers, c.askMembers)
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case m := <-c.mailbox:
-			m.handle(c)
+			m.handle(ctx, c)
+		case a := <-c.answers:
+			c.tellCrashes(ctx, c.table.Answer(a.id, a.report, a.err, time.Now()))
+			c.admit(time.Now())
+		case <-c.ends:
+			c.running--
 		case <-ticker.C:
-			running += c.poll(ctx, polls)
-		case <-polls:
-			running--
+			c.poll(ctx)
+			c.admit(time.Now())
 		case <-ctx.Done():
-			for range running {
-				<-polls
-			}
-			return task.Stop(cancel, ends, 1)
+			err := task.Stop(cancel, watchers, 2)
+			_ = task.Stop(cancel, c.ends, c.running) // a poll has no error of its own
+			return err
 		}
 	}
 }
 
 // Choose implements filter.Endpoints.
 func (c *Controller) Choose(ctx context.Context, q Query) (Endpoint, error) {
-	r, err := task.Ask(ctx, c.mailbox, func(reply chan<- chooseReply) message { return chooseMessage{q, reply} })
-	if err != nil {
-		return Endpoint{}, result.Errorf(result.QueueFull, "endpoints: %v", err)
+	reply := make(chan chooseReply, 1)
+	if err := task.Tell(c.mailbox, message(chooseMessage{q, reply})); err != nil {
+		return Endpoint{}, result.Errorf(result.QueueFull, "endpoints: %v", err).After(retryAfter)
 	}
-	if !r.ok {
-		return Endpoint{}, result.Errorf(result.NoEndpoint, "%s%s/%s", q.Service, q.Model, q.Version).After(time.Second)
+	select {
+	case r := <-reply:
+		return r.endpoint, r.choice.refusal(q)
+	case <-ctx.Done():
+		return Endpoint{}, c.abandon(ctx, reply)
+	}
+}
+
+// refusal returns the truthful refusal of a run that was not placed, or nil.
+func (choice Choice) refusal(q Query) error {
+	switch choice {
+	case ChoicePlaced:
+		return nil
+	case ChoiceFull:
+		return result.Errorf(result.QueueFull, "%s", q.key()).After(retryAfter)
+	default:
+		return result.Errorf(result.NoEndpoint, "%s", q.key()).After(retryAfter)
 	}
-	return r.endpoint, nil
 }
 
-// Done implements filter.Endpoints.
-func (c *Controller) Done(_ context.Context, o Outcome) error {
-	return task.Tell(c.mailbox, message(doneMessage{o}))
+func (c *Controller) abandon(ctx context.Context, reply chan chooseReply) error {
+	c.tellSurely(ctx, abandonMessage{reply})
+	return result.Errorf(result.DeadlinePassed, "while the request waited for an endpoint")
+}
+
+// Done implements filter.Endpoints. It also holds when ctx has ended.
+func (c *Controller) Done(ctx context.Context, o Outcome) error {
+	return c.tellSurely(ctx, doneMessage{o})
+}
+
+// tellSurely waits a moment for room in the mailbox, since a lost message would count a run as in flight for good.
+func (c *Controller) tellSurely(ctx context.Context, m message) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), doneTimeout)
+	defer cancel()
+	select {
+	case c.mailbox <- m:
+		return nil
+	case <-ctx.Done():
+		return task.ErrFull
+	}
 }
 
 // Snapshot returns every known endpoint.
@@ -140,108 +195,129 @@
 	return task.Ask(ctx, c.mailbox, func(reply chan<- []Endpoint) message { return snapshotMessage{reply} })
 }
 
-func (m listMessage) handle(c *Controller) {
-	listed := make(map[string]bool, len(m.list))
-	for _, i := range m.list {
-		listed[i.ID] = true
-		c.learn(i)
-	}
-	for id, e := range c.known {
-		if !listed[id] && e.InFlight == 0 {
-			delete(c.known, id)
-		} else if !listed[id] {
-			e.Leaving = true
-		}
-	}
+// Collect implements peer.Section.
+func (c *Controller) Collect(ctx context.Context, s *peer.State) error {
+	reports, err := task.Ask(ctx, c.mailbox, func(reply chan<- []peer.EndpointReport) message { return collectMessage{reply} })
+	s.Endpoints = reports
+	return err
 }
 
-func (c *Controller) learn(i platform.Instance) {
-	incarnation, _ := strconv.ParseUint(i.Meta[metaIncarnated], 10, 64)
-	e, ok := c.known[i.ID]
-	if !ok || e.Incarnation < incarnation {
-		e = &entry{Endpoint: Endpoint{ID: i.ID, Incarnation: incarnation}}
-		c.known[i.ID] = e
-	}
-	e.Address = net.JoinHostPort(i.Address, strconv.Itoa(i.Port))
-	e.Region, e.Zone = i.Meta["region"], i.Meta["zone"]
-	e.Leaving = e.Leaving || i.Meta["leaving"] == "true"
-	if e.Versions == nil && i.Meta["versions"] != "" {
-		e.Versions = strings.Split(i.Meta["versions"], ",")
-	}
-	if e.Services == nil && i.Meta["services"] != "" {
-		e.Services = strings.Split(i.Meta["services"], ",")
+// Receive implements peer.Section.
+func (c *Controller) Receive(_ context.Context, s peer.State) error {
+	if len(s.Endpoints) == 0 {
+		return nil
 	}
+	return task.Tell(c.mailbox, message(hearMessage{s.Endpoints}))
 }
 
-func (m reportMessage) handle(c *Controller) {
-	e, ok := c.known[m.id]
-	if !ok {
+func (m listMessage) handle(ctx context.Context, c *Controller) {
+	c.table.List(m.list, time.Now())
+	c.poll(ctx)
+}
+
+func (m membersMessage) handle(_ context.Context, c *Controller) { c.table.Assign(c.vm, m.list) }
+
+func (m chooseMessage) handle(_ context.Context, c *Controller) {
+	now := time.Now()
+	retry := len(m.query.Exclude) > 0
+	if !retry {
+		c.budget.Request()
+	} else if !c.budget.Retry() {
+		m.reply <- chooseReply{choice: ChoiceFull}
 		return
 	}
-	e.polling = false
-	if m.err != nil || m.report.Incarnation < e.Incarnation {
-		e.suspectUntil = time.Now().Add(suspectFor)
+	e, choice := c.table.Choose(m.query, now, rand.Uint64(), rand.Uint64())
+	if choice == ChoicePlaced || choice == ChoiceNone || retry {
+		m.reply <- chooseReply{e, choice}
 		return
 	}
-	if m.report.Incarnation > e.Incarnation {
-		e.Incarnation, e.Leaving = m.report.Incarnation, false
+	if refused, ok := c.queue.Push(Waiter{ID: m.reply, Query: m.query, Until: m.query.until(now)}); ok {
+		refused.ID <- chooseReply{choice: ChoiceFull}
 	}
-	e.Queued, e.Running = m.report.Queued, m.report.Running
-	e.Versions, e.Services = m.report.Versions, m.report.Services
-	e.Leaving = e.Leaving || m.report.Leaving
-	e.suspectUntil = time.Time{}
 }
 
-func (m chooseMessage) handle(c *Controller) {
-	chosen, ok := Place(c.list(time.Now()), c.at, m.query, rand.Uint64(), rand.Uint64())
-	if ok {
-		c.known[chosen.ID].InFlight++
+// until bounds the wait for an endpoint by the queue's limit and the deadline.
+func (q Query) until(now time.Time) time.Time {
+	until := now.Add(queueWait)
+	if !q.Deadline.IsZero() && q.Deadline.Before(until) {
+		return q.Deadline
 	}
-	m.reply <- chooseReply{chosen, ok}
+	return until
 }
 
-func (m doneMessage) handle(c *Controller) {
-	e, ok := c.known[m.outcome.Endpoint]
-	if !ok {
+// admit places the waiting runs that have an endpoint now and refuses those that waited too long.
+func (c *Controller) admit(now time.Time) {
+	c.queue.Sweep(func(w Waiter) bool {
+		e, choice := c.table.Choose(w.Query, now, rand.Uint64(), rand.Uint64())
+		if choice != ChoicePlaced && now.Before(w.Until) {
+			return false
+		}
+		w.ID <- chooseReply{e, choice}
+		return true
+	})
+}
+
+func (m abandonMessage) handle(_ context.Context, c *Controller) {
+	if c.queue.Remove(m.reply) {
 		return
 	}
-	e.InFlight = max(0, e.InFlight-1)
-	if m.outcome.Failed {
-		e.suspectUntil = time.Now().Add(suspectFor)
+	select {
+	case r := <-m.reply:
+		if r.choice == ChoicePlaced {
+			c.table.Done(Outcome{Endpoint: r.endpoint.ID}, time.Now())
+		}
+	default:
 	}
 }
 
-func (m snapshotMessage) handle(c *Controller) { m.reply <- c.list(time.Now()) }
+func (m doneMessage) handle(ctx context.Context, c *Controller) {
+	c.tellCrashes(ctx, c.table.Done(m.outcome, time.Now()))
+	if m.outcome.Failed {
+		c.poll(ctx)
+	}
+	c.admit(time.Now())
+}
 
-func (c *Controller) list(now time.Time) []Endpoint {
-	list := make([]Endpoint, 0, len(c.known))
-	for _, e := range c.known {
-		v := e.Endpoint
-		v.Suspect = now.Before(e.suspectUntil)
-		list = append(list, v)
+func (m hearMessage) handle(_ context.Context, c *Controller) {
+	now := time.Now()
+	for _, r := range m.reports {
+		c.table.Hear(r, now)
 	}
-	return list
+	c.admit(now)
+}
+
+func (m collectMessage) handle(_ context.Context, c *Controller) {
+	m.reply <- c.table.Collect(time.Now())
 }
 
-func (c *Controller) poll(ctx context.Context, ends chan<- task.End) int {
-	started := 0
-	for id, e := range c.known {
-		if e.polling {
+func (m snapshotMessage) handle(_ context.Context, c *Controller) { m.reply <- c.table.Endpoints() }
+
+func (c *Controller) tellCrashes(ctx context.Context, list []Crash) {
+	for _, crash := range list {
+		c.log.Info("endpoint crashed", "endpoint", crash.Endpoint, "fingerprint", crash.Fingerprint)
+		if c.crashes == nil {
 			continue
 		}
-		e.polling = true
-		started++
-		address := e.Address
-		task.Start(ctx, "poll "+id, ends, func(ctx context.Context) error {
+		if err := c.crashes.Crashed(ctx, crash.Fingerprint, crash.Endpoint); err != nil {
+			c.log.Info("crash not counted", "endpoint", crash.Endpoint, "error", err.Error())
+		}
+	}
+}
+
+// poll starts the polls that are due, each in a task of its own.
+func (c *Controller) poll(ctx context.Context) {
+	for _, p := range c.table.Due(time.Now(), maxRunning-c.running) {
+		c.running++
+		task.Start(ctx, "poll "+p.ID, c.ends, func(ctx context.Context) error {
 			ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 			defer cancel()
-			r, err := c.reporter.Report(ctx, address, false)
-			return task.Tell(c.mailbox, message(reportMessage{id, r, err}))
+			r, err := c.reporter.Report(ctx, p.Address, p.Fresh)
+			return task.Tell(c.answers, answer{p.ID, r, err})
 		})
 	}
-	return started
 }
 
+// follow passes on the platform's list. While the platform is down, what is known stands.
 func (c *Controller) follow(ctx context.Context) error {
 	var after uint64
 	for ctx.Err() == nil {
@@ -258,3 +334,25 @@
 	}
 	return nil
 }
+
+// askMembers passes on which VMs were heard of, so that the controller never waits for another one.
+func (c *Controller) askMembers(ctx context.Context) error {
+	for task.Sleep(ctx, pollInterval) {
+		var list []peer.Member
+		if c.members != nil {
+			list = c.listMembers(ctx)
+		}
+		_ = task.Tell(c.mailbox, message(membersMessage{list})) // the next interval tells it again
+	}
+	return nil
+}
+
+func (c *Controller) listMembers(ctx context.Context) []peer.Member {
+	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	list, err := c.members.Members(ctx)
+	if err != nil {
+		c.log.V(1).Info("members unknown", "error", err.Error())
+	}
+	return list
+}
--- a/internal/endpoint/place.go
+++ b/internal/endpoint/place.go
@@ -2,7 +2,9 @@
 package endpoint
 
 import (
+	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -23,6 +25,8 @@
 	Queued   int
 	Running  int
 	InFlight int
+	// ReportedAt is when the report was true.
+	ReportedAt time.Time
 }
 
 // Query describes a run to place.
@@ -31,8 +35,10 @@
 	Version     string
 	Service     string
 	Affinity    string
+	Priority    int
 	CrossRegion bool
 	Exclude     []string
+	Deadline    time.Time
 }
 
 // Location is where the VM stands.
@@ -41,58 +47,116 @@
 	Zone   string
 }
 
-// Place chooses an endpoint: the VM's zone first, then its region, and other regions where the query pays for them;
-// within these the less loaded of two drawn by r1 and r2.
-func Place(list []Endpoint, at Location, q Query, r1, r2 uint64) (Endpoint, bool) {
-	for distance := range 3 {
-		if distance == 2 && !q.CrossRegion {
-			break
+// Distances from the VM to an endpoint.
+const (
+	sameZone = iota
+	sameRegion
+	otherRegion
+	distances
+)
+
+// Bounds of what one endpoint is given.
+const (
+	maxQueued   = 32
+	maxInFlight = 256
+	// maxReportAge is the age up to which a report shows that an endpoint isn't leaving.
+	maxReportAge = 3 * time.Second
+	// loadHalfLife is the age at which a reported load counts half.
+	loadHalfLife = 2 * time.Second
+	// affinityFactor bounds the load of the endpoint that an affinity prefers, as a multiple of the mean.
+	affinityFactor = 1.25
+	maxDraws       = 8
+)
+
+// Pick chooses among candidates: the one that the query's affinity prefers while its load is within the bound, and
+// otherwise the less loaded of two drawn by r1 and r2. It returns -1 where none is usable.
+func Pick(candidates []*Endpoint, q Query, now time.Time, r1, r2 uint64) int {
+	if q.Affinity != "" {
+		if i := pickAffine(candidates, q, now); i >= 0 {
+			return i
 		}
-		var near []Endpoint
-		for _, e := range list {
-			if e.serves(q) && e.usable(q) && at.distance(e) == distance {
-				near = append(near, e)
-			}
+	}
+	a, b := draw(candidates, q, now, r1), draw(candidates, q, now, r2)
+	if a < 0 || candidates[b].load(now) >= candidates[a].load(now) {
+		return a
+	}
+	return b
+}
+
+// draw returns a usable candidate: a random one, or after too many draws the next one from there.
+func draw(candidates []*Endpoint, q Query, now time.Time, r uint64) int {
+	n := uint64(len(candidates))
+	for range min(maxDraws, n) {
+		if i := r % n; candidates[i].usable(q, now) {
+			return int(i)
 		}
-		if len(near) > 0 {
-			return pick(near, q, r1, r2), true
+		r = mix(r)
+	}
+	for k := range n {
+		if i := (r%n + k) % n; candidates[i].usable(q, now) {
+			return int(i)
 		}
 	}
-	return Endpoint{}, false
+	return -1
 }
 
-func pick(near []Endpoint, q Query, r1, r2 uint64) Endpoint {
-	n := uint64(len(near))
-	a, b := near[r1%n], near[r2%n]
-	if q.Affinity != "" {
-		a = near[xxhash.Sum64String(q.Affinity)%n]
+// pickAffine ranks the usable candidates by rendezvous hashing and returns the first or second within the bound, or -1.
+func pickAffine(candidates []*Endpoint, q Query, now time.Time) int {
+	key := xxhash.Sum64String(q.Affinity)
+	first, second := -1, -1
+	var firstRank, secondRank uint64
+	sum, usable := 0.0, 0
+	for i, e := range candidates {
+		if !e.usable(q, now) {
+			continue
+		}
+		usable++
+		sum += e.load(now)
+		rank := mix(key ^ xxhash.Sum64String(e.ID))
+		switch {
+		case first < 0 || rank > firstRank:
+			second, secondRank = first, firstRank
+			first, firstRank = i, rank
+		case second < 0 || rank > secondRank:
+			second, secondRank = i, rank
+		}
 	}
-	if b.load() < a.load() {
-		return b
+	bound := math.Ceil(affinityFactor * (sum + 1) / float64(max(usable, 1)))
+	for _, i := range []int{first, second} {
+		if i >= 0 && candidates[i].load(now)+1 <= bound {
+			return i
+		}
 	}
-	return a
+	return -1
 }
 
-func (e Endpoint) load() int { return e.Queued + e.Running + e.InFlight }
+// mix spreads the bits of h, as the finaliser of SplitMix64 does.
+func mix(h uint64) uint64 {
+	h += 0x9e3779b97f4a7c15
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
 
-func (e Endpoint) usable(q Query) bool {
-	return !e.Leaving && !e.Suspect && !slices.Contains(q.Exclude, e.ID)
+// load is the reported load, which counts less the older it is, and the VM's own runs there.
+func (e *Endpoint) load(now time.Time) float64 {
+	age := max(now.Sub(e.ReportedAt), 0)
+	return float64(e.Queued+e.Running)*math.Exp2(-float64(age)/float64(loadHalfLife)) + float64(e.InFlight)
 }
 
-func (e Endpoint) serves(q Query) bool {
-	if q.Service != "" {
-		return slices.Contains(e.Services, q.Service)
-	}
-	return slices.Contains(e.Versions, q.Model+"/"+q.Version)
+func (e *Endpoint) usable(q Query, now time.Time) bool {
+	return !e.Leaving && !e.Suspect && now.Sub(e.ReportedAt) <= maxReportAge && !slices.Contains(q.Exclude, e.ID)
 }
 
-func (l Location) distance(e Endpoint) int {
+func (e *Endpoint) full() bool { return e.Queued >= maxQueued || e.InFlight >= maxInFlight }
+
+func (l Location) distance(e *Endpoint) int {
 	switch {
 	case e.Region != l.Region:
-		return 2
+		return otherRegion
 	case e.Zone != l.Zone:
-		return 1
+		return sameRegion
 	default:
-		return 0
+		return sameZone
 	}
 }
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -50,7 +50,7 @@
 		log:            log,
 		drain:          newDrain(),
 		configurations: configuration.New(store, log.WithName("configuration")),
-		endpoints:      endpoint.New(store, client, at, log.WithName("endpoint")),
+		endpoints:      endpoint.New(store, client, nil, nil, endpoint.Options{VM: cfg.VM.Name, At: at}, log.WithName("endpoint")),
 		sessions:       session.New(cfg.Limits.Freshness, cfg.Limits.SessionIdle),
 		close: func() {
 			client.Close()
--- a/internal/filter/place.go
+++ b/internal/filter/place.go
@@ -25,33 +25,73 @@
 func (f Place) Handle(ctx context.Context, x *Exchange, next Next) error {
 	var last error
 	var tried []string
+	lost := 0
 	for range f.MaxAttempts {
 		e, err := f.Endpoints.Choose(ctx, query(x, tried))
 		if err != nil {
-			return firstError(last, err)
+			return truthful(x, firstError(last, err))
 		}
 		x.Attempt.Endpoint = e
 		last = next(ctx, x)
-		_ = f.Endpoints.Done(ctx, endpoint.Outcome{Endpoint: e.ID, Failed: blamesEndpoint(last)}) // load figures age out
-		if last == nil || !mayRetry(ctx, x, last) {
-			return last
+		o := outcome(x, last)
+		_ = f.Endpoints.Done(ctx, o) // load figures age out
+		if o.Lost {
+			lost++
+		}
+		if last == nil || lost >= maxLost || !mayRetry(ctx, x, last) {
+			break
 		}
 		tried = append(tried, e.ID)
 	}
-	return last
+	return truthful(x, last)
 }
 
+// maxLost bounds the endpoints that one request may lose a connection on, since it may be what crashes them.
+const maxLost = 2
+
+func outcome(x *Exchange, err error) endpoint.Outcome {
+	failed := blamesEndpoint(err)
+	return endpoint.Outcome{
+		Endpoint: x.Attempt.Endpoint.ID, Incarnation: x.Attempt.Endpoint.Incarnation,
+		Failed: failed, Lost: failed && result.From(err).Run != result.NotRun, Fingerprint: Fingerprint(x),
+	}
+}
+
+// truthful keeps a refusal from saying that the request didn't run where an earlier attempt may have.
+func truthful(x *Exchange, err error) error {
+	if err == nil || !x.Sent {
+		return err
+	}
+	e := *result.From(err)
+	if e.Run == result.NotRun {
+		e.Run = result.Unknown
+	}
+	return &e
+}
+
+// prefixBytes is how much of a prompt tells which endpoint may have its prefix cached.
+const prefixBytes = 256
+
 func query(x *Exchange, tried []string) endpoint.Query {
 	q := endpoint.Query{
-		Model: x.Attempt.Model, Version: x.Attempt.Version,
-		Affinity: x.Request.Session, CrossRegion: x.Account.CrossRegion, Exclude: tried,
+		Priority: x.Account.Priority, CrossRegion: x.Account.CrossRegion, Exclude: tried, Deadline: x.Request.Deadline,
 	}
 	if x.Request.Kind == KindService {
-		q = endpoint.Query{Service: x.Request.Service, CrossRegion: x.Account.CrossRegion, Exclude: tried}
+		q.Service = x.Request.Service
+		return q
 	}
+	q.Model, q.Version, q.Affinity = x.Attempt.Model, x.Attempt.Version, affinity(x)
 	return q
 }
 
+// affinity names the cached prefix that helps the request: its session's, or that of the prompts which begin alike.
+func affinity(x *Exchange) string {
+	if x.Request.Session != "" {
+		return x.Account.Name + " session " + x.Request.Session
+	}
+	return x.Account.Name + " prompt " + x.Request.Prompt[:min(len(x.Request.Prompt), prefixBytes)]
+}
+
 func firstError(first, second error) error {
 	if first != nil {
 		return first
@@ -73,7 +113,7 @@
 
 // mayRetry allows another endpoint where nothing was sent, or the request is idempotent and the caller has no piece yet.
 func mayRetry(ctx context.Context, x *Exchange, err error) bool {
-	if ctx.Err() != nil || x.Relayed || !blamesEndpoint(err) {
+	if ctx.Err() != nil || x.Relayed || !(blamesEndpoint(err) || neverRan(err)) {
 		return false
 	}
 	return x.Idempotent || !x.Sent
