--- a/internal/filter/place.go
+++ b/internal/filter/place.go
@@ -32,6 +32,7 @@
 			return truthful(x, firstError(last, err))
 		}
 		x.Attempt.Endpoint = e
+		x.Relayed = x.Relayed && !x.Held
 		last = next(ctx, x)
 		o := outcome(x, last)
 		_ = f.Endpoints.Done(ctx, o) // load figures age out
@@ -113,7 +114,8 @@
 
 // mayRetry allows another endpoint where nothing was sent, or the request is idempotent and the caller has no piece yet.
 func mayRetry(ctx context.Context, x *Exchange, err error) bool {
-	if ctx.Err() != nil || x.Relayed || !(blamesEndpoint(err) || neverRan(err)) {
+	relayed := x.Relayed && !x.Held
+	if ctx.Err() != nil || relayed || !(blamesEndpoint(err) || neverRan(err)) {
 		return false
 	}
 	return x.Idempotent || !x.Sent
--- a/internal/filter/place_test.go
+++ b/internal/filter/place_test.go
@@ -20,14 +20,14 @@
 	}
 }
 
-// fakeEndpoints gives one endpoint after the other and counts those in flight.
-type fakeEndpoints struct {
+// listedEndpoints gives one endpoint after the other and counts those in flight.
+type listedEndpoints struct {
 	left     []string
 	inFlight int
 	outcomes []endpoint.Outcome
 }
 
-func (f *fakeEndpoints) Choose(_ context.Context, q endpoint.Query) (endpoint.Endpoint, error) {
+func (f *listedEndpoints) Choose(_ context.Context, q endpoint.Query) (endpoint.Endpoint, error) {
 	i := slices.IndexFunc(f.left, func(id string) bool { return !slices.Contains(q.Exclude, id) })
 	if i < 0 {
 		return endpoint.Endpoint{}, result.Errorf(result.NoEndpoint, "none")
@@ -36,7 +36,7 @@
 	return endpoint.Endpoint{ID: f.left[i]}, nil
 }
 
-func (f *fakeEndpoints) Done(_ context.Context, o endpoint.Outcome) error {
+func (f *listedEndpoints) Done(_ context.Context, o endpoint.Outcome) error {
 	f.inFlight--
 	f.outcomes = append(f.outcomes, o)
 	return nil
@@ -63,7 +63,7 @@
 func TestPlaceSendsOnceWhatMayNotBeRepeated(t *testing.T) {
 	fixSeed(qt.New(t))
 	rapid.Check(t, func(t *rapid.T) {
-		e := &fakeEndpoints{left: []string{"e1", "e2", "e3", "e4"}}
+		e := &listedEndpoints{left: []string{"e1", "e2", "e3", "e4"}}
 		x := &Exchange{Idempotent: rapid.Bool().Draw(t, "idempotent"), Request: Request{Kind: KindChat}}
 		var used []string
 		sent, lost := 0, 0
--- a/measure/placement.go
+++ b/measure/placement.go
@@ -40,8 +40,12 @@
 }
 
 var policies = []policy{
-	{"round_robin", func(_ *rand.Rand, view []*endpoint.Endpoint, turn int, _ string, _ time.Time) int { return turn % len(view) }},
-	{"random", func(r *rand.Rand, view []*endpoint.Endpoint, _ int, _ string, _ time.Time) int { return r.IntN(len(view)) }},
+	{"round_robin", func(_ *rand.Rand, view []*endpoint.Endpoint, turn int, _ string, _ time.Time) int {
+		return turn % len(view)
+	}},
+	{"random", func(r *rand.Rand, view []*endpoint.Endpoint, _ int, _ string, _ time.Time) int {
+		return r.IntN(len(view))
+	}},
 	{"least_reported", leastReported},
 	{"two_choices", func(r *rand.Rand, view []*endpoint.Endpoint, _ int, _ string, now time.Time) int {
 		return endpoint.Pick(view, endpoint.Query{}, now, r.Uint64(), r.Uint64())
