--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -68,8 +68,8 @@
 		configurations: configuration.New(store, others, configuration.Options{
 			VM: cfg.VM.Name, Zone: cfg.VM.Zone, Freshness: cfg.Limits.Freshness,
 		}, log.WithName("configuration")),
-		endpoints: endpoint.New(store, client, at, log.WithName("endpoint")),
-		store:     store,
+		peers: peer.New(peerOptions(cfg, incarnation), peer.NewSocket(cfg.Listen.Peers, log.WithName("peer")), store, nil, log.WithName("peer")),
+		store: store,
 		close: func() {
 			client.Close()
 			others.http.CloseIdleConnections()
@@ -81,9 +81,8 @@
 		Idle: cfg.Limits.SessionIdle, Settle: cfg.Limits.StepSettle, MaxSessions: cfg.Limits.MaxSessions,
 	}, log.WithName("session"))
 	v.rollouts = rollout.New(v.configurations.Subscribe(), v.configurations, v.sessions, cfg.VM.Name, log.WithName("rollout"))
-	v.peers = peer.New(peerOptions(cfg, incarnation), peer.NewSocket(cfg.Listen.Peers, log.WithName("peer")), store, []peer.Section{
-		v.configurations, v.sessions, v.rollouts,
-	}, log.WithName("peer"))
+	v.endpoints = endpoint.New(store, client, v.peers, nil, endpoint.Options{VM: cfg.VM.Name, At: at}, log.WithName("endpoint"))
+	v.peers.Attach(v.configurations, v.sessions, v.rollouts, v.endpoints)
 	v.journal = journal.New(store, v.peers, others, journalOptions(cfg, incarnation), log.WithName("journal"))
 	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
 	v.cascades = newCascades(rater, v.rollouts, cfg, log)
