Read callers' requests strictly and give plain callers the whole answer

Cause: a plain caller got only the text of an answer (no tool calls, finish reason, usage parts or other fields); the usage event that the router asks for went to callers that didn't; a request ID with control characters would have gone into headers; a key without the Bearer scheme was taken as a key; bodies were read before the client account was known; net/http's mux answered unclean paths with a redirect that has no result code; a path with a percent sign or a question mark was not escaped again towards a service.

The body is read in Decode, after the key was found. IDs have to be UTF-8 without control characters and stand in a header, a field or a prefix of the path, in either order. n above 1 is refused. Paths with empty or dot segments are refused with NoSuchRoute. Refusals carry the request ID, and shortages a Retry-After of a second at least.

Ruled out: refusing a JSON field that stands twice; the last one counts everywhere, and the body is rewritten before it goes to an engine, so that both sides read the same.

--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"math"
 	"net/http"
@@ -22,6 +21,9 @@
 	headerRequestID = "X-Request-Id"
 	headerSession   = "X-Session-Id"
 	headerVersion   = "X-Cornelmux-Version"
+
+	// defaultRetryAfter is what a refusal says that names no wait of its own.
+	defaultRetryAfter = time.Second
 )
 
 // callers is the HTTP front end for callers: it decodes requests, runs the chain and encodes answers.
@@ -35,12 +37,7 @@
 // ServeHTTP implements http.Handler.
 func (c *callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(c.bodyBytes)))
-	if err != nil {
-		writeError(w, bodyError(err, c.bodyBytes))
-		return
-	}
-	decoder := &decoder{r: r, body: body, deadline: arrived.Add(c.timeout)}
+	decoder := &decoder{w: w, r: r, bodyBytes: c.bodyBytes, deadline: arrived.Add(c.timeout)}
 	sink := &sink{w: w, decoder: decoder}
 	x := &filter.Exchange{Credential: bearer(r), Decoder: decoder, Sink: sink, Arrived: arrived}
 	if err := c.chain(r.Context(), x); err != nil {
@@ -51,16 +48,13 @@
 	}
 }
 
-func bodyError(err error, limit int) *result.Error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return result.Errorf(result.TooLarge, "over %d bytes", limit)
-	}
-	return result.Errorf(result.BadRequest, "body: %v", err)
-}
-
+// bearer returns the request's bearer key, or "" if it has none.
 func bearer(r *http.Request) string {
-	return strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(key)
 }
 
 // failure is the body of a refusal or failure.
@@ -80,14 +74,24 @@
 }
 
 func writeError(w http.ResponseWriter, e *result.Error) {
-	if e.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	status := result.Describe(e.Code).Status
+	if wait := retryAfter(e, status); wait > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(result.Describe(e.Code).Status)
+	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(newFailure(e)) // the caller is gone if this fails
 }
 
+// retryAfter is how long the caller is asked to wait, which every shortage says.
+func retryAfter(e *result.Error, status int) time.Duration {
+	shortage := e.Code/1000 == 3 && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
+	if e.RetryAfter == 0 && shortage {
+		return defaultRetryAfter
+	}
+	return e.RetryAfter
+}
+
 // health answers the balancer: 200 while the VM takes requests.
 func health(d *drain, configurations filter.Configurations) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -4,9 +4,14 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
+	"io"
 	"net/http"
+	"path"
 	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"cornelmux/internal/filter"
 	"cornelmux/pkg/catalog"
@@ -20,19 +25,28 @@
 	maxIDBytes    = 256
 )
 
-// decoder implements filter.Decoder for HTTP requests.
+// decoder implements filter.Decoder for HTTP requests. The body is read once the client account is known.
 type decoder struct {
-	r        *http.Request
-	body     []byte
-	deadline time.Time
-	stream   bool
-	session  string
+	w         http.ResponseWriter
+	r         *http.Request
+	bodyBytes int
+	deadline  time.Time
+	body      []byte
+	// id and session are set as soon as they are known; stream and usage say what the caller asked for.
+	id      string
+	session string
+	stream  bool
+	usage   bool
 }
 
 type chatRequest struct {
-	Model    string        `json:"model"`
-	Messages []chatMessage `json:"messages"`
-	Stream   bool          `json:"stream"`
+	Model         string        `json:"model"`
+	Messages      []chatMessage `json:"messages"`
+	Stream        bool          `json:"stream"`
+	N             *int          `json:"n"`
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
 }
 
 type chatMessage struct {
@@ -42,38 +56,72 @@
 
 // Decode implements filter.Decoder.
 func (d *decoder) Decode(a catalog.ClientAccount) (filter.Request, error) {
-	path := d.r.URL.Path
-	var id, session string
-	id, path = d.source(a.RequestID, path)
-	session, path = d.source(a.Session, path)
-	if len(id) > maxIDBytes || len(session) > maxIDBytes {
-		return filter.Request{}, result.Errorf(result.BadRequest, "a request ID or session has at most %d bytes", maxIDBytes)
-	}
-	r := filter.Request{ID: id, Session: session, Deadline: d.deadline, Method: d.r.Method, Body: d.body}
-	r.ContentType = d.r.Header.Get("Content-Type")
-	if r.ID == "" {
-		r.ID, r.Assigned = newID(), true
+	if err := d.read(); err != nil {
+		return filter.Request{}, err
 	}
-	if r.Session == "" {
-		r.Session = newID()
+	r := filter.Request{Deadline: d.deadline, Method: d.r.Method, Body: d.body, ContentType: d.r.Header.Get("Content-Type")}
+	rest, err := d.identify(a, &r)
+	if err != nil {
+		return r, err
 	}
-	d.session = r.Session
 	switch {
-	case path == chatPath && d.r.Method == http.MethodPost:
+	case path.Clean(rest) != strings.TrimSuffix(rest, "/"):
+		return r, result.Errorf(result.NoSuchRoute, "path %q has empty or dot segments", rest)
+	case rest == chatPath && d.r.Method == http.MethodPost:
 		return d.chat(r)
-	case strings.HasPrefix(path, servicePrefix):
-		name, rest, _ := strings.Cut(strings.TrimPrefix(path, servicePrefix), "/")
-		r.Kind, r.Service, r.Path = filter.KindService, name, "/"+rest
-		if d.r.URL.RawQuery != "" {
-			r.Query = d.r.URL.RawQuery
-		}
+	case strings.HasPrefix(rest, servicePrefix):
+		name, below, _ := strings.Cut(strings.TrimPrefix(rest, servicePrefix), "/")
+		r.Kind, r.Service, r.Path, r.Query = filter.KindService, name, "/"+below, d.r.URL.RawQuery
 		return r, nil
 	default:
-		return r, result.Errorf(result.NoSuchRoute, "%s %s", d.r.Method, path)
+		return r, result.Errorf(result.NoSuchRoute, "%s %s", d.r.Method, rest)
+	}
+}
+
+func (d *decoder) read() error {
+	var err error
+	d.body, err = io.ReadAll(http.MaxBytesReader(d.w, d.r.Body, int64(d.bodyBytes)))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return result.Errorf(result.TooLarge, "over %d bytes", d.bodyBytes)
+	}
+	if err != nil {
+		return result.Errorf(result.BadRequest, "body: %v", err)
+	}
+	return nil
+}
+
+// identify finds the request ID and the session where the client account says, assigns those that are absent,
+// and returns the path without them. Either may come first in the path.
+func (d *decoder) identify(a catalog.ClientAccount, r *filter.Request) (string, error) {
+	rest := d.r.URL.Path
+	r.ID, rest = d.source(a.RequestID, rest)
+	r.Session, rest = d.source(a.Session, rest)
+	if r.ID == "" {
+		r.ID, rest = d.source(a.RequestID, rest)
+	}
+	if !validID(r.ID) || !validID(r.Session) {
+		return rest, result.Errorf(result.BadRequest, "a request ID or session is UTF-8 of at most %d bytes with no control characters", maxIDBytes)
 	}
+	if r.ID == "" {
+		r.ID, r.Assigned = newID(), true
+	}
+	if r.Session == "" {
+		r.Session = newID()
+	}
+	d.id, d.session = r.ID, r.Session
+	return rest, nil
+}
+
+// validID reports whether a value can stand in a header.
+func validID(s string) bool {
+	return len(s) <= maxIDBytes && utf8.ValidString(s) && !strings.ContainsFunc(s, unicode.IsControl)
 }
 
 func (d *decoder) chat(r filter.Request) (filter.Request, error) {
+	if !utf8.Valid(d.body) {
+		return r, result.Errorf(result.BadRequest, "body: invalid UTF-8")
+	}
 	var c chatRequest
 	if err := json.Unmarshal(d.body, &c); err != nil {
 		return r, result.Errorf(result.BadRequest, "body: %v", err)
@@ -81,40 +129,49 @@
 	if c.Model == "" || len(c.Messages) == 0 {
 		return r, result.Errorf(result.BadRequest, "a chat request needs model and messages")
 	}
-	var prompt strings.Builder
-	for _, m := range c.Messages {
+	if c.N != nil && *c.N != 1 {
+		return r, result.Errorf(result.BadRequest, "n: one answer is given for each request")
+	}
+	d.stream, d.usage = c.Stream, c.StreamOptions.IncludeUsage
+	r.Kind, r.Model, r.Prompt = filter.KindChat, c.Model, prompt(c.Messages)
+	return r, nil
+}
+
+// prompt joins the text of the messages; content that is no text stands as its JSON.
+func prompt(messages []chatMessage) string {
+	var b strings.Builder
+	for _, m := range messages {
 		var text string
 		if json.Unmarshal(m.Content, &text) == nil {
-			prompt.WriteString(text + "\n")
+			b.WriteString(text + "\n")
 			continue
 		}
-		prompt.Write(m.Content)
+		b.Write(m.Content)
 	}
-	d.stream = c.Stream
-	r.Kind, r.Model, r.Prompt = filter.KindChat, c.Model, prompt.String()
-	return r, nil
+	return b.String()
 }
 
 // source finds a value where the client account says, and returns the path without it.
-func (d *decoder) source(s catalog.Source, path string) (value, rest string) {
+func (d *decoder) source(s catalog.Source, from string) (value, rest string) {
 	switch s.Place {
 	case catalog.PlaceHeader:
-		return d.r.Header.Get(s.Name), path
+		return strings.TrimSpace(d.r.Header.Get(s.Name)), from
 	case catalog.PlaceField:
-		return field(d.body, s.Name), path
+		return strings.TrimSpace(field(d.body, s.Name)), from
 	case catalog.PlacePath:
-		after, found := strings.CutPrefix(path, "/"+s.Name+"/")
+		after, found := strings.CutPrefix(from, "/"+s.Name+"/")
 		if !found {
-			return "", path
+			return "", from
 		}
 		value, rest, _ = strings.Cut(after, "/")
-		return value, "/" + rest
+		return strings.TrimSpace(value), "/" + rest
 	default:
-		return "", path
+		return "", from
 	}
 }
 
-// field returns a top-level string or number of a JSON object, or "".
+// field returns a top-level string or number of a JSON object, or "". Of a field that stands twice the last one counts,
+// which is also the one that the endpoint gets.
 func field(body []byte, name string) string {
 	fields := map[string]json.RawMessage{}
 	if json.Unmarshal(body, &fields) != nil {
--- a/internal/entry/encode.go
+++ b/internal/entry/encode.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"strings"
 
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/filter"
@@ -18,46 +17,29 @@
 	head    filter.Head
 	began   bool
 	chat    bool
-	text    strings.Builder
-}
-
-type completion struct {
-	ID      string             `json:"id"`
-	Object  string             `json:"object"`
-	Model   string             `json:"model"`
-	Choices []completionChoice `json:"choices"`
-	Usage   completionUsage    `json:"usage"`
-}
-
-type completionChoice struct {
-	Index        int               `json:"index"`
-	Message      completionMessage `json:"message"`
-	FinishReason string            `json:"finish_reason"`
-}
-
-type completionMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
-type completionUsage struct {
-	TotalTokens int `json:"total_tokens"`
+	joiner  *joiner
+	// buf is reused for each event.
+	buf []byte
 }
 
 // Begin implements filter.Sink.
 func (s *sink) Begin(_ context.Context, h filter.Head) error {
 	s.head = h
-	s.chat = h.Version != ""
-	s.w.Header().Set(headerRequestID, h.RequestID)
-	s.w.Header().Set(headerSession, s.decoder.session)
-	if s.chat {
-		s.w.Header().Set(headerVersion, h.Model+"/"+h.Version)
+	s.chat = h.Version != "" && h.Status == http.StatusOK
+	header := s.w.Header()
+	header.Set(headerRequestID, h.RequestID)
+	header.Set(headerSession, s.decoder.session)
+	if h.Version != "" {
+		header.Set(headerVersion, h.Model+"/"+h.Version)
 	}
 	if s.chat && !s.decoder.stream {
+		s.joiner = newJoiner()
 		return nil
 	}
 	s.began = true
-	s.w.Header().Set("Content-Type", h.ContentType)
+	if h.ContentType != "" {
+		header.Set("Content-Type", h.ContentType)
+	}
 	s.w.WriteHeader(h.Status)
 	return nil
 }
@@ -66,44 +48,69 @@
 func (s *sink) Piece(_ context.Context, p endpoint.Piece) error {
 	switch {
 	case !s.chat:
-		_, err := s.w.Write(p.Data)
-		return err
+		return s.bytes(p)
 	case s.decoder.stream:
 		return s.event(p)
 	default:
-		s.text.WriteString(p.Text)
-		if !p.Last {
-			return nil
-		}
-		return s.whole(p)
+		return s.join(p)
 	}
 }
 
+// bytes passes on a part of an answer as it is.
+func (s *sink) bytes(p endpoint.Piece) error {
+	if _, err := s.w.Write(p.Data); err != nil || p.Last {
+		return err
+	}
+	return http.NewResponseController(s.w).Flush()
+}
+
+// event passes on one event. The usage that the router asked the engine for goes only to callers that asked for it too.
 func (s *sink) event(p endpoint.Piece) error {
-	data := "data: " + string(p.Data) + "\n\n"
+	s.buf = s.buf[:0]
+	if !p.Last || s.decoder.usage || !onlyUsage(p.Data) {
+		s.buf = append(s.buf, "data: "...)
+		s.buf = append(s.buf, p.Data...)
+		s.buf = append(s.buf, "\n\n"...)
+	}
 	if p.Last {
-		data += "data: [DONE]\n\n"
+		s.buf = append(s.buf, "data: [DONE]\n\n"...)
 	}
-	if _, err := s.w.Write([]byte(data)); err != nil {
+	if _, err := s.w.Write(s.buf); err != nil {
 		return err
 	}
 	return http.NewResponseController(s.w).Flush()
 }
 
-func (s *sink) whole(p endpoint.Piece) error {
+func onlyUsage(data []byte) bool {
+	var c struct {
+		Choices []json.RawMessage `json:"choices"`
+	}
+	return json.Unmarshal(data, &c) == nil && len(c.Choices) == 0
+}
+
+func (s *sink) join(p endpoint.Piece) error {
+	if err := s.joiner.add(p.Data); err != nil {
+		return result.Errorf(result.AnswerBroken, "event: %v", err)
+	}
+	if !p.Last {
+		return nil
+	}
+	whole, err := s.joiner.whole(s.head)
+	if err != nil {
+		return result.Errorf(result.AnswerBroken, "event: %v", err)
+	}
 	s.began = true
 	s.w.Header().Set("Content-Type", "application/json")
-	return json.NewEncoder(s.w).Encode(completion{
-		ID: s.head.RequestID, Object: "chat.completion", Model: s.head.Model + "/" + s.head.Version,
-		Choices: []completionChoice{{Message: completionMessage{"assistant", s.text.String()}, FinishReason: "stop"}},
-		Usage:   completionUsage{p.Tokens},
-	})
+	return json.NewEncoder(s.w).Encode(whole)
 }
 
 // fail tells the caller of an error: as a status if nothing was written, as an event in a stream,
 // and otherwise by cutting the connection, so that a part is never taken for the whole.
 func (s *sink) fail(e *result.Error) {
 	if !s.began {
+		if s.decoder.id != "" {
+			s.w.Header().Set(headerRequestID, s.decoder.id)
+		}
 		writeError(s.w, e)
 		return
 	}
--- /dev/null
+++ b/internal/entry/encode_test.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"cornelmux/internal/endpoint"
+	"cornelmux/internal/filter"
+	"cornelmux/pkg/catalog"
+	"cornelmux/pkg/result"
+)
+
+// frontEnd serves callers with a chain that decodes and then gives the answer; an error follows its pieces.
+func frontEnd(h filter.Head, pieces []string, last error) *callers {
+	return &callers{bodyBytes: 1 << 10, timeout: testLimit, log: logr.Discard(), chain: func(ctx context.Context, x *filter.Exchange) error {
+		r, err := x.Decoder.Decode(catalog.ClientAccount{RequestID: catalog.Source{Place: catalog.PlaceHeader, Name: "Idempotency-Key"}})
+		if err != nil {
+			return err
+		}
+		h.RequestID = r.ID
+		if len(pieces) > 0 {
+			if err := x.Sink.Begin(ctx, h); err != nil {
+				return err
+			}
+		}
+		for i, p := range pieces {
+			if err := x.Sink.Piece(ctx, endpoint.Piece{Data: []byte(p), Last: i == len(pieces)-1 && last == nil}); err != nil {
+				return err
+			}
+		}
+		return last
+	}}
+}
+
+func TestAnswers(t *testing.T) {
+	chat := filter.Head{Status: 200, ContentType: "text/event-stream", Model: "m", Version: "v1"}
+	service := filter.Head{Status: 200, ContentType: "text/plain"}
+	with := func(h filter.Head, status int) filter.Head {
+		h.Status = status
+		return h
+	}
+	usage := `{"id":"c1","choices":[],"usage":{"prompt_tokens":3,"total_tokens":5}}`
+	text := []string{`{"id":"c1","created":7,"choices":[{"delta":{"role":"assistant","content":"he"}}]}`, `{"id":"c1","choices":[{"delta":{"content":"y"},"finish_reason":"length"}]}`, usage}
+	tools := []string{
+		`{"choices":[{"delta":{"tool_calls":[{"index":0,"id":"t1","type":"function","function":{"name":"book","arguments":""}}]}}]}`,
+		`{"choices":[{"delta":{"tool_calls":[{"index":0,"function":{"arguments":"{\"a\""}},{"index":1,"id":"t2","function":{"name":"ask","arguments":"{}"}}]}}]}`,
+		`{"choices":[{"delta":{"tool_calls":[{"index":0,"function":{"arguments":":1}"}}],"reasoning":"so"},"finish_reason":"tool_calls"}]}`, usage,
+	}
+	limit := result.Errorf(result.LimitReached, "slow down")
+	rows := []struct {
+		name   string
+		head   filter.Head
+		pieces []string
+		last   error
+		method string
+		ask    string
+		status int
+		parts  []string
+		absent []string
+	}{
+		{"whole text", chat, text, nil, "POST", "", 200, []string{`"content":"hey"`, `"finish_reason":"length"`, `"prompt_tokens":3`, `"created":7`, `"model":"m/v1"`}, nil},
+		{"whole tool calls", chat, tools, nil, "POST", "", 200, []string{`"arguments":"{\"a\":1}"`, `"name":"ask"`, `"content":null`, `"reasoning":"so"`, `"finish_reason":"tool_calls"`}, nil},
+		{"stream without usage", chat, text, nil, "POST", `"stream":true,`, 200, []string{`"content":"he"`, "data: [DONE]\n\n"}, []string{"usage"}},
+		{"stream with usage", chat, text, nil, "POST", `"stream":true,"stream_options":{"include_usage":true},`, 200, []string{"total_tokens", "data: [DONE]\n\n"}, nil},
+		{"stream that fails", chat, text[:2], result.Errorf(result.AnswerBroken, "gone"), "POST", `"stream":true,`, 200, []string{`"content":"y"`, `data: {"error":{"code":4003`}, []string{"[DONE]"}},
+		{"plain answer that fails", chat, text[:2], result.Errorf(result.AnswerBroken, "gone"), "POST", "", 502, []string{`"run":"unknown"`}, []string{"content"}},
+		{"refusal", chat, nil, limit, "POST", "", 429, []string{`"code":3001`, `"run":"not_run"`}, nil},
+		{"engine's own error", with(chat, 400), []string{`{"error":"too long"}`}, nil, "POST", "", 400, []string{`{"error":"too long"}`}, nil},
+		{"service answer", service, []string{"a", "b"}, nil, "GET", "", 200, []string{"ab"}, nil},
+		{"no content", with(service, 204), []string{""}, nil, "GET", "", 204, nil, nil},
+		{"not modified", with(service, 304), []string{""}, nil, "GET", "", 304, nil, nil},
+		{"head", service, []string{""}, nil, "HEAD", "", 200, nil, nil},
+	}
+	for _, row := range rows {
+		qt.New(t).Run(row.name, func(c *qt.C) {
+			server := httptest.NewServer(frontEnd(row.head, row.pieces, row.last))
+			defer server.Close()
+			path, body := chatPath, `{`+row.ask+`"model":"m","messages":[{"content":"x"}]}`
+			if row.method != "POST" {
+				path, body = "/services/stock/a", ""
+			}
+			req, err := http.NewRequest(row.method, server.URL+path, strings.NewReader(body))
+			c.Assert(err, qt.IsNil)
+			req.Header.Set("Idempotency-Key", "r1")
+			resp, err := http.DefaultClient.Do(req)
+			c.Assert(err, qt.IsNil)
+			defer resp.Body.Close()
+			got, err := io.ReadAll(resp.Body)
+			c.Assert(err, qt.IsNil)
+			c.Assert(resp.StatusCode, qt.Equals, row.status)
+			c.Assert(resp.Header.Get(headerRequestID), qt.Equals, "r1")
+			c.Assert(resp.Header.Get("Retry-After") != "", qt.Equals, row.status == 429)
+			for _, part := range row.parts {
+				c.Check(string(got), qt.Contains, part)
+			}
+			for _, part := range row.absent {
+				c.Check(string(got), qt.Not(qt.Contains), part)
+			}
+		})
+	}
+}
+
+func TestConnectionServesOnAfterRefusals(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(frontEnd(filter.Head{}, nil, result.Errorf(result.LimitReached, "slow down")))
+	defer server.Close()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	bodies := []string{"{", `{"model":"m","messages":[{}]}`, "", "\xff"}
+	for _, body := range bodies {
+		_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", chatPath, len(body), body)
+		c.Assert(err, qt.IsNil)
+		resp, err := http.ReadResponse(reader, nil)
+		c.Assert(err, qt.IsNil)
+		var f failure
+		c.Assert(json.NewDecoder(resp.Body).Decode(&f), qt.IsNil)
+		c.Assert(f.Error.Run, qt.Equals, result.NotRun)
+		_, err = io.Copy(io.Discard, resp.Body)
+		c.Assert(err, qt.IsNil)
+	}
+}
+
+func TestBearer(t *testing.T) {
+	rows := []struct{ header, want string }{
+		{"Bearer k", "k"},
+		{"bearer  k ", "k"},
+		{"k", ""},
+		{"Basic k", ""},
+		{"Bearer", ""},
+		{"", ""},
+	}
+	for _, row := range rows {
+		r := httptest.NewRequest("GET", "/", bytes.NewReader(nil))
+		r.Header.Set("Authorization", row.header)
+		qt.Check(t, bearer(r), qt.Equals, row.want)
+	}
+}
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -26,6 +26,7 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 60 * time.Second
 	cleanupTimeout = 5 * time.Second
+	healthPath     = "/healthz"
 	// heldBytes bounds an answer that a cascade holds back until it is rated.
 	heldBytes = 4 << 20
 )
@@ -150,12 +151,17 @@
 }
 
 func (v *VM) callersHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", health(v.drain, v.configurations))
-	mux.Handle("/", &callers{
+	ready := health(v.drain, v.configurations)
+	front := &callers{
 		chain: v.chain, bodyBytes: v.cfg.Limits.BodyBytes, timeout: v.cfg.Limits.RequestTimeout, log: v.log.WithName("callers"),
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == healthPath {
+			ready(w, r)
+			return
+		}
+		front.ServeHTTP(w, r)
 	})
-	return mux
 }
 
 // serve returns a task that serves HTTP on the listener until its context ends, then lets requests in flight end.
--- a/internal/filter/cascade.go
+++ b/internal/filter/cascade.go
@@ -128,7 +128,7 @@
 	}
 	o := c.outcome(runs, cascade.VerdictNone)
 	_ = c.Levels.Observe(o) // a full mailbox costs one observation
-	if sample && !copied.cut {
+	if sample && !copied.cut && !copied.head.Failed() {
 		_ = c.Levels.Sample(cascade.Sample{ // a full mailbox costs one rating
 			Outcome: o, Target: c.spec.QualityTarget, RequestID: c.x.Request.ID,
 			Prompt: c.x.Request.Prompt, Answer: copied.text.String(),
@@ -147,6 +147,9 @@
 	if err != nil {
 		return err
 	}
+	if held.head.Failed() {
+		return result.Errorf(result.QualityNotMet, "cascade %q, level %d answered status %d", c.spec.Name, c.x.Attempt.Level, held.head.Status)
+	}
 	rating, err := c.Rater.Rate(ctx, c.x.Request.ID, c.x.Request.Prompt, held.text())
 	if ctx.Err() != nil {
 		return result.Errorf(result.DeadlinePassed, "while the answer was rated")
@@ -258,10 +261,14 @@
 	sink  Sink
 	limit int
 	cut   bool
+	head  Head
 	text  strings.Builder
 }
 
-func (c *copier) Begin(ctx context.Context, h Head) error { return c.sink.Begin(ctx, h) }
+func (c *copier) Begin(ctx context.Context, h Head) error {
+	c.head = h
+	return c.sink.Begin(ctx, h)
+}
 
 func (c *copier) Piece(ctx context.Context, p endpoint.Piece) error {
 	if c.text.Len()+len(p.Text) > c.limit {
--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -74,6 +74,9 @@
 	Version     string
 }
 
+// Failed reports whether the endpoint answered with an error of its own.
+func (h Head) Failed() bool { return h.Status >= 400 }
+
 // Sink receives one answer: a head, then pieces in order, the last one marked.
 type Sink interface {
 	Begin(ctx context.Context, h Head) error
--- a/internal/filter/identify.go
+++ b/internal/filter/identify.go
@@ -20,6 +20,9 @@
 	if s.Revision == 0 {
 		return result.Errorf(result.NotReady, "no configuration yet")
 	}
+	if x.Credential == "" {
+		return result.Errorf(result.BadKey, "no bearer key")
+	}
 	a, ok := s.AccountByKey(x.Credential)
 	if !ok {
 		return result.Errorf(result.BadKey, "unknown key")
--- a/internal/filter/send.go
+++ b/internal/filter/send.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/url"
 	"time"
 
 	"cornelmux/internal/endpoint"
@@ -50,10 +51,7 @@
 }
 
 func newCall(x *Exchange) endpoint.Call {
-	path := x.Request.Path
-	if x.Request.Query != "" {
-		path += "?" + x.Request.Query
-	}
+	path := (&url.URL{Path: x.Request.Path, RawQuery: x.Request.Query}).RequestURI()
 	return endpoint.Call{
 		RunID:      fmt.Sprintf("%s/%s/%d", x.Account.Name, x.Request.ID, x.Attempt.Level),
 		Chat:       x.Request.Kind == KindChat,
