--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -106,9 +106,9 @@
 		instances []platform.Instance
 		index     uint64
 	}
-	waitMessage   struct{ waiter }
-	forgetMessage struct{ wake chan<- struct{} }
-	countsMessage struct{ reply chan<- PlatformCounts }
+	waitMessage    struct{ waiter }
+	unwatchMessage struct{ wake chan<- struct{} }
+	countsMessage  struct{ reply chan<- PlatformCounts }
 )
 
 func (m readMessage) handle(p *Platform) {
@@ -181,7 +181,7 @@
 	p.waiters = append(p.waiters, m.waiter)
 }
 
-func (m forgetMessage) handle(p *Platform) {
+func (m unwatchMessage) handle(p *Platform) {
 	p.waiters = slices.DeleteFunc(p.waiters, func(w waiter) bool { return w.wake == m.wake })
 }
 
@@ -324,7 +324,7 @@
 	case <-timer.C:
 	case <-r.Context().Done():
 	}
-	_ = task.Tell(p.mailbox, platformMessage(forgetMessage{wake})) // a waiter that stays is woken for nothing once
+	_ = task.Tell(p.mailbox, platformMessage(unwatchMessage{wake})) // a waiter that stays is woken for nothing once
 }
 
 func writeJSON(w http.ResponseWriter, v any, err error) {
