--- a/measure/main.go
+++ b/measure/main.go
@@ -2,13 +2,21 @@
 package main
 
 import (
-	"flag"
+	"bytes"
+	"errors"
 	"fmt"
 	"os"
+	"os/exec"
+	"runtime/pprof"
+	"strconv"
 	"strings"
+
+	"github.com/jessevdk/go-flags"
 )
 
-// Line is one measured figure beside its target.
+const reportPath = "docs/MEASUREMENTS.md"
+
+// Line is one measured figure beside its target, such as "< 1" or ">= 0.7"; a target without a bound gets no verdict.
 type Line struct {
 	Name   string
 	Value  float64
@@ -23,27 +31,119 @@
 }
 
 // measurements lists every topic; each stands in a file of its own.
-var measurements = []Measurement{}
+var measurements = []Measurement{
+	{"cost", measureCost},
+	{"ids", measureIDs},
+	{"overhead", measureOverhead},
+}
+
+// Verdicts of a line.
+const (
+	verdictMet    = "met"
+	verdictMissed = "missed"
+	verdictNone   = "-"
+)
+
+// Verdict compares the value with the target.
+func (l Line) Verdict() string {
+	relation, number, _ := strings.Cut(l.Target, " ")
+	bound, err := strconv.ParseFloat(number, 64)
+	if err != nil {
+		return verdictNone
+	}
+	met := false
+	switch relation {
+	case "<":
+		met = l.Value < bound
+	case "<=":
+		met = l.Value <= bound
+	case ">":
+		met = l.Value > bound
+	case ">=":
+		met = l.Value >= bound
+	default:
+		return verdictNone
+	}
+	if met {
+		return verdictMet
+	}
+	return verdictMissed
+}
+
+func (l Line) String() string {
+	return fmt.Sprintf("measure %s %.4g %s target %s %s", l.Name, l.Value, l.Unit, l.Target, l.Verdict())
+}
+
+type options struct {
+	Only    string `long:"only" description:"run only topics that contain this text"`
+	Write   bool   `long:"write" description:"also write docs/MEASUREMENTS.md; needs every topic"`
+	Profile string `long:"profile" description:"file for a processor profile of the run"`
+}
 
 func main() {
-	only := flag.String("only", "", "run only topics that contain this text")
-	flag.Parse()
-	failed := false
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		os.Exit(2)
+	}
+	if err := run(opts); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(opts options) error {
+	if opts.Profile != "" {
+		f, err := os.Create(opts.Profile)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		if err := pprof.StartCPUProfile(f); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
+	var all []Line
+	var errs []error
 	for _, m := range measurements {
-		if !strings.Contains(m.Topic, *only) {
+		if !strings.Contains(m.Topic, opts.Only) {
 			continue
 		}
 		lines, err := m.Run()
 		if err != nil {
-			fmt.Fprintf(os.Stderr, "measure %s: %v\n", m.Topic, err)
-			failed = true
-			continue
+			errs = append(errs, fmt.Errorf("measure %s: %w", m.Topic, err))
 		}
 		for _, l := range lines {
-			fmt.Printf("measure %s %.4g %s target %s\n", l.Name, l.Value, l.Unit, l.Target)
+			fmt.Println(l)
 		}
+		all = append(all, lines...)
 	}
-	if failed {
-		os.Exit(1)
+	if opts.Write && opts.Only == "" && len(errs) == 0 {
+		errs = append(errs, os.WriteFile(reportPath, report(all, commit()), 0o644))
+	}
+	return errors.Join(errs...)
+}
+
+// commit names the commit that was measured, or says that the tree had changes.
+func commit() string {
+	hash, err := exec.Command("git", "rev-parse", "--short", "HEAD").Output()
+	if err != nil {
+		return "unknown"
+	}
+	name := strings.TrimSpace(string(hash))
+	changes, err := exec.Command("git", "status", "--porcelain", "--untracked-files=no").Output()
+	if err != nil || len(changes) > 0 {
+		name += " with changes"
+	}
+	return name
+}
+
+func report(lines []Line, commit string) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "# Measurements\n\n`make measure` wrote this page at commit %s.\n\n", commit)
+	b.WriteString("| name | value | unit | target | verdict |\n| --- | --- | --- | --- | --- |\n")
+	for _, l := range lines {
+		fmt.Fprintf(&b, "| %s | %.4g | %s | %s | %s |\n", l.Name, l.Value, l.Unit, l.Target, l.Verdict())
 	}
+	return b.Bytes()
 }
--- /dev/null
+++ b/measure/proxy.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"io"
+	"net/http"
+)
+
+const proxyBufferBytes = 32 << 10
+
+// proxy is the plain reverse proxy that the router is compared with: it copies the request and streams the answer.
+type proxy struct {
+	target string
+	client *http.Client
+}
+
+// ServeHTTP implements http.Handler.
+func (p *proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	out, err := http.NewRequestWithContext(r.Context(), r.Method, p.target+r.URL.RequestURI(), r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	out.Header = r.Header.Clone()
+	out.ContentLength = r.ContentLength
+	resp, err := p.client.Do(out)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer resp.Body.Close()
+	for name, values := range resp.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(resp.StatusCode)
+	flush := http.NewResponseController(w)
+	buf := make([]byte, proxyBufferBytes)
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			if _, err := w.Write(buf[:n]); err != nil || flush.Flush() != nil {
+				return
+			}
+		}
+		if err != nil && err != io.EOF {
+			panic(http.ErrAbortHandler)
+		}
+		if err != nil {
+			return
+		}
+	}
+}
