--- a/measure/placement.go
+++ b/measure/placement.go
@@ -33,13 +33,13 @@
 
 var placementStart = time.Unix(1_000_000, 0)
 
-// policy chooses an engine for a run; turn counts the runs of its VM.
-type policy struct {
+// placementPolicy chooses an engine for a run; turn counts the runs of its VM.
+type placementPolicy struct {
 	name   string
 	choose func(r *rand.Rand, view []*endpoint.Endpoint, turn int, session string, now time.Time) int
 }
 
-var policies = []policy{
+var placementPolicies = []placementPolicy{
 	{"round_robin", func(_ *rand.Rand, view []*endpoint.Endpoint, turn int, _ string, _ time.Time) int {
 		return turn % len(view)
 	}},
@@ -112,7 +112,7 @@
 	return f
 }
 
-func (f *fleet) run(p policy) {
+func (f *fleet) run(p placementPolicy) {
 	gap := float64(meanService) / (engines * engineSlots * utilisation)
 	nextReport := time.Duration(0)
 	for now := time.Duration(0); now < placementTime; now += time.Duration(f.r.ExpFloat64() * gap) {
@@ -144,7 +144,7 @@
 	}
 }
 
-func (f *fleet) place(p policy, now time.Duration) {
+func (f *fleet) place(p placementPolicy, now time.Duration) {
 	vm := f.r.IntN(entryVMs)
 	session := "session-" + strconv.Itoa(int(float64(affineSessions)*f.r.Float64()*f.r.Float64()))
 	i := p.choose(f.r, f.views[vm], f.turns[vm], session, placementStart.Add(now))
@@ -182,7 +182,7 @@
 func measurePlacement() ([]Line, error) {
 	var lines []Line
 	best, hits := 0.0, map[string]float64{}
-	for _, p := range policies {
+	for _, p := range placementPolicies {
 		f := newFleet()
 		f.run(p)
 		slices.Sort(f.waits)
