--- /dev/null
+++ b/internal/filter/deduplicate_test.go
@@ -0,0 +1,57 @@
+package filter
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cornelmux/internal/journal"
+	"cornelmux/pkg/result"
+)
+
+func TestEnding(t *testing.T) {
+	rows := []struct {
+		name       string
+		idempotent bool
+		sent       bool
+		code       result.Code
+		want       result.Code
+		run        result.Run
+	}{
+		{"refused before the send", false, false, result.NoEndpoint, result.NoEndpoint, result.NotRun},
+		{"failed before the send", false, false, result.EndpointFailed, result.EndpointFailed, result.NotRun},
+		{"failed after the send", false, true, result.EndpointFailed, result.OutcomeUnknown, result.Unknown},
+		{"refused after the send", false, true, result.DeadlinePassed, result.OutcomeUnknown, result.Unknown},
+		{"idempotent, refused before the send", true, false, result.QueueFull, result.QueueFull, result.NotRun},
+		{"idempotent, failed after the send", true, true, result.EndpointFailed, result.EndpointFailed, result.Unknown},
+		{"idempotent, refused after a failed attempt", true, true, result.NoEndpoint, result.NoEndpoint, result.Unknown},
+		{"idempotent, no level was good enough", true, true, result.QualityNotMet, result.QualityNotMet, result.Ran},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			e := Ending(row.idempotent, row.sent, result.Errorf(row.code, "x"))
+			qt.Assert(t, e.Code, qt.Equals, row.want)
+			qt.Assert(t, e.Run, qt.Equals, row.run)
+		})
+	}
+}
+
+func TestCharge(t *testing.T) {
+	runs := []journal.Run{{Level: 0}, {Level: 1, OperatorCost: true}, {Level: 1}}
+	rows := []struct {
+		name     string
+		answered *Attempt
+		want     []bool
+	}{
+		{"answered by the second level", &Attempt{Level: 1}, []bool{true, true, false}},
+		{"answered by the first level", &Attempt{Level: 0}, []bool{false, true, true}},
+		{"not answered", nil, []bool{true, true, true}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			for i, r := range Charge(runs, row.answered) {
+				qt.Check(t, r.OperatorCost, qt.Equals, row.want[i])
+			}
+		})
+	}
+}
--- a/internal/journal/partition.go
+++ b/internal/journal/partition.go
@@ -26,7 +26,7 @@
 	pieceBytes       = 64
 	maxUndo          = 10_000
 	writeAttempts    = 8
-	writeBurst       = 10
+	writeBurst       = 3
 	firstBackoff     = 2 * time.Millisecond
 	retryInterval    = 500 * time.Millisecond
 	flushTimeout     = 5 * time.Second
