--- a/internal/journal/cluster_test.go
+++ b/internal/journal/cluster_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -58,6 +59,12 @@
 	s.down = down
 }
 
+func (s *store) setFaults(faults []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
 func (s *store) wait(ctx context.Context, fault string) error {
 	d := s.latency
 	if fault == "slow" {
@@ -116,18 +123,18 @@
 	cluster *cluster
 	name    string
 	cancel  context.CancelFunc
-	dead    bool
+	dead    atomic.Bool
 }
 
 func (v *vm) Get(ctx context.Context, key string) (platform.Value, error) {
-	if v.dead {
+	if v.dead.Load() {
 		return platform.Value{}, platform.ErrUnavailable
 	}
 	return v.cluster.store.Get(ctx, key)
 }
 
 func (v *vm) CAS(ctx context.Context, key string, data []byte, version uint64) (bool, error) {
-	if v.dead {
+	if v.dead.Load() {
 		return false, platform.ErrUnavailable
 	}
 	return v.cluster.store.CAS(ctx, key, data, version)
@@ -135,7 +142,7 @@
 
 // crash ends the VM without a last word.
 func (v *vm) crash() {
-	v.dead = true
+	v.dead.Store(true)
 	v.cancel()
 }
 
@@ -143,8 +150,8 @@
 	store  *store
 	vms    []*vm
 	ends   chan task.End
-	cut    bool
-	leaves bool
+	cut    atomic.Bool
+	leaves atomic.Bool
 }
 
 func newCluster(ctx context.Context, n, maxBills, keptBytes int) *cluster {
@@ -188,7 +195,7 @@
 func (p peers) to(ctx context.Context, address string) (*vm, error) {
 	task.Sleep(ctx, time.Millisecond)
 	for _, v := range p.from.cluster.vms {
-		if v.name == address && !v.dead && !p.from.dead && !p.from.cluster.cut {
+		if v.name == address && !v.dead.Load() && !p.from.dead.Load() && !p.from.cluster.cut.Load() {
 			return v, nil
 		}
 	}
@@ -201,7 +208,7 @@
 		return nil, err
 	}
 	outcomes, err := to.Append(ctx, region, n, entries)
-	if p.from.cluster.leaves {
+	if p.from.cluster.leaves.Load() {
 		return nil, errCut
 	}
 	return outcomes, err
@@ -252,7 +259,7 @@
 
 func (e engine) Handle(ctx context.Context, x *filter.Exchange, _ filter.Next) error {
 	task.Sleep(ctx, e.o.Think)
-	if e.vm.dead || e.o.Ending == "refused" {
+	if e.vm.dead.Load() || e.o.Ending == "refused" {
 		return result.Errorf(result.NoEndpoint, "none")
 	}
 	if !x.Idempotent && !x.Claim.Valid(time.Now()) {
@@ -260,7 +267,7 @@
 	}
 	x.Sent, e.o.sent = true, true
 	task.Sleep(ctx, e.o.Run)
-	if e.o.Ending == "lost" || e.vm.dead {
+	if e.o.Ending == "lost" || e.vm.dead.Load() {
 		return result.Errorf(result.EndpointFailed, "lost")
 	}
 	e.o.served = true
@@ -273,7 +280,7 @@
 func (c *cluster) call(ctx context.Context, o *outcome) {
 	task.Sleep(ctx, o.At)
 	v := c.vms[o.VM]
-	if v.dead {
+	if v.dead.Load() {
 		o.err = result.Errorf(result.Leaving, "dead")
 		return
 	}
@@ -305,7 +312,7 @@
 	}
 	done.Wait()
 	c.store.setDown(false)
-	c.store.faults = nil
+	c.store.setFaults(nil)
 	task.Sleep(ctx, 10*time.Second)
 	bills, err = journal.ReadBills(ctx, c.store, region)
 	return outcomes, bills, err
@@ -335,7 +342,7 @@
 		if o.sent {
 			sent++
 		}
-		dead := c.vms[o.VM].dead
+		dead := c.vms[o.VM].dead.Load()
 		mustBill = mustBill || (o.served && !dead)
 		if dead {
 			continue
@@ -369,9 +376,8 @@
 	case "outage":
 		c.store.setDown(true)
 	case "cut":
-		c.cut = true
+		c.cut.Store(true)
 	case "answers of VMs lost":
-		c.leaves = true
+		c.leaves.Store(true)
 	}
 }
-
--- a/internal/journal/request_test.go
+++ b/internal/journal/request_test.go
@@ -56,7 +56,9 @@
 		hundred[n] = caller{Key: n + 1, Think: time.Duration(n%10) * ms}
 	}
 	all := make([]result.Code, 100)
-	third := func(second, third string) []string { return append([]string{"", "", second, third}, make([]string, 96)...) }
+	third := func(second, third string) []string {
+		return append([]string{"", "", second, third}, make([]string, 96)...)
+	}
 	joiners, joined := []caller{{Key: 1, Run: 5 * time.Second, Deadline: 9 * time.Second}}, []result.Code{0}
 	for range 64 {
 		joiners, joined = append(joiners, caller{Key: 1, At: 100 * ms}), append(joined, result.DeadlinePassed)
