--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"time"
 
@@ -31,6 +32,12 @@
 	}
 }
 
+// A VM that runs the request says so after answerWait; one that says nothing for answerGrace more counts as out of reach.
+const (
+	answerWait  = time.Second
+	answerGrace = time.Second
+)
+
 // noMembers is the list of a VM that hears of no other.
 type noMembers struct{}
 
@@ -81,11 +88,13 @@
 	return decodeEach[journal.Outcome](r.Outcomes)
 }
 
-// Answer implements journal.Peers.
+// Answer implements journal.Peers. It waits while the VM says that the request runs, but not on a VM that is silent.
 func (p peers) Answer(ctx context.Context, address string, k journal.Key, fingerprint uint64) (journal.Found, error) {
-	r, err := p.client(address).Answer(ctx, &wire.AnswerRequest{
-		Region: k.Region, Account: k.Account, RequestId: k.Request, Fingerprint: fingerprint,
-	})
+	q := &wire.AnswerRequest{Region: k.Region, Account: k.Account, RequestId: k.Request, Fingerprint: fingerprint}
+	r, err := p.pollAnswer(ctx, address, q)
+	for err == nil && r.Running {
+		r, err = p.pollAnswer(ctx, address, q)
+	}
 	if err != nil || !r.Found {
 		return journal.Found{NotRun: r.GetNotRun()}, err
 	}
@@ -96,6 +105,12 @@
 	return journal.Found{Answer: a}, nil
 }
 
+func (p peers) pollAnswer(ctx context.Context, address string, q *wire.AnswerRequest) (*wire.AnswerResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerWait+answerGrace)
+	defer cancel()
+	return p.client(address).Answer(ctx, q)
+}
+
 // peerService answers other entry VMs.
 type peerService struct {
 	wireconnect.UnimplementedPeerServiceHandler
@@ -122,7 +137,12 @@
 // Answer implements wireconnect.PeerServiceHandler.
 func (s *peerService) Answer(ctx context.Context, r *wire.AnswerRequest) (*wire.AnswerResponse, error) {
 	k := journal.Key{Region: r.Region, Account: r.Account, Request: r.RequestId}
-	found, err := s.vm.journal.Find(ctx, k, r.Fingerprint)
+	wait, cancel := context.WithTimeout(ctx, answerWait)
+	defer cancel()
+	found, err := s.vm.journal.Find(wait, k, r.Fingerprint)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return &wire.AnswerResponse{Running: true}, nil
+	}
 	if err != nil {
 		return nil, connectError(err)
 	}
--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"cornelmux/pkg/result"
@@ -253,8 +254,8 @@
 	return n
 }
 
-// Fold makes one bill of each request from entries in the order of their log. The first bill of a request counts;
-// the runs of any other were done again, at the operator's cost.
+// Fold makes one bill of each request from entries in the order of their log. The first bill with a run at the client
+// account's cost counts; the runs of any later one were done again, at the operator's cost.
 func Fold(entries []Entry) []Bill {
 	var bills []Bill
 	at := map[Key]int{}
@@ -271,9 +272,10 @@
 			bills = append(bills, Bill{Key: e.Key, Runs: e.Runs})
 			continue
 		}
+		paid := slices.ContainsFunc(bills[i].Runs, func(r Run) bool { return !r.OperatorCost })
 		bills[i].Runs = append([]Run{}, bills[i].Runs...)
 		for _, r := range e.Runs {
-			r.OperatorCost = true
+			r.OperatorCost = r.OperatorCost || paid
 			bills[i].Runs = append(bills[i].Runs, r)
 		}
 	}
