--- a/internal/journal/request.go
+++ b/internal/journal/request.go
@@ -241,10 +241,11 @@
 }
 
 // Find waits for the request if it runs here, and returns what is known of it. It is what another VM asks.
+// It fails with the context's error if the request still runs when the context ends.
 func (c *Controller) Find(ctx context.Context, k Key, fingerprint uint64) (Found, error) {
 	r, err := c.ask(ctx, openMessage{key: k, fingerprint: fingerprint, join: true})
 	if err != nil {
-		return Found{}, err
+		return Found{}, firstError(ctx.Err(), err)
 	}
 	notRun := r.joined && r.err != nil && result.From(r.err).Run == result.NotRun
 	return Found{Answer: r.answer, NotRun: notRun}, nil
--- a/internal/journal/request_test.go
+++ b/internal/journal/request_test.go
@@ -1,6 +1,7 @@
 package journal_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -175,3 +176,17 @@
 		qt.Assert(t, bills, qt.HasLen, 1)
 	})
 }
+
+func TestFindFailsWithTheContextWhileTheRequestRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t.Context(), 1, 10, 1<<20)
+		defer c.stop()
+		k := journal.Key{Region: region, Account: "a", Request: "1"}
+		_, err := c.vms[0].Open(t.Context(), k, true, 1)
+		qt.Assert(t, err, qt.IsNil)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = c.vms[0].Find(ctx, k, 1)
+		qt.Assert(t, err, qt.ErrorIs, context.DeadlineExceeded)
+	})
+}
--- a/measure/main.go
+++ b/measure/main.go
@@ -23,7 +23,9 @@
 }
 
 // measurements lists every topic; each stands in a file of its own.
-var measurements = []Measurement{}
+var measurements = []Measurement{
+	{"journal", measureJournal},
+}
 
 func main() {
 	only := flag.String("only", "", "run only topics that contain this text")
