--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -11,16 +11,15 @@
 
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/journal"
-	"cornelmux/internal/peer"
 	"cornelmux/internal/settings"
 	"cornelmux/internal/wire"
 	"cornelmux/internal/wire/wireconnect"
 )
 
-func journalOptions(cfg settings.Settings) journal.Options {
+func journalOptions(cfg settings.Settings, incarnation uint64) journal.Options {
 	return journal.Options{
 		VM:              cfg.VM.Name,
-		Incarnation:     uint64(time.Now().UnixNano()),
+		Incarnation:     incarnation,
 		Address:         cfg.Listen.Control,
 		ClaimFor:        cfg.Limits.ClaimFor,
 		ResendWindow:    cfg.Limits.ResendWindow,
@@ -38,12 +37,6 @@
 	answerGrace = time.Second
 )
 
-// noMembers is the list of a VM that hears of no other.
-type noMembers struct{}
-
-// Members implements journal.Members.
-func (noMembers) Members(context.Context) ([]peer.Member, error) { return nil, nil }
-
 // peers calls other entry VMs over connect.
 type peers struct{ http *http.Client }
 
