--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -53,8 +53,7 @@
 	mux := http.NewServeMux()
 	path, handler := wireconnect.NewControlServiceHandler(&control{vm: v})
 	mux.Handle(path, requireKey(v.cfg.Keys.Operator, handler))
-	path, handler = wireconnect.NewPeerServiceHandler(&peerService{vm: v})
-	mux.Handle(path, requireKey(v.cfg.Keys.Fleet, handler))
+	mux.Handle(v.peerHandler())
 	mux.Handle("GET /metrics", v.metrics) // without a key: it holds no secret, and scrapers have none
 	return mux
 }
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -19,6 +19,7 @@
 	"cornelmux/internal/metric"
 	"cornelmux/internal/peer"
 	"cornelmux/internal/platform"
+	"cornelmux/internal/rollout"
 	"cornelmux/internal/session"
 	"cornelmux/internal/settings"
 	"cornelmux/internal/task"
@@ -40,6 +41,7 @@
 	configurations *configuration.Controller
 	endpoints      *endpoint.Controller
 	sessions       *session.Controller
+	rollouts       *rollout.Controller
 	journal        *journal.Controller
 	peers          *peer.Controller
 	metrics        *metric.Metrics
@@ -55,30 +57,35 @@
 	transport := metric.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 16}, Metrics: metrics}
 	store := platform.New(cfg.Reach.Platform, &http.Client{Transport: transport}, cfg.Reach.PlatformTimeout)
 	client := endpoint.NewClient(cfg.Reach.DialTimeout, cfg.Reach.Silence)
-	others := newPeers(cfg.Keys.Fleet)
+	others := newPeerClient(cfg.Keys.Fleet, cfg.Reach.PlatformTimeout)
+	incarnation := uint64(time.Now().UnixNano())
 	at := endpoint.Location{Region: cfg.VM.Region, Zone: cfg.VM.Zone}
 	v := &VM{
-		cfg:            cfg,
-		log:            log,
-		metrics:        metrics,
-		drain:          newDrain(),
-		configurations: configuration.New(store, log.WithName("configuration")),
-		endpoints:      endpoint.New(store, client, at, log.WithName("endpoint")),
-		sessions:       session.New(cfg.Limits.Freshness, cfg.Limits.SessionIdle),
-		store:          store,
+		cfg:     cfg,
+		log:     log,
+		metrics: metrics,
+		drain:   newDrain(),
+		configurations: configuration.New(store, others, configuration.Options{
+			VM: cfg.VM.Name, Zone: cfg.VM.Zone, Freshness: cfg.Limits.Freshness,
+		}, log.WithName("configuration")),
+		peers: peer.New(peerOptions(cfg, incarnation), peer.NewSocket(cfg.Listen.Peers, log.WithName("peer")), store, nil, log.WithName("peer")),
+		store: store,
 		close: func() {
 			client.Close()
 			others.http.CloseIdleConnections()
 			store.HTTP.CloseIdleConnections()
 		},
 	}
-	incarnation := uint64(time.Now().UnixNano())
-	v.peers = peer.New(peerOptions(cfg, incarnation), peer.NewSocket(cfg.Listen.Peers, log.WithName("peer")), store, []peer.Section{
-		revision{v.configurations},
-	}, log.WithName("peer"))
+	v.sessions = session.New(v.configurations.Subscribe(), others, session.Options{
+		VM: cfg.VM.Name, Incarnation: incarnation, Region: cfg.VM.Region, Freshness: cfg.Limits.Freshness,
+		Idle: cfg.Limits.SessionIdle, Settle: cfg.Limits.StepSettle, MaxSessions: cfg.Limits.MaxSessions,
+	}, log.WithName("session"))
+	v.rollouts = rollout.New(v.configurations.Subscribe(), v.configurations, v.sessions, cfg.VM.Name, log.WithName("rollout"))
+	v.endpoints = endpoint.New(store, client, v.peers, nil, endpoint.Options{VM: cfg.VM.Name, At: at}, log.WithName("endpoint"))
+	v.peers.Attach(v.configurations, v.sessions, v.rollouts, v.endpoints)
 	v.journal = journal.New(store, v.peers, others, journalOptions(cfg, incarnation), log.WithName("journal"))
 	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
-	v.cascades = newCascades(rater, cfg, log)
+	v.cascades = newCascades(rater, v.rollouts, cfg, log)
 	metrics.Watch(v.configurations, v.peers, log.WithName("metric"))
 	v.chain = filter.Chain(
 		filter.Observe{Meter: metrics},
@@ -88,7 +95,7 @@
 		filter.Deduplicate{Journal: v.journal, Cleanup: cleanupTimeout},
 		filter.Bill{Journal: v.journal, Log: log.WithName("bill")},
 		filter.Cascade{Levels: v.cascades, Rater: rater, HeldBytes: heldBytes},
-		filter.Choose{Sessions: v.sessions},
+		filter.Choose{Sessions: v.sessions, Evidence: v.rollouts},
 		filter.Place{Endpoints: v.endpoints, MaxAttempts: cfg.Limits.MaxAttempts},
 		filter.Send{Configurations: v.configurations, Sender: client, MaxResumes: cfg.Limits.MaxResumes},
 	)
@@ -103,11 +110,11 @@
 }
 
 // newCascades makes the controller of cascades; without a rating service no answer is rated.
-func newCascades(rater cascade.Rater, cfg settings.Settings, log logr.Logger) *cascade.Controller {
+func newCascades(rater cascade.Rater, evidence cascade.Evidence, cfg settings.Settings, log logr.Logger) *cascade.Controller {
 	if cfg.Reach.Rating == "" {
 		rater = nil
 	}
-	return cascade.New(rater, nil, xxhash.Sum64String(cfg.VM.Name), log.WithName("cascade"))
+	return cascade.New(rater, evidence, xxhash.Sum64String(cfg.VM.Name), log.WithName("cascade"))
 }
 
 type namedTask struct {
@@ -134,6 +141,7 @@
 		{"configuration", v.configurations.Run},
 		{"endpoints", v.endpoints.Run},
 		{"sessions", v.sessions.Run},
+		{"roll-outs", v.rollouts.Run},
 		{"journal", v.journal.Run},
 		{"peers", v.peers.Run},
 		{"cascades", v.cascades.Run},
--- a/internal/peer/controller.go
+++ b/internal/peer/controller.go
@@ -78,6 +78,9 @@
 	}
 }
 
+// Attach adds parts of the state. It has to be called before Run.
+func (c *Controller) Attach(sections ...Section) { c.sections = append(c.sections, sections...) }
+
 type message interface{ handle(*Controller) }
 
 type (
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -57,6 +57,8 @@
 	LeaveGrace     time.Duration
 	Freshness      time.Duration
 	SessionIdle    time.Duration
+	MaxSessions    int
+	StepSettle     time.Duration
 	ClaimFor       time.Duration
 	ResendWindow   time.Duration
 	MaxAttempts    int
@@ -108,6 +110,8 @@
 		{Section: "limits", Key: "leave_grace", Unit: "duration", Default: "1s", Help: "how long a leaving VM still answers refusals", set: duration(&s.Limits.LeaveGrace)},
 		{Section: "limits", Key: "rollout_freshness", Unit: "duration", Default: "5s", Help: "age of the configuration's proof up to which versions under roll-out take new sessions", set: duration(&s.Limits.Freshness)},
 		{Section: "limits", Key: "session_idle", Unit: "duration", Default: "30m", Help: "how long an unused session keeps its version", set: duration(&s.Limits.SessionIdle)},
+		{Section: "limits", Key: "max_sessions", Unit: "count", Default: "200000", Help: "most sessions whose version is remembered; beyond it the least recent are forgotten", set: number(&s.Limits.MaxSessions)},
+		{Section: "limits", Key: "step_settle", Unit: "duration", Default: "3s", Help: "time from the acceptance of a roll-out step until it decides on new sessions", set: duration(&s.Limits.StepSettle)},
 		{Section: "limits", Key: "claim_for", Unit: "duration", Default: "20s", Help: "how long a recorded request may still be sent", set: duration(&s.Limits.ClaimFor)},
 		{Section: "limits", Key: "resend_window", Unit: "duration", Default: "10m", Help: "how long a request ID is remembered", set: duration(&s.Limits.ResendWindow)},
 		{Section: "limits", Key: "max_attempts", Unit: "count", Default: "3", Help: "most endpoints tried for one run", set: number(&s.Limits.MaxAttempts)},
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -87,8 +87,8 @@
 		id    string
 		reply chan<- *engineRun
 	}
-	endMessage    struct{}
-	forgetMessage struct {
+	endMessage     struct{}
+	dropRunMessage struct {
 		id    string
 		crash bool
 	}
@@ -144,7 +144,7 @@
 
 func (endMessage) handle(e *Engine) { e.running-- }
 
-func (m forgetMessage) handle(e *Engine) {
+func (m dropRunMessage) handle(e *Engine) {
 	delete(e.runs, m.id)
 	if m.crash {
 		e.incarnation++
@@ -294,7 +294,7 @@
 func (e *Engine) fault(r *http.Request, id, text string) bool {
 	switch {
 	case strings.Contains(text, FaultForget), strings.Contains(text, FaultCrash):
-		e.mailbox <- forgetMessage{id, strings.Contains(text, FaultCrash)}
+		e.mailbox <- dropRunMessage{id, strings.Contains(text, FaultCrash)}
 		panic(http.ErrAbortHandler)
 	case strings.Contains(text, FaultBreak):
 		panic(http.ErrAbortHandler)
--- a/measure/main.go
+++ b/measure/main.go
@@ -25,6 +25,7 @@
 // measurements lists every topic; each stands in a file of its own.
 var measurements = []Measurement{
 	{"journal", measureJournal},
+	{"placement", measurePlacement},
 }
 
 func main() {
