--- a/internal/peer/socket_test.go
+++ b/internal/datagram/socket_test.go
@@ -1,4 +1,4 @@
-package peer
+package datagram
 
 import (
 	"context"
@@ -10,6 +10,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
+	"cornelmux/internal/peer"
+	"cornelmux/internal/platform"
 	"cornelmux/internal/task"
 )
 
@@ -22,28 +24,43 @@
 	return l.LocalAddr().String()
 }
 
-// newSocketVM makes a VM that knows no platform.
-func newSocketVM(i int, address string) *Controller {
-	return New(Options{
-		VM: fmt.Sprint("vm-", i), Incarnation: uint64(i + 1), Region: "vest", Zone: "vest-1", PeerAddress: address, Key: testKey,
-	}, NewSocket(address, logr.Discard()), nil, nil, logr.Discard())
+// seeds is a Registry whose list never changes.
+type seeds []platform.Instance
+
+func (seeds) Register(context.Context, platform.Registration) error { return nil }
+
+func (seeds) Deregister(context.Context, string) error { return nil }
+
+func (s seeds) Instances(ctx context.Context, _ string, after uint64, wait time.Duration) ([]platform.Instance, uint64, error) {
+	if after > 0 {
+		task.Sleep(ctx, wait)
+	}
+	return s, 1, ctx.Err()
+}
+
+func newVM(i int, address string, list seeds) *peer.Controller {
+	return peer.New(peer.Options{
+		VM: fmt.Sprint("vm-", i), Incarnation: uint64(i + 1), Region: "vest", Zone: "vest-1", PeerAddress: address, Key: []byte("fleet-key"),
+	}, New(address, logr.Discard()), list, nil, logr.Discard())
+}
+
+func row(i int, address string) platform.Instance {
+	return platform.Instance{ID: fmt.Sprint("vm-", i), Meta: map[string]string{
+		"region": "vest", "zone": "vest-1", "peers": address, "incarnation": fmt.Sprint(i + 1),
+	}}
 }
 
 func TestThreeVMsOverSockets(t *testing.T) {
 	c := qt.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), hangLimit)
 	ends := make(chan task.End, 3)
-	var vms []*Controller
-	var seeds []Member
-	for i := range 3 {
-		address := freePort(c)
-		vms = append(vms, newSocketVM(i, address))
-		seeds = append(seeds, Member{VM: fmt.Sprint("vm-", i), Incarnation: uint64(i + 1), Region: "vest", Zone: "vest-1", PeerAddress: address})
-		task.Start(ctx, "vm", ends, vms[i].Run)
-	}
+	addresses := []string{freePort(c), freePort(c), freePort(c)}
 	// VM 0 is told of VM 1 and VM 1 of VM 2; the rest they learn from each other.
-	for i := range 2 {
-		c.Assert(task.Tell(vms[i].mailbox, message(listMessage{seeds[i+1 : i+2]})), qt.IsNil)
+	lists := []seeds{{row(1, addresses[1])}, {row(2, addresses[2])}, {}}
+	var vms []*peer.Controller
+	for i, address := range addresses {
+		vms = append(vms, newVM(i, address, lists[i]))
+		task.Start(ctx, "vm", ends, vms[i].Run)
 	}
 	for _, vm := range vms {
 		for heard := 0; heard < 2; {
@@ -66,6 +83,6 @@
 	l, err := net.ListenPacket("udp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	defer l.Close()
-	err = newSocketVM(0, l.LocalAddr().String()).Run(context.Background())
+	err = newVM(0, l.LocalAddr().String(), nil).Run(context.Background())
 	c.Assert(err, qt.ErrorMatches, `task transport: listen on 127.0.0.1:\d+: .*address already in use`)
 }
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -13,6 +13,7 @@
 
 	"cornelmux/internal/cascade"
 	"cornelmux/internal/configuration"
+	"cornelmux/internal/datagram"
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/filter"
 	"cornelmux/internal/journal"
@@ -44,6 +45,7 @@
 	peers          *peer.Controller
 	metrics        *metric.Metrics
 	cascades       *cascade.Controller
+	store          journal.Store
 	chain          filter.Next
 	close          func()
 }
@@ -54,6 +56,7 @@
 	transport := metric.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 16}, Metrics: metrics}
 	store := platform.New(cfg.Reach.Platform, &http.Client{Transport: transport}, cfg.Reach.PlatformTimeout)
 	client := endpoint.NewClient(cfg.Reach.DialTimeout, cfg.Reach.Silence)
+	others := newPeers(cfg.Keys.Fleet)
 	at := endpoint.Location{Region: cfg.VM.Region, Zone: cfg.VM.Zone}
 	v := &VM{
 		cfg:            cfg,
@@ -63,18 +66,18 @@
 		configurations: configuration.New(store, log.WithName("configuration")),
 		endpoints:      endpoint.New(store, client, at, log.WithName("endpoint")),
 		sessions:       session.New(cfg.Limits.Freshness, cfg.Limits.SessionIdle),
+		store:          store,
 		close: func() {
 			client.Close()
+			others.http.CloseIdleConnections()
 			store.HTTP.CloseIdleConnections()
 		},
 	}
 	incarnation := uint64(time.Now().UnixNano())
-	v.journal = journal.New(store, journal.Options{
-		VM: cfg.VM.Name, Incarnation: incarnation, ClaimFor: cfg.Limits.ClaimFor,
-	}, log.WithName("journal"))
-	v.peers = peer.New(peerOptions(cfg, incarnation), peer.NewSocket(cfg.Listen.Peers, log.WithName("peer")), store, []peer.Section{
+	v.peers = peer.New(peerOptions(cfg, incarnation), datagram.New(cfg.Listen.Peers, log.WithName("peer")), store, []peer.Section{
 		revision{v.configurations},
 	}, log.WithName("peer"))
+	v.journal = journal.New(store, v.peers, others, journalOptions(cfg, incarnation), log.WithName("journal"))
 	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
 	v.cascades = newCascades(rater, cfg, log)
 	metrics.Watch(v.configurations, v.peers, log.WithName("metric"))
@@ -84,7 +87,7 @@
 		filter.Identify{Configurations: v.configurations},
 		filter.Authorize{},
 		filter.Deduplicate{Journal: v.journal, Cleanup: cleanupTimeout},
-		filter.Bill{Journal: v.journal},
+		filter.Bill{Journal: v.journal, Log: log.WithName("bill")},
 		filter.Cascade{Levels: v.cascades, Rater: rater, HeldBytes: heldBytes},
 		filter.Choose{Sessions: v.sessions},
 		filter.Place{Endpoints: v.endpoints, MaxAttempts: cfg.Limits.MaxAttempts},
--- a/internal/filter/send.go
+++ b/internal/filter/send.go
@@ -34,7 +34,9 @@
 func (f Send) Handle(ctx context.Context, x *Exchange, _ Next) error {
 	run, cancel := runContext(ctx, x)
 	defer cancel()
-	sentBefore := x.Sent
+	sentBefore, runsBefore := x.Sent, len(x.Runs)
+	x.Sent = false
+	defer func() { x.Sent = x.Sent || sentBefore }()
 	call := newCall(x)
 	gate := f.gate(ctx, x)
 	asm := endpoint.NewAssembler(call.RunID)
@@ -45,7 +47,10 @@
 		}
 		if !f.mayResume(run, x, err, resumes) {
 			err = failure(run, x, asm, err)
-			x.Sent = x.Sent && (sentBefore || !neverRan(err))
+			x.Sent = x.Sent && !neverRan(err)
+			if x.Sent && len(x.Runs) == runsBefore {
+				x.Runs = append(x.Runs, newRun(x, 0, true))
+			}
 			return err
 		}
 		task.Sleep(run, time.Duration(resumes)*resumePause)
@@ -157,14 +162,19 @@
 		x.Relayed = true
 	}
 	if p.Last {
-		x.Runs = append(x.Runs, journal.Run{
-			Model: x.Attempt.Model, Version: x.Attempt.Version, Service: x.Request.Service,
-			Level: x.Attempt.Level, Tokens: p.Tokens, Endpoint: x.Attempt.Endpoint.ID,
-		})
+		x.Runs = append(x.Runs, newRun(x, p.Tokens, false))
 	}
 	return p.Last, x.Sink.Piece(ctx, p)
 }
 
+// newRun describes the attempt; a lost one is at the operator's cost.
+func newRun(x *Exchange, tokens int, lost bool) journal.Run {
+	return journal.Run{
+		Model: x.Attempt.Model, Version: x.Attempt.Version, Service: x.Request.Service,
+		Level: x.Attempt.Level, Tokens: tokens, Endpoint: x.Attempt.Endpoint.ID, OperatorCost: lost,
+	}
+}
+
 // failure gives the end of a run its result code, and its truth about what ran.
 func failure(ctx context.Context, x *Exchange, asm *endpoint.Assembler, err error) error {
 	var refused *endpoint.RefusedError
