Check settings with file, line and key, and between keys

Cause: ini.v1 takes the last of two equal keys, cuts a value at any # or ;, expands %(key)s and joins lines that end in a backslash, and names no line; addresses, URLs and names were taken as they stood, so a VM told to listen on 0.0.0.0 would have announced that to its peers.

Change: those habits are switched off or refused; every error names file, line and section.key, all at once, and never the value of a key or the text of a line that can't be read. Addresses are IP numbers and ports, URLs hold no password, names fit a datagram. Nine rules hold between keys, such as claim_for below resend_window. New keys: log.level and log.format.

--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -1,12 +1,6 @@
 package settings
 
-import (
-	"fmt"
-	"os"
-	"strconv"
-	"strings"
-	"time"
-)
+import "time"
 
 // Settings are what a VM is told at its start.
 type Settings struct {
@@ -15,6 +9,7 @@
 	Keys   KeySettings
 	Reach  ReachSettings
 	Limits LimitSettings
+	Log    LogSettings
 	// Journal bounds what the journal holds and writes.
 	Journal JournalSettings
 }
@@ -72,6 +67,20 @@
 	ForwardTimeout  time.Duration
 }
 
+// LogSettings say what the log holds and how.
+type LogSettings struct {
+	Level  string
+	Format string
+}
+
+// The values of the log settings.
+const (
+	LevelInfo  = "info"
+	LevelDebug = "debug"
+	FormatJSON = "json"
+	FormatText = "text"
+)
+
 // Option describes one key of the INI file.
 type Option struct {
 	Section  string
@@ -88,17 +97,17 @@
 
 func options(s *Settings) []Option {
 	return []Option{
-		{Section: "vm", Key: "name", Unit: "text", Required: true, Help: "unique name of this VM", set: text(&s.VM.Name)},
-		{Section: "vm", Key: "region", Unit: "text", Required: true, Help: "region of this VM", set: text(&s.VM.Region)},
-		{Section: "vm", Key: "zone", Unit: "text", Required: true, Help: "availability zone of this VM", set: text(&s.VM.Zone)},
-		{Section: "listen", Key: "callers", Unit: "host:port", Required: true, Help: "address for callers and the balancer's health checks", set: text(&s.Listen.Callers)},
-		{Section: "listen", Key: "control", Unit: "host:port", Required: true, Help: "address for operators and other entry VMs", set: text(&s.Listen.Control)},
-		{Section: "listen", Key: "peers", Unit: "host:port", Required: true, Help: "UDP address for datagrams of other entry VMs", set: text(&s.Listen.Peers)},
+		{Section: "vm", Key: "name", Unit: "text", Required: true, Help: "unique name of this VM", set: name(&s.VM.Name)},
+		{Section: "vm", Key: "region", Unit: "text", Required: true, Help: "region of this VM", set: name(&s.VM.Region)},
+		{Section: "vm", Key: "zone", Unit: "text", Required: true, Help: "availability zone of this VM", set: name(&s.VM.Zone)},
+		{Section: "listen", Key: "callers", Unit: "host:port", Required: true, Help: "address for callers and the balancer's health checks", set: listen(&s.Listen.Callers)},
+		{Section: "listen", Key: "control", Unit: "host:port", Required: true, Help: "address for operators and other entry VMs", set: reachable(&s.Listen.Control)},
+		{Section: "listen", Key: "peers", Unit: "host:port", Required: true, Help: "UDP address for datagrams of other entry VMs", set: reachable(&s.Listen.Peers)},
 		{Section: "keys", Key: "operator_key_file", Unit: "path", Required: true, Help: "file that holds the operators' key", set: keyFile(&s.Keys.Operator)},
 		{Section: "keys", Key: "fleet_key_file", Unit: "path", Required: true, Help: "file that holds the key that entry VMs share", set: keyFile(&s.Keys.Fleet)},
-		{Section: "reach", Key: "platform", Unit: "URL", Required: true, Help: "platform's key-value service", set: text(&s.Reach.Platform)},
+		{Section: "reach", Key: "platform", Unit: "URL", Required: true, Help: "platform's key-value service", set: base(&s.Reach.Platform)},
 		{Section: "reach", Key: "platform_timeout", Unit: "duration", Default: "2s", Help: "limit of a platform call that is no watch", set: duration(&s.Reach.PlatformTimeout)},
-		{Section: "reach", Key: "rating", Unit: "URL", Help: "rating service; empty for none", set: text(&s.Reach.Rating)},
+		{Section: "reach", Key: "rating", Unit: "URL", Help: "rating service; empty for none", set: base(&s.Reach.Rating)},
 		{Section: "reach", Key: "rating_timeout", Unit: "duration", Default: "2s", Help: "limit of a rating", set: duration(&s.Reach.RatingTimeout)},
 		{Section: "reach", Key: "dial_timeout", Unit: "duration", Default: "1s", Help: "limit of a connection to an endpoint", set: duration(&s.Reach.DialTimeout)},
 		{Section: "reach", Key: "silence", Unit: "duration", Default: "10s", Help: "how long an endpoint's answer may stay silent", set: duration(&s.Reach.Silence)},
@@ -117,49 +126,7 @@
 		{Section: "journal", Key: "kept_bytes", Unit: "bytes", Default: "33554432", Help: "most bytes of answers kept for resends", set: number(&s.Journal.KeptBytes)},
 		{Section: "journal", Key: "writes_per_second", Unit: "count per second", Default: "20", Help: "most platform writes of one partition by this VM", set: number(&s.Journal.WritesPerSecond)},
 		{Section: "journal", Key: "forward_timeout", Unit: "duration", Default: "1s", Help: "limit of an append at another entry VM", set: duration(&s.Journal.ForwardTimeout)},
-	}
-}
-
-func text(p *string) func(string) error {
-	return func(v string) error {
-		*p = v
-		return nil
-	}
-}
-
-func number(p *int) func(string) error {
-	return func(v string) error {
-		n, err := strconv.Atoi(v)
-		if err != nil || n < 1 {
-			return fmt.Errorf("%q is not a whole number above 0", v)
-		}
-		*p = n
-		return nil
-	}
-}
-
-func duration(p *time.Duration) func(string) error {
-	return func(v string) error {
-		d, err := time.ParseDuration(v)
-		if err != nil || d <= 0 {
-			return fmt.Errorf("%q is not a duration above 0 such as 500ms or 2s", v)
-		}
-		*p = d
-		return nil
-	}
-}
-
-// keyFile reads the key but keeps it out of errors.
-func keyFile(p *string) func(string) error {
-	return func(path string) error {
-		data, err := os.ReadFile(path)
-		if err != nil {
-			return err
-		}
-		*p = strings.TrimSpace(string(data))
-		if *p == "" {
-			return fmt.Errorf("file %s is empty", path)
-		}
-		return nil
+		{Section: "log", Key: "level", Unit: "info or debug", Default: LevelInfo, Help: "debug adds lines about each try that is repeated", set: oneOf(&s.Log.Level, LevelInfo, LevelDebug)},
+		{Section: "log", Key: "format", Unit: "json or text", Default: FormatJSON, Help: "format of a line on standard error", set: oneOf(&s.Log.Format, FormatJSON, FormatText)},
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,11 +2,10 @@
 package settings
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"os"
-	"strings"
+	"slices"
 
 	"gopkg.in/ini.v1"
 )
@@ -20,11 +19,11 @@
 	return Parse(path, data)
 }
 
-// Parse reads and checks settings that stand in data; name is the file's name for errors.
+// Parse reads and checks settings that stand in data; name is the file's name for errors. It returns all errors at once.
 func Parse(name string, data []byte) (Settings, error) {
 	s := Settings{}
-	table := options(&s)
-	for _, o := range table {
+	r := &reader{name: name, data: data, table: options(&s)}
+	for _, o := range r.table {
 		if o.Default == "" {
 			continue
 		}
@@ -32,50 +31,105 @@
 			return s, fmt.Errorf("default of %s.%s: %w", o.Section, o.Key, err)
 		}
 	}
-	file, err := ini.LoadSources(ini.LoadOptions{AllowBooleanKeys: false}, data)
+	file, err := ini.LoadSources(ini.LoadOptions{
+		AllowShadows: true, AllowDuplicateShadowValues: true, PreserveEmptyShadowValues: true,
+		IgnoreContinuation: true, SpaceBeforeInlineComment: true, KeyValueDelimiters: "=",
+	}, data)
 	if err != nil {
-		return s, fmt.Errorf("%s: %w", name, err)
+		return s, r.unreadable(err)
 	}
-	var errs []error
 	for _, section := range file.Sections() {
-		for _, key := range section.Keys() {
-			if err := assign(table, section.Name(), key.Name(), key.String()); err != nil {
-				line := findLine(data, section.Name(), key.Name())
-				errs = append(errs, fmt.Errorf("%s:%d: %s.%s: %w", name, line, section.Name(), key.Name(), err))
-			}
-		}
+		r.section(section)
 	}
-	for _, o := range table {
+	for _, o := range r.table {
 		if o.Required && !file.Section(o.Section).HasKey(o.Key) {
-			errs = append(errs, fmt.Errorf("%s: %s.%s is missing: %s", name, o.Section, o.Key, o.Help))
+			r.fail(0, "%s.%s is missing: %s", o.Section, o.Key, o.Help)
+		}
+	}
+	if len(r.errs) == 0 {
+		for _, rule := range rules(&s) {
+			r.apply(rule)
 		}
 	}
-	return s, errors.Join(errs...)
+	return s, errors.Join(r.errs...)
 }
 
-func assign(table []Option, section, key, value string) error {
-	for _, o := range table {
-		if o.Section == section && o.Key == key {
-			return o.set(value)
-		}
+// reader assigns keys to options and collects what is wrong.
+type reader struct {
+	name  string
+	data  []byte
+	table []Option
+	errs  []error
+}
+
+// fail adds an error at a line, counted from 1; 0 is for the file as a whole.
+func (r *reader) fail(line int, format string, args ...any) {
+	err := fmt.Errorf(format, args...)
+	if line > 0 {
+		r.errs = append(r.errs, fmt.Errorf("%s:%d: %w", r.name, line, err))
+		return
 	}
-	return errors.New("unknown key")
+	r.errs = append(r.errs, fmt.Errorf("%s: %w", r.name, err))
 }
 
-// findLine returns the line, from 1, on which the section sets the key, or 0.
-func findLine(data []byte, section, key string) int {
-	current := ini.DefaultSection
-	scanner := bufio.NewScanner(strings.NewReader(string(data)))
-	for n := 1; scanner.Scan(); n++ {
-		line := strings.TrimSpace(scanner.Text())
-		if strings.HasPrefix(line, "[") {
-			current = strings.Trim(line, "[]")
-			continue
+func (r *reader) section(section *ini.Section) {
+	name := section.Name()
+	known := slices.ContainsFunc(r.table, func(o Option) bool { return o.Section == name })
+	if name == ini.DefaultSection {
+		for _, key := range section.Keys() {
+			r.fail(first(findKey(r.data, name, key.Name())), "%s stands before any section", key.Name())
 		}
-		name, _, found := strings.Cut(line, "=")
-		if found && current == section && strings.TrimSpace(name) == key {
-			return n
+		return
+	}
+	if !known {
+		r.fail(findSection(r.data, name), "section [%s] is unknown; sections are %v", name, r.sections())
+		return
+	}
+	for _, key := range section.Keys() {
+		r.key(name, key)
+	}
+}
+
+func (r *reader) key(section string, key *ini.Key) {
+	lines := findKey(r.data, section, key.Name())
+	if n := len(key.ValueWithShadows()); n > 1 {
+		r.fail(first(lines[min(1, len(lines)):]), "%s.%s is set %d times, first at line %d", section, key.Name(), n, first(lines))
+		return
+	}
+	i := slices.IndexFunc(r.table, func(o Option) bool { return o.Section == section && o.Key == key.Name() })
+	if i < 0 {
+		r.fail(first(lines), "%s.%s: unknown key", section, key.Name())
+		return
+	}
+	o := r.table[i]
+	value := key.Value()
+	if value == "" && (o.Required || o.Default != "") {
+		r.fail(first(lines), "%s.%s is empty: %s", section, o.Key, o.Help)
+		return
+	}
+	if value == "" {
+		return
+	}
+	if err := o.set(value); err != nil {
+		r.fail(first(lines), "%s.%s: %w", section, o.Key, err)
+	}
+}
+
+// apply checks a rule between two keys and names the line of the one that the file sets.
+func (r *reader) apply(rule rule) {
+	if rule.holds {
+		return
+	}
+	lines := append(findKey(r.data, rule.section, rule.key), findKey(r.data, rule.otherSection, rule.otherKey)...)
+	r.fail(first(lines), "%s.%s has to be below %s.%s: %s", rule.section, rule.key, rule.otherSection, rule.otherKey, rule.reason)
+}
+
+func (r *reader) sections() []string {
+	var names []string
+	for _, o := range r.table {
+		if !slices.Contains(names, o.Section) {
+			names = append(names, o.Section)
 		}
 	}
-	return 0
+	return names
 }
