--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -13,6 +13,7 @@
 
 	"cornelmux/internal/cascade"
 	"cornelmux/internal/configuration"
+	"cornelmux/internal/datagram"
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/filter"
 	"cornelmux/internal/journal"
@@ -69,7 +70,7 @@
 		configurations: configuration.New(store, others, configuration.Options{
 			VM: cfg.VM.Name, Zone: cfg.VM.Zone, Freshness: cfg.Limits.Freshness,
 		}, log.WithName("configuration")),
-		peers: peer.New(peerOptions(cfg, incarnation), peer.NewSocket(cfg.Listen.Peers, log.WithName("peer")), store, nil, log.WithName("peer")),
+		peers: peer.New(peerOptions(cfg, incarnation), datagram.New(cfg.Listen.Peers, log.WithName("peer")), store, nil, log.WithName("peer")),
 		store: store,
 		close: func() {
 			client.Close()
--- a/internal/metric/builder.go
+++ b/internal/metric/builder.go
@@ -87,7 +87,7 @@
 }
 
 func (b *builder) observePeers(peers Peers) {
-	members := b.gauge("cornelmux.members", "{vm}", "Other entry VMs known, by health.")
+	members := b.gauge("cornelmux.members", "{vm}", "Entry VMs known, by health.")
 	datagrams := b.observed("cornelmux.datagrams", "{datagram}", "Datagrams between entry VMs, by what became of them.")
 	size := b.observed("cornelmux.datagrams.size", "By", "Bytes of the datagrams sent and taken in.")
 	b.callback(func(ctx context.Context, o metric.Observer) error {
