Keep client accounts within their limits by shares that are lent for a term

Cause: limits stood in the configuration and nothing kept them.

Ways weighed: a share by heard demand (two VMs with different views can both grow; holding off growth doesn't help when datagrams are lost); a counter in the platform (a write a second for each account and VM); an equal share alone (safe, but an account whose requests meet one VM gets a sixth). Chosen: an equal share of the limit, of which a VM lends up to half to VMs that lack some. The borrower counts the term of 10 s from the question that the loan answers, by its own clock, the lender a second longer from the answer, so that any loss, delay, doubling or reordering only leaves a part unused. After a start a VM uses half its share for a term and lends nothing, since it may have lent the rest before.

What is guaranteed: while at most fleet_vms VMs serve (new setting, 6), the shares of an account never sum to more than its limit, and at most limit * t + max(burst, VMs) requests run in t seconds, and one bucket more for each restart; after a limit was lowered, what was lent before may last up to 11 s. Cut off, a VM keeps its equal share and loses what it borrowed after 10 s. An account without requests has no state.

--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -16,6 +16,7 @@
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/filter"
 	"cornelmux/internal/journal"
+	"cornelmux/internal/limit"
 	"cornelmux/internal/platform"
 	"cornelmux/internal/session"
 	"cornelmux/internal/settings"
@@ -39,6 +40,7 @@
 	endpoints      *endpoint.Controller
 	sessions       *session.Controller
 	journal        *journal.Controller
+	limits         *limit.Controller
 	cascades       *cascade.Controller
 	chain          filter.Next
 	close          func()
@@ -61,6 +63,7 @@
 			store.HTTP.CloseIdleConnections()
 		},
 	}
+	v.limits = limit.New(v.configurations, cfg.VM.Name, cfg.Limits.FleetVMs, log.WithName("limit"))
 	v.journal = journal.New(store, journal.Options{
 		VM: cfg.VM.Name, Incarnation: uint64(time.Now().UnixNano()), ClaimFor: cfg.Limits.ClaimFor,
 	}, log.WithName("journal"))
@@ -70,6 +73,7 @@
 		v.drain,
 		filter.Identify{Configurations: v.configurations},
 		filter.Authorize{},
+		filter.Limit{Limits: v.limits},
 		filter.Deduplicate{Journal: v.journal, Cleanup: cleanupTimeout},
 		filter.Bill{Journal: v.journal},
 		filter.Cascade{Levels: v.cascades, Rater: rater, HeldBytes: heldBytes},
@@ -112,6 +116,7 @@
 		{"configuration", v.configurations.Run},
 		{"endpoints", v.endpoints.Run},
 		{"sessions", v.sessions.Run},
+		{"limits", v.limits.Run},
 		{"journal", v.journal.Run},
 		{"cascades", v.cascades.Run},
 		{"control", serve(controlListener, v.controlHandler())},
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -47,9 +47,21 @@
 	RatedBad uint64
 }
 
-// AccountDemand is the rate of requests of a client account at the sender.
+// AccountDemand asks for a part of the receivers' shares of a client account's limit, or lends one.
 type AccountDemand struct {
-	Account           string
+	Account string
+	// RequestsPerSecond is the rate that the sender lacks.
+	RequestsPerSecond float64
+	// Stamp names the question; a loan repeats it.
+	Stamp uint64
+	// Loan answers a question; its VM is empty where there is none.
+	Loan LimitLoan
+}
+
+// LimitLoan lends a VM a part of the sender's share, counted from the question that Stamp names.
+type LimitLoan struct {
+	VM                string
+	Stamp             uint64
 	RequestsPerSecond float64
 }
 
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -58,6 +58,7 @@
 	ClaimFor       time.Duration
 	MaxAttempts    int
 	MaxResumes     int
+	FleetVMs       int
 }
 
 // Option describes one key of the INI file.
@@ -99,6 +100,7 @@
 		{Section: "limits", Key: "claim_for", Unit: "duration", Default: "20s", Help: "how long a recorded request may still be sent", set: duration(&s.Limits.ClaimFor)},
 		{Section: "limits", Key: "max_attempts", Unit: "count", Default: "3", Help: "most endpoints tried for one run", set: number(&s.Limits.MaxAttempts)},
 		{Section: "limits", Key: "max_resumes", Unit: "count", Default: "2", Help: "most times a broken stream is resumed", set: number(&s.Limits.MaxResumes)},
+		{Section: "limits", Key: "fleet_vms", Unit: "count", Default: "6", Help: "most entry VMs that serve at a time and so share client accounts' limits", set: number(&s.Limits.FleetVMs)},
 	}
 }
 
