--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -46,7 +46,9 @@
 	ID       string
 	Assigned bool
 	Session  string
-	Kind     Kind
+	// Transient says that the entry VM made the session for this request alone.
+	Transient bool
+	Kind      Kind
 	// Model names a model or a cascade.
 	Model       string
 	Service     string
@@ -105,6 +107,8 @@
 	Attempt Attempt
 	// Sent says that a byte of the request may have reached an endpoint.
 	Sent bool
+	// Sends counts how often a first byte went to an endpoint.
+	Sends int
 	// Relayed says that a piece of the answer was passed to Sink.
 	Relayed bool
 	// Held says that Sink keeps the answer back, so that a run that failed may be done again from its first piece.
@@ -115,7 +119,7 @@
 
 // Key returns the journal's key of the request.
 func (x *Exchange) Key() journal.Key {
-	return journal.Key{Account: x.Account.Name, Request: x.Request.ID}
+	return journal.Key{Region: x.Account.HomeRegion, Account: x.Account.Name, Request: x.Request.ID}
 }
 
 // Configurations gives the newest configuration.
