--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -17,6 +17,7 @@
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/filter"
 	"cornelmux/internal/journal"
+	"cornelmux/internal/limit"
 	"cornelmux/internal/metric"
 	"cornelmux/internal/peer"
 	"cornelmux/internal/platform"
@@ -45,6 +46,7 @@
 	sessions       *session.Controller
 	rollouts       *rollout.Controller
 	journal        *journal.Controller
+	limits         *limit.Controller
 	peers          *peer.Controller
 	metrics        *metric.Metrics
 	cascades       *cascade.Controller
@@ -78,13 +80,14 @@
 			store.HTTP.CloseIdleConnections()
 		},
 	}
+	v.limits = limit.New(v.configurations, cfg.VM.Name, cfg.Limits.FleetVMs, log.WithName("limit"))
 	v.sessions = session.New(v.configurations.Subscribe(), others, session.Options{
 		VM: cfg.VM.Name, Incarnation: incarnation, Region: cfg.VM.Region, Freshness: cfg.Limits.Freshness,
 		Idle: cfg.Limits.SessionIdle, Settle: cfg.Limits.StepSettle, MaxSessions: cfg.Limits.MaxSessions,
 	}, log.WithName("session"))
 	v.rollouts = rollout.New(v.configurations.Subscribe(), v.configurations, v.sessions, cfg.VM.Name, log.WithName("rollout"))
 	v.endpoints = endpoint.New(store, client, v.peers, nil, endpoint.Options{VM: cfg.VM.Name, At: at}, log.WithName("endpoint"))
-	v.peers.Attach(v.configurations, v.sessions, v.rollouts, v.endpoints)
+	v.peers.Attach(v.configurations, v.sessions, v.rollouts, v.endpoints, v.limits)
 	v.journal = journal.New(store, v.peers, others, journalOptions(cfg, incarnation), log.WithName("journal"))
 	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
 	v.cascades = newCascades(rater, v.rollouts, cfg, log)
@@ -94,6 +97,7 @@
 		v.drain,
 		filter.Identify{Configurations: v.configurations},
 		filter.Authorize{},
+		filter.Limit{Limits: v.limits},
 		filter.Deduplicate{Journal: v.journal, Cleanup: cleanupTimeout},
 		filter.Bill{Journal: v.journal, Log: log.WithName("bill")},
 		filter.Cascade{Levels: v.cascades, Rater: rater, HeldBytes: heldBytes},
@@ -143,6 +147,7 @@
 		{"configuration", v.configurations.Run},
 		{"endpoints", v.endpoints.Run},
 		{"sessions", v.sessions.Run},
+		{"limits", v.limits.Run},
 		{"roll-outs", v.rollouts.Run},
 		{"journal", v.journal.Run},
 		{"peers", v.peers.Run},
