--- a/fleet/failure_test.go
+++ b/fleet/failure_test.go
@@ -281,3 +281,13 @@
 		})
 	}
 }
+
+func TestChatIsServedDuringAPlatformOutage(t *testing.T) {
+	s := newSite(t)
+	s.faults(standin.PlatformFaults{Down: true})
+	for _, v := range s.vms {
+		got, err := s.send(v, chat("c-"+v.name, "s", "composer", "hello"))
+		s.c.Assert(err, qt.IsNil)
+		s.c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", got.body))
+	}
+}
--- a/internal/entry/peerconfig.go
+++ b/internal/entry/peerconfig.go
@@ -18,6 +18,7 @@
 	notServed
 	peerConfiguration
 	peerSessions
+	peerJournal
 }
 
 // notServed answers what no area serves.
@@ -30,6 +31,7 @@
 	path, handler := wireconnect.NewPeerServiceHandler(&peerService{
 		peerConfiguration: peerConfiguration{v.configurations},
 		peerSessions:      peerSessions{v.sessions},
+		peerJournal:       peerJournal{v.journal},
 	})
 	return path, requireKey(v.cfg.Keys.Fleet, handler)
 }
@@ -94,7 +96,7 @@
 }
 
 func newPeerClient(key string, timeout time.Duration) *peerClient {
-	return &peerClient{http: &http.Client{Transport: fleetTransport{key, &http.Transport{MaxIdleConnsPerHost: 2}}}, timeout: timeout}
+	return &peerClient{http: &http.Client{Transport: fleetTransport{key, &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout}}}, timeout: timeout}
 }
 
 // fleetTransport adds the fleet key to each call.
@@ -113,9 +115,13 @@
 // CloseIdleConnections lets http.Client close the connections of the transport.
 func (t fleetTransport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
+func (p *peerClient) client(address string) wireconnect.PeerServiceClient {
+	return wireconnect.NewPeerServiceClient(p.http, "http://"+address)
+}
+
 func (p *peerClient) dial(ctx context.Context, address string) (wireconnect.PeerServiceClient, context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
-	return wireconnect.NewPeerServiceClient(p.http, "http://"+address), ctx, cancel
+	return p.client(address), ctx, cancel
 }
 
 // Head implements configuration.Peers.
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -13,9 +13,13 @@
 
 	"cornelmux/internal/cascade"
 	"cornelmux/internal/configuration"
+	"cornelmux/internal/datagram"
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/filter"
 	"cornelmux/internal/journal"
+	"cornelmux/internal/limit"
+	"cornelmux/internal/metric"
+	"cornelmux/internal/peer"
 	"cornelmux/internal/platform"
 	"cornelmux/internal/rollout"
 	"cornelmux/internal/session"
@@ -27,6 +31,7 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 60 * time.Second
 	cleanupTimeout = 5 * time.Second
+	healthPath     = "/healthz"
 	// heldBytes bounds an answer that a cascade holds back until it is rated.
 	heldBytes = 4 << 20
 )
@@ -41,48 +46,60 @@
 	sessions       *session.Controller
 	rollouts       *rollout.Controller
 	journal        *journal.Controller
+	limits         *limit.Controller
+	peers          *peer.Controller
+	metrics        *metric.Metrics
 	cascades       *cascade.Controller
+	store          journal.Store
 	chain          filter.Next
 	close          func()
 }
 
 // New wires a VM; Run starts it.
 func New(cfg settings.Settings, log logr.Logger) *VM {
-	store := platform.New(cfg.Reach.Platform, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, cfg.Reach.PlatformTimeout)
+	metrics := metric.New(log.WithName("metric"))
+	transport := metric.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 16}, Metrics: metrics}
+	store := platform.New(cfg.Reach.Platform, &http.Client{Transport: transport}, cfg.Reach.PlatformTimeout)
 	client := endpoint.NewClient(cfg.Reach.DialTimeout, cfg.Reach.Silence)
-	peers := newPeerClient(cfg.Keys.Fleet, cfg.Reach.PlatformTimeout)
+	others := newPeerClient(cfg.Keys.Fleet, cfg.Reach.PlatformTimeout)
 	incarnation := uint64(time.Now().UnixNano())
 	at := endpoint.Location{Region: cfg.VM.Region, Zone: cfg.VM.Zone}
 	v := &VM{
-		cfg:   cfg,
-		log:   log,
-		drain: newDrain(),
-		configurations: configuration.New(store, peers, configuration.Options{
+		cfg:     cfg,
+		log:     log,
+		metrics: metrics,
+		drain:   newDrain(),
+		configurations: configuration.New(store, others, configuration.Options{
 			VM: cfg.VM.Name, Zone: cfg.VM.Zone, Freshness: cfg.Limits.Freshness,
 		}, log.WithName("configuration")),
-		endpoints: endpoint.New(store, client, at, log.WithName("endpoint")),
+		peers: peer.New(peerOptions(cfg, incarnation), datagram.New(cfg.Listen.Peers, log.WithName("peer")), store, nil, log.WithName("peer")),
+		store: store,
 		close: func() {
 			client.Close()
+			others.http.CloseIdleConnections()
 			store.HTTP.CloseIdleConnections()
-			peers.http.CloseIdleConnections()
 		},
 	}
-	v.sessions = session.New(v.configurations.Subscribe(), peers, session.Options{
+	v.limits = limit.New(v.configurations, cfg.VM.Name, cfg.Limits.FleetVMs, log.WithName("limit"))
+	v.sessions = session.New(v.configurations.Subscribe(), others, session.Options{
 		VM: cfg.VM.Name, Incarnation: incarnation, Region: cfg.VM.Region, Freshness: cfg.Limits.Freshness,
 		Idle: cfg.Limits.SessionIdle, Settle: cfg.Limits.StepSettle, MaxSessions: cfg.Limits.MaxSessions,
 	}, log.WithName("session"))
 	v.rollouts = rollout.New(v.configurations.Subscribe(), v.configurations, v.sessions, cfg.VM.Name, log.WithName("rollout"))
-	v.journal = journal.New(store, journal.Options{
-		VM: cfg.VM.Name, Incarnation: incarnation, ClaimFor: cfg.Limits.ClaimFor,
-	}, log.WithName("journal"))
+	v.endpoints = endpoint.New(store, client, v.peers, nil, endpoint.Options{VM: cfg.VM.Name, At: at}, log.WithName("endpoint"))
+	v.peers.Attach(v.configurations, v.sessions, v.rollouts, v.endpoints, v.limits)
+	v.journal = journal.New(store, v.peers, others, journalOptions(cfg, incarnation), log.WithName("journal"))
 	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
 	v.cascades = newCascades(rater, v.rollouts, cfg, log)
+	metrics.Watch(v.configurations, v.peers, log.WithName("metric"))
 	v.chain = filter.Chain(
+		filter.Observe{Meter: metrics},
 		v.drain,
 		filter.Identify{Configurations: v.configurations},
 		filter.Authorize{},
+		filter.Limit{Limits: v.limits},
 		filter.Deduplicate{Journal: v.journal, Cleanup: cleanupTimeout},
-		filter.Bill{Journal: v.journal},
+		filter.Bill{Journal: v.journal, Log: log.WithName("bill")},
 		filter.Cascade{Levels: v.cascades, Rater: rater, HeldBytes: heldBytes},
 		filter.Choose{Sessions: v.sessions, Evidence: v.rollouts},
 		filter.Place{Endpoints: v.endpoints, MaxAttempts: cfg.Limits.MaxAttempts},
@@ -91,6 +108,13 @@
 	return v
 }
 
+func peerOptions(cfg settings.Settings, incarnation uint64) peer.Options {
+	return peer.Options{
+		VM: cfg.VM.Name, Incarnation: incarnation, Region: cfg.VM.Region, Zone: cfg.VM.Zone,
+		ControlAddress: cfg.Listen.Control, PeerAddress: cfg.Listen.Peers, Key: []byte(cfg.Keys.Fleet),
+	}
+}
+
 // newCascades makes the controller of cascades; without a rating service no answer is rated.
 func newCascades(rater cascade.Rater, evidence cascade.Evidence, cfg settings.Settings, log logr.Logger) *cascade.Controller {
 	if cfg.Reach.Rating == "" {
@@ -123,8 +147,10 @@
 		{"configuration", v.configurations.Run},
 		{"endpoints", v.endpoints.Run},
 		{"sessions", v.sessions.Run},
+		{"limits", v.limits.Run},
 		{"roll-outs", v.rollouts.Run},
 		{"journal", v.journal.Run},
+		{"peers", v.peers.Run},
 		{"cascades", v.cascades.Run},
 		{"control", serve(controlListener, v.controlHandler())},
 		{"callers", serve(callersListener, v.callersHandler())},
@@ -146,6 +172,9 @@
 // stop refuses new requests and waits for those in flight, at most for the stop timeout.
 func (v *VM) stop(ctx context.Context) {
 	v.log.Info("leaving")
+	if err := v.peers.Leave(ctx); err != nil {
+		v.log.Info("leaving not announced to peers", "error", err.Error())
+	}
 	idle := v.drain.leave(ctx)
 	grace := time.NewTimer(v.cfg.Limits.LeaveGrace)
 	defer grace.Stop()
@@ -162,12 +191,17 @@
 }
 
 func (v *VM) callersHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", health(v.drain, v.configurations))
-	mux.Handle("/", &callers{
+	ready := health(v.drain, v.configurations)
+	front := &callers{
 		chain: v.chain, bodyBytes: v.cfg.Limits.BodyBytes, timeout: v.cfg.Limits.RequestTimeout, log: v.log.WithName("callers"),
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == healthPath {
+			ready(w, r)
+			return
+		}
+		front.ServeHTTP(w, r)
 	})
-	return mux
 }
 
 // serve returns a task that serves HTTP on the listener until its context ends, then lets requests in flight end.
--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -76,6 +76,9 @@
 	Version     string
 }
 
+// Failed reports whether the endpoint answered with an error of its own.
+func (h Head) Failed() bool { return h.Status >= 400 }
+
 // Sink receives one answer: a head, then pieces in order, the last one marked.
 type Sink interface {
 	Begin(ctx context.Context, h Head) error
@@ -107,6 +110,8 @@
 	Attempt Attempt
 	// Sent says that a byte of the request may have reached an endpoint.
 	Sent bool
+	// Sends counts how often a first byte went to an endpoint.
+	Sends int
 	// Relayed says that a piece of the answer was passed to Sink.
 	Relayed bool
 	// Held says that Sink keeps the answer back, so that a run that failed may be done again from its first piece.
@@ -117,7 +122,7 @@
 
 // Key returns the journal's key of the request.
 func (x *Exchange) Key() journal.Key {
-	return journal.Key{Account: x.Account.Name, Request: x.Request.ID}
+	return journal.Key{Region: x.Account.HomeRegion, Account: x.Account.Name, Request: x.Request.ID}
 }
 
 // Configurations gives the newest configuration.
--- a/internal/filter/send.go
+++ b/internal/filter/send.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/url"
 	"time"
 
 	"cornelmux/internal/endpoint"
@@ -34,7 +35,9 @@
 func (f Send) Handle(ctx context.Context, x *Exchange, _ Next) error {
 	run, cancel := runContext(ctx, x)
 	defer cancel()
-	sentBefore := x.Sent
+	sentBefore, runsBefore := x.Sent, len(x.Runs)
+	x.Sent = false
+	defer func() { x.Sent = x.Sent || sentBefore }()
 	call := newCall(x)
 	gate := f.gate(ctx, x)
 	asm := endpoint.NewAssembler(call.RunID)
@@ -45,7 +48,10 @@
 		}
 		if !f.mayResume(run, x, err, resumes) {
 			err = failure(run, x, asm, err)
-			x.Sent = x.Sent && (sentBefore || !neverRan(err))
+			x.Sent = x.Sent && !neverRan(err)
+			if x.Sent && len(x.Runs) == runsBefore {
+				x.Runs = append(x.Runs, newRun(x, 0, true))
+			}
 			return err
 		}
 		task.Sleep(run, time.Duration(resumes)*resumePause)
@@ -81,10 +87,7 @@
 }
 
 func newCall(x *Exchange) endpoint.Call {
-	path := x.Request.Path
-	if x.Request.Query != "" {
-		path += "?" + x.Request.Query
-	}
+	path := (&url.URL{Path: x.Request.Path, RawQuery: x.Request.Query}).RequestURI()
 	return endpoint.Call{
 		RunID:      fmt.Sprintf("%s/%s/%d", x.Account.Name, x.Request.ID, x.Attempt.Level),
 		Chat:       x.Request.Kind == KindChat,
@@ -116,6 +119,7 @@
 			return result.Errorf(result.DeadlinePassed, "the journal's claim expired before the send")
 		}
 		x.Sent = true
+		x.Sends++
 		return nil
 	}
 }
@@ -156,14 +160,19 @@
 		x.Relayed = true
 	}
 	if p.Last {
-		x.Runs = append(x.Runs, journal.Run{
-			Model: x.Attempt.Model, Version: x.Attempt.Version, Service: x.Request.Service,
-			Level: x.Attempt.Level, Tokens: p.Tokens, Endpoint: x.Attempt.Endpoint.ID,
-		})
+		x.Runs = append(x.Runs, newRun(x, p.Tokens, false))
 	}
 	return p.Last, x.Sink.Piece(ctx, p)
 }
 
+// newRun describes the attempt; a lost one is at the operator's cost.
+func newRun(x *Exchange, tokens int, lost bool) journal.Run {
+	return journal.Run{
+		Model: x.Attempt.Model, Version: x.Attempt.Version, Service: x.Request.Service,
+		Level: x.Attempt.Level, Tokens: tokens, Endpoint: x.Attempt.Endpoint.ID, OperatorCost: lost,
+	}
+}
+
 // failure gives the end of a run its result code, and its truth about what ran.
 func failure(ctx context.Context, x *Exchange, asm *endpoint.Assembler, err error) error {
 	var refused *endpoint.RefusedError
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -10,8 +10,10 @@
 type State struct {
 	VM          string
 	Incarnation uint64
-	Region      string
-	Zone        string
+	// Sequence grows with each datagram of an incarnation.
+	Sequence uint64
+	Region   string
+	Zone     string
 	// ControlAddress is where the VM answers other entry VMs over connect, as host:port.
 	ControlAddress string
 	PeerAddress    string
@@ -49,9 +51,21 @@
 	RatedBad  uint64
 }
 
-// AccountDemand is the rate of requests of a client account at the sender.
+// AccountDemand asks for a part of the receivers' shares of a client account's limit, or lends one.
 type AccountDemand struct {
-	Account           string
+	Account string
+	// RequestsPerSecond is the rate that the sender lacks.
+	RequestsPerSecond float64
+	// Stamp names the question; a loan repeats it.
+	Stamp uint64
+	// Loan answers a question; its VM is empty where there is none.
+	Loan LimitLoan
+}
+
+// LimitLoan lends a VM a part of the sender's share, counted from the question that Stamp names.
+type LimitLoan struct {
+	VM                string
+	Stamp             uint64
 	RequestsPerSecond float64
 }
 
@@ -77,7 +91,29 @@
 	StartedAt int64
 }
 
-// Member is a VM that was heard of.
+// Health is what silence says of a member.
+type Health int
+
+// The values of Health.
+const (
+	Alive Health = iota + 1
+	Suspect
+	Dead
+)
+
+// String implements fmt.Stringer.
+func (h Health) String() string {
+	switch h {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	default:
+		return "dead"
+	}
+}
+
+// Member is a VM of the fleet.
 type Member struct {
 	VM             string
 	Incarnation    uint64
@@ -87,11 +123,17 @@
 	PeerAddress    string
 	Revision       uint64
 	Leaving        bool
-	HeardAt        time.Time
+	// HeardAt is when news of the VM last came; zero for the VM itself and for one that is only listed.
+	HeardAt time.Time
+	Health  Health
 }
 
+// Silent reports whether the member has not been heard of for too long.
+func (m Member) Silent() bool { return m.Health == Suspect || m.Health == Dead }
+
 // Section is a controller's part of the state. The peers controller calls it before each send and after each receipt;
-// neither call may wait for the network.
+// neither call may wait for the network. What doesn't fit into one datagram goes into a later one, so a list that is
+// absent or short is no news about the rest. A state may also come by way of another VM, without loads and sessions.
 type Section interface {
 	// Collect adds the controller's own part to s.
 	Collect(ctx context.Context, s *State) error
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -195,7 +195,7 @@
 	pick := func(name string, n int) int { return rapid.IntRange(0, n-1).Draw(t, name) }
 	request := func(t *rapid.T) { f.request(t, pick("vm", vms), fmt.Sprint("s", pick("session", 12))) }
 	t.Repeat(map[string]func(*rapid.T){
-		"": func(*rapid.T) { f.heartbeat() },
+		"":             func(*rapid.T) { f.heartbeat() },
 		"request":      request,
 		"request more": request,
 		"request last": request,
@@ -203,8 +203,8 @@
 		"step": func(*rapid.T) {
 			f.rollOut(catalog.RollOutRunning, []float64{0.1, 0.5, 1}[pick("share", 3)], pick("new run", 2) == 0)
 		},
-		"halt":    func(*rapid.T) { f.rollOut(catalog.RollOutHalted, 0.5, false) },
-		"done":    func(*rapid.T) { f.rollOut(catalog.RollOutDone, 1, false) },
+		"halt": func(*rapid.T) { f.rollOut(catalog.RollOutHalted, 0.5, false) },
+		"done": func(*rapid.T) { f.rollOut(catalog.RollOutDone, 1, false) },
 		"restart": func(*rapid.T) {
 			time.Sleep(2 * settle) // a VM that starts within the settle time can't know the rule before
 			f.restart(pick("vm", vms))
