Add the roll-out and audit commands, the fleet's status, and proofs of steps, halts and evidence

Cause: operators had no way to start, halt or resume a roll-out, nor to see which zones confirmed a withdrawal; the roll-outs controller had no test.

Change: `cornelmux rollout start|step|halt|resume|status`, `cornelmux audit`, zones and members in `cornelmux status`, and `withdraw` waits up to 17 s and names the zones that have not confirmed.

--- a/cmd/cornelmux/main.go
+++ b/cmd/cornelmux/main.go
@@ -22,6 +22,8 @@
 
 	Withdraw  withdrawCommand  `command:"withdraw" description:"take a version out of service"`
 	Reinstate reinstateCommand `command:"reinstate" description:"bring a withdrawn version back"`
+	RollOut   rollOutCommands  `command:"rollout" description:"start, step, halt, resume or show a roll-out"`
+	Audit     auditCommand     `command:"audit" description:"print the trail of accepted changes"`
 }
 
 func main() {
--- a/cmd/cornelmux/operate.go
+++ b/cmd/cornelmux/operate.go
@@ -62,6 +62,8 @@
 type change struct {
 	Author   string `long:"author" env:"USER" default:"operator" description:"who makes the change"`
 	ChangeID string `long:"change-id" description:"ID of the change; a repeated ID is accepted once"`
+	// accepted is the revision that holds the change.
+	accepted uint64
 }
 
 func (c *change) submit(ctx context.Context, t *target, base uint64, ch catalog.Change) error {
@@ -80,6 +82,7 @@
 	if err != nil {
 		return fmt.Errorf("change %s: %w", c.ChangeID, explain(err))
 	}
+	c.accepted = r.Revision
 	fmt.Printf("change %s accepted at revision %d\n", c.ChangeID, r.Revision)
 	return nil
 }
@@ -185,7 +188,8 @@
 	target
 	change
 	versionArgs
-	Reason string `long:"reason" description:"reason for the audit trail"`
+	Reason string        `long:"reason" description:"reason for the audit trail"`
+	Wait   time.Duration `long:"wait" default:"17s" description:"how long to wait until every availability zone has confirmed"`
 }
 
 // Execute implements flags.Commander.
@@ -196,7 +200,11 @@
 		return err
 	}
 	w := catalog.Withdrawal{Model: c.Model, Version: c.Version, Reason: c.Reason}
-	return c.submit(ctx, &c.target, revision, catalog.Change{Set: catalog.Configuration{Withdrawals: []catalog.Withdrawal{w}}})
+	err = c.submit(ctx, &c.target, revision, catalog.Change{Set: catalog.Configuration{Withdrawals: []catalog.Withdrawal{w}}})
+	if err != nil {
+		return err
+	}
+	return c.target.confirm(ctx, c.accepted, c.Wait)
 }
 
 type reinstateCommand struct {
--- a/internal/configuration/race_test.go
+++ b/internal/configuration/race_test.go
@@ -188,6 +188,8 @@
 		{Set: catalog.Configuration{Models: []catalog.Model{model}}},
 		{Set: catalog.Configuration{Withdrawals: []catalog.Withdrawal{{Model: "m", Version: "v2"}}}},
 		{Reinstate: []string{"m/v2"}},
+		rolloutChange(catalog.RollOutRunning, int64(rapid.IntRange(1, 2).Draw(t, "run"))),
+		rolloutChange(catalog.RollOutHalted, int64(rapid.IntRange(1, 2).Draw(t, "run"))),
 	}
 	return Submission{
 		ChangeID: fmt.Sprintf("c%d", n), Author: "test", BaseRevision: uint64(rapid.IntRange(0, 3).Draw(t, "base")),
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -14,6 +14,7 @@
 
 	"cornelmux/internal/configuration"
 	"cornelmux/internal/journal"
+	"cornelmux/internal/rollout"
 	"cornelmux/internal/wire"
 	"cornelmux/internal/wire/wireconnect"
 	"cornelmux/pkg/catalog"
@@ -35,6 +36,11 @@
 	Leaving  bool             `json:"leaving"`
 	InFlight int              `json:"in_flight"`
 	Reached  []EndpointStatus `json:"endpoints"`
+	// ProvenAgeMS is the age of the proof that the revision is the newest; it is renewed while a roll-out is running.
+	ProvenAgeMS int64            `json:"proven_age_ms,omitempty"`
+	Members     []MemberStatus   `json:"members"`
+	Zones       []ZoneStatus     `json:"zones"`
+	RollOuts    []rollout.Status `json:"roll_outs,omitempty"`
 }
 
 // EndpointStatus is what a VM knows of an endpoint.
@@ -122,6 +128,9 @@
 			Leaving: e.Leaving, Suspect: e.Suspect, Queued: e.Queued, Running: e.Running,
 		})
 	}
+	if err := c.addFleet(ctx, &status, list, s.ProvenAt); err != nil {
+		return nil, connectError(err)
+	}
 	data, err := json.Marshal(status)
 	if err != nil {
 		return nil, connectError(err)
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -92,7 +92,7 @@
 
 // Next returns the roll-out after its next step, if that is due.
 func Next(r catalog.RollOut, now time.Time) (catalog.RollOut, bool) {
-	if r.State != catalog.RollOutRunning || r.StepSeconds == 0 || now.Unix() < r.StepAt+int64(r.StepSeconds) {
+	if r.StepSeconds == 0 || now.Unix() < r.StepAt+int64(r.StepSeconds) {
 		return r, false
 	}
 	return Step(r, now)
