Compare the router with the plain proxy per system and per request

Event streams read through 2 KB; 1,024 idle connections to an endpoint are kept; the response controller is made once for each answer.

--- a/internal/endpoint/http.go
+++ b/internal/endpoint/http.go
@@ -24,6 +24,8 @@
 	headerRetryAfter  = "Retry-After"
 	eventStream       = "text/event-stream"
 	maxReportBytes    = 64 << 10
+	// maxIdleConns bounds the idle connections to one endpoint; fewer than run at once means dialling again and again.
+	maxIdleConns = 1024
 )
 
 // Client speaks HTTP to endpoints.
@@ -39,7 +41,7 @@
 	c := &Client{dialer: net.Dialer{Timeout: dialTimeout}, silence: silence}
 	c.pooled = &http.Client{
 		CheckRedirect: noRedirect,
-		Transport:     &http.Transport{DialContext: c.dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second},
+		Transport:     &http.Transport{DialContext: c.dial, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: 30 * time.Second},
 	}
 	return c
 }
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -16,7 +16,9 @@
 const (
 	maxEventBytes     = 1 << 20
 	serviceChunkBytes = 32 << 10
-	maxDrainBytes     = 4 << 10
+	// eventBufferBytes holds most events; a longer line is put together from several reads.
+	eventBufferBytes = 2 << 10
+	maxDrainBytes    = 4 << 10
 	// drainTimeout bounds the wait for the end of an answer whose last piece has come.
 	drainTimeout = 20 * time.Millisecond
 )
@@ -34,7 +36,11 @@
 }
 
 func newStream(resp *http.Response, call Call, cancel context.CancelFunc) *httpStream {
-	return &httpStream{resp: resp, call: call, cancel: cancel, reader: bufio.NewReaderSize(resp.Body, serviceChunkBytes)}
+	size := serviceChunkBytes
+	if call.Chat {
+		size = eventBufferBytes
+	}
+	return &httpStream{resp: resp, call: call, cancel: cancel, reader: bufio.NewReaderSize(resp.Body, size)}
 }
 
 // check settles what the head of the answer means.
--- a/internal/entry/encode.go
+++ b/internal/entry/encode.go
@@ -19,12 +19,14 @@
 	chat    bool
 	joiner  *joiner
 	// buf is reused for each event.
-	buf []byte
+	buf   []byte
+	flush *http.ResponseController
 }
 
 // Begin implements filter.Sink.
 func (s *sink) Begin(_ context.Context, h filter.Head) error {
 	s.head = h
+	s.flush = http.NewResponseController(s.w)
 	s.chat = h.Version != "" && h.Status == http.StatusOK
 	header := s.w.Header()
 	header.Set(headerRequestID, h.RequestID)
@@ -61,7 +63,7 @@
 	if _, err := s.w.Write(p.Data); err != nil || p.Last {
 		return err
 	}
-	return http.NewResponseController(s.w).Flush()
+	return s.flush.Flush()
 }
 
 // event passes on one event. The usage that the router asked the engine for goes only to callers that asked for it too.
@@ -78,7 +80,7 @@
 	if _, err := s.w.Write(s.buf); err != nil {
 		return err
 	}
-	return http.NewResponseController(s.w).Flush()
+	return s.flush.Flush()
 }
 
 func onlyUsage(data []byte) bool {
@@ -118,7 +120,7 @@
 		data, err := json.Marshal(newFailure(e))
 		if err == nil {
 			_, _ = s.w.Write([]byte("data: " + string(data) + "\n\n")) // the caller is gone if this fails
-			_ = http.NewResponseController(s.w).Flush()
+			_ = s.flush.Flush()
 			return
 		}
 	}
--- a/measure/proxy.go
+++ b/measure/proxy.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 )
@@ -15,13 +16,18 @@
 
 // ServeHTTP implements http.Handler.
 func (p *proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	out, err := http.NewRequestWithContext(r.Context(), r.Method, p.target+r.URL.RequestURI(), r.Body)
+	// The body is read first, since net/http may end it once the answer has begun.
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	out, err := http.NewRequestWithContext(r.Context(), r.Method, p.target+r.URL.RequestURI(), bytes.NewReader(body))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	out.Header = r.Header.Clone()
-	out.ContentLength = r.ContentLength
 	resp, err := p.client.Do(out)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadGateway)
--- a/measure/site.go
+++ b/measure/site.go
@@ -110,9 +110,9 @@
 	})
 }
 
-// vm runs an entry VM with the configuration in force.
-func (s *site) vm(cfg catalog.Configuration) error {
-	parsed, err := s.settings()
+// vm runs an entry VM with the configuration in force; more is added to its settings.
+func (s *site) vm(more string, cfg catalog.Configuration) error {
+	parsed, err := s.settings(more)
 	if err != nil {
 		return err
 	}
@@ -157,7 +157,7 @@
 	}
 }
 
-func (s *site) settings() (settings.Settings, error) {
+func (s *site) settings(more string) (settings.Settings, error) {
 	key := filepath.Join(s.dir, "key")
 	if err := os.WriteFile(key, []byte(siteKey), 0o600); err != nil {
 		return settings.Settings{}, err
@@ -174,7 +174,7 @@
 	text := fmt.Sprintf("[vm]\nname=vm-1\nregion=region-1\nzone=zone-1\n[listen]\ncallers=%s\ncontrol=%s\npeers=%s\n"+
 		"[keys]\noperator_key_file=%s\nfleet_key_file=%s\n[reach]\nplatform=%s\n[limits]\nleave_grace=1ms\n",
 		free[0], free[1], free[2], key, key, s.platform)
-	return settings.Parse("measure.ini", []byte(text))
+	return settings.Parse("measure.ini", []byte(text+more))
 }
 
 func withKey(key string) connect.UnaryInterceptorFunc {
