--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -107,7 +107,7 @@
 		r.ID, r.Assigned = newID(), true
 	}
 	if r.Session == "" {
-		r.Session = newID()
+		r.Session, r.Transient = newID(), true
 	}
 	d.id, d.session = r.ID, r.Session
 	return rest, nil
--- a/internal/entry/decode_test.go
+++ b/internal/entry/decode_test.go
@@ -79,8 +79,9 @@
 				return
 			}
 			c.Assert(err, qt.IsNil)
-			if row.want.Session == "" {
-				got.Session = ""
+			c.Assert(got.Transient, qt.Equals, row.want.Session == "")
+			if got.Transient {
+				got.Session, got.Transient = "", false
 			}
 			got.Method, got.Body = "", nil
 			c.Assert(got, qt.DeepEquals, row.want)
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -13,10 +13,15 @@
 
 	"cornelmux/internal/cascade"
 	"cornelmux/internal/configuration"
+	"cornelmux/internal/datagram"
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/filter"
 	"cornelmux/internal/journal"
+	"cornelmux/internal/limit"
+	"cornelmux/internal/metric"
+	"cornelmux/internal/peer"
 	"cornelmux/internal/platform"
+	"cornelmux/internal/rollout"
 	"cornelmux/internal/session"
 	"cornelmux/internal/settings"
 	"cornelmux/internal/task"
@@ -39,7 +44,11 @@
 	configurations *configuration.Controller
 	endpoints      *endpoint.Controller
 	sessions       *session.Controller
+	rollouts       *rollout.Controller
 	journal        *journal.Controller
+	limits         *limit.Controller
+	peers          *peer.Controller
+	metrics        *metric.Metrics
 	cascades       *cascade.Controller
 	store          journal.Store
 	chain          filter.Next
@@ -48,47 +57,70 @@
 
 // New wires a VM; Run starts it.
 func New(cfg settings.Settings, log logr.Logger) *VM {
-	store := platform.New(cfg.Reach.Platform, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, cfg.Reach.PlatformTimeout)
+	metrics := metric.New(log.WithName("metric"))
+	transport := metric.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 16}, Metrics: metrics}
+	store := platform.New(cfg.Reach.Platform, &http.Client{Transport: transport}, cfg.Reach.PlatformTimeout)
 	client := endpoint.NewClient(cfg.Reach.DialTimeout, cfg.Reach.Silence)
-	others := newPeers(cfg.Keys.Fleet)
+	others := newPeerClient(cfg.Keys.Fleet, cfg.Reach.PlatformTimeout)
+	incarnation := uint64(time.Now().UnixNano())
 	at := endpoint.Location{Region: cfg.VM.Region, Zone: cfg.VM.Zone}
 	v := &VM{
-		cfg:            cfg,
-		log:            log,
-		drain:          newDrain(),
-		configurations: configuration.New(store, log.WithName("configuration")),
-		endpoints:      endpoint.New(store, client, at, log.WithName("endpoint")),
-		sessions:       session.New(cfg.Limits.Freshness, cfg.Limits.SessionIdle),
-		store:          store,
+		cfg:     cfg,
+		log:     log,
+		metrics: metrics,
+		drain:   newDrain(),
+		configurations: configuration.New(store, others, configuration.Options{
+			VM: cfg.VM.Name, Zone: cfg.VM.Zone, Freshness: cfg.Limits.Freshness,
+		}, log.WithName("configuration")),
+		peers: peer.New(peerOptions(cfg, incarnation), datagram.New(cfg.Listen.Peers, log.WithName("peer")), store, nil, log.WithName("peer")),
+		store: store,
 		close: func() {
 			client.Close()
 			others.http.CloseIdleConnections()
 			store.HTTP.CloseIdleConnections()
 		},
 	}
-	v.journal = journal.New(store, noMembers{}, others, journalOptions(cfg), log.WithName("journal"))
+	v.limits = limit.New(v.configurations, cfg.VM.Name, cfg.Limits.FleetVMs, log.WithName("limit"))
+	v.sessions = session.New(v.configurations.Subscribe(), others, session.Options{
+		VM: cfg.VM.Name, Incarnation: incarnation, Region: cfg.VM.Region, Freshness: cfg.Limits.Freshness,
+		Idle: cfg.Limits.SessionIdle, Settle: cfg.Limits.StepSettle, MaxSessions: cfg.Limits.MaxSessions,
+	}, log.WithName("session"))
+	v.rollouts = rollout.New(v.configurations.Subscribe(), v.configurations, v.sessions, cfg.VM.Name, log.WithName("rollout"))
+	v.endpoints = endpoint.New(store, client, v.peers, nil, endpoint.Options{VM: cfg.VM.Name, At: at}, log.WithName("endpoint"))
+	v.peers.Attach(v.configurations, v.sessions, v.rollouts, v.endpoints, v.limits)
+	v.journal = journal.New(store, v.peers, others, journalOptions(cfg, incarnation), log.WithName("journal"))
 	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
-	v.cascades = newCascades(rater, cfg, log)
+	v.cascades = newCascades(rater, v.rollouts, cfg, log)
+	metrics.Watch(v.configurations, v.peers, log.WithName("metric"))
 	v.chain = filter.Chain(
+		filter.Observe{Meter: metrics},
 		v.drain,
 		filter.Identify{Configurations: v.configurations},
 		filter.Authorize{},
+		filter.Limit{Limits: v.limits},
 		filter.Deduplicate{Journal: v.journal, Cleanup: cleanupTimeout},
 		filter.Bill{Journal: v.journal, Log: log.WithName("bill")},
 		filter.Cascade{Levels: v.cascades, Rater: rater, HeldBytes: heldBytes},
-		filter.Choose{Sessions: v.sessions},
+		filter.Choose{Sessions: v.sessions, Evidence: v.rollouts},
 		filter.Place{Endpoints: v.endpoints, MaxAttempts: cfg.Limits.MaxAttempts},
 		filter.Send{Configurations: v.configurations, Sender: client, MaxResumes: cfg.Limits.MaxResumes},
 	)
 	return v
 }
 
+func peerOptions(cfg settings.Settings, incarnation uint64) peer.Options {
+	return peer.Options{
+		VM: cfg.VM.Name, Incarnation: incarnation, Region: cfg.VM.Region, Zone: cfg.VM.Zone,
+		ControlAddress: cfg.Listen.Control, PeerAddress: cfg.Listen.Peers, Key: []byte(cfg.Keys.Fleet),
+	}
+}
+
 // newCascades makes the controller of cascades; without a rating service no answer is rated.
-func newCascades(rater cascade.Rater, cfg settings.Settings, log logr.Logger) *cascade.Controller {
+func newCascades(rater cascade.Rater, evidence cascade.Evidence, cfg settings.Settings, log logr.Logger) *cascade.Controller {
 	if cfg.Reach.Rating == "" {
 		rater = nil
 	}
-	return cascade.New(rater, nil, xxhash.Sum64String(cfg.VM.Name), log.WithName("cascade"))
+	return cascade.New(rater, evidence, xxhash.Sum64String(cfg.VM.Name), log.WithName("cascade"))
 }
 
 type namedTask struct {
@@ -115,7 +147,10 @@
 		{"configuration", v.configurations.Run},
 		{"endpoints", v.endpoints.Run},
 		{"sessions", v.sessions.Run},
+		{"limits", v.limits.Run},
+		{"roll-outs", v.rollouts.Run},
 		{"journal", v.journal.Run},
+		{"peers", v.peers.Run},
 		{"cascades", v.cascades.Run},
 		{"control", serve(controlListener, v.controlHandler())},
 		{"callers", serve(callersListener, v.callersHandler())},
@@ -137,6 +172,9 @@
 // stop refuses new requests and waits for those in flight, at most for the stop timeout.
 func (v *VM) stop(ctx context.Context) {
 	v.log.Info("leaving")
+	if err := v.peers.Leave(ctx); err != nil {
+		v.log.Info("leaving not announced to peers", "error", err.Error())
+	}
 	idle := v.drain.leave(ctx)
 	grace := time.NewTimer(v.cfg.Limits.LeaveGrace)
 	defer grace.Stop()
--- a/measure/main.go
+++ b/measure/main.go
@@ -35,6 +35,8 @@
 	{"cost", measureCost},
 	{"ids", measureIDs},
 	{"overhead", measureOverhead},
+	{"journal", measureJournal},
+	{"placement", measurePlacement},
 }
 
 // Verdicts of a line.
