--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -158,6 +158,9 @@
 	}
 }
 
+// usageField stands in every event that holds a usage; text can't hold it, since its quotes are escaped.
+var usageField = []byte(`"usage"`)
+
 // chunk is the part of a chat completion chunk that the router reads.
 type chunk struct {
 	Choices []struct {
@@ -178,16 +181,31 @@
 	if err != nil {
 		return Fragment{}, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
+	p := Piece{Data: data}
+	if !bytes.Contains(data, usageField) {
+		if !json.Valid(data) {
+			return Fragment{}, fmt.Errorf("%w: an event is no JSON", ErrBroken)
+		}
+		return Fragment{RunID: runID, Offset: offset, Piece: p}, nil
+	}
 	var c chunk
 	if err := json.Unmarshal(data, &c); err != nil {
 		return Fragment{}, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
-	p := Piece{Data: data}
-	if len(c.Choices) > 0 {
-		p.Text = c.Choices[0].Delta.Content
-	}
 	if c.Usage != nil {
 		p.Tokens, p.Last = c.Usage.TotalTokens, true
 	}
 	return Fragment{RunID: runID, Offset: offset, Piece: p}, nil
 }
+
+// Content returns the text of a piece of a chat answer. Few requests need it, so it is read from the data when asked for.
+func (p Piece) Content() string {
+	if p.Text != "" {
+		return p.Text
+	}
+	var c chunk
+	if json.Unmarshal(p.Data, &c) != nil || len(c.Choices) == 0 {
+		return ""
+	}
+	return c.Choices[0].Delta.Content
+}
--- a/internal/filter/cascade.go
+++ b/internal/filter/cascade.go
@@ -239,7 +239,7 @@
 func (h *holder) text() string {
 	var b strings.Builder
 	for _, p := range h.pieces {
-		b.WriteString(p.Text)
+		b.WriteString(p.Content())
 	}
 	return b.String()
 }
@@ -271,10 +271,11 @@
 }
 
 func (c *copier) Piece(ctx context.Context, p endpoint.Piece) error {
-	if c.text.Len()+len(p.Text) > c.limit {
+	text := p.Content()
+	if c.text.Len()+len(text) > c.limit {
 		c.cut = true
 	} else {
-		c.text.WriteString(p.Text)
+		c.text.WriteString(text)
 	}
 	return c.sink.Piece(ctx, p)
 }
--- a/measure/proxy.go
+++ b/measure/proxy.go
@@ -4,14 +4,21 @@
 	"bytes"
 	"io"
 	"net/http"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const proxyBufferBytes = 32 << 10
 
 // proxy is the plain reverse proxy that the router is compared with: it copies the request and streams the answer.
 type proxy struct {
-	target string
-	client *http.Client
+	targets []string
+	client  *http.Client
+}
+
+// target spreads requests evenly.
+func (p *proxy) target(r *http.Request) string {
+	return p.targets[xxhash.Sum64String(r.Header.Get("X-Request-Id"))%uint64(len(p.targets))]
 }
 
 // ServeHTTP implements http.Handler.
@@ -22,7 +29,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	out, err := http.NewRequestWithContext(r.Context(), r.Method, p.target+r.URL.RequestURI(), bytes.NewReader(body))
+	out, err := http.NewRequestWithContext(r.Context(), r.Method, p.target(r)+r.URL.RequestURI(), bytes.NewReader(body))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
