Pass services' header fields, bound kept answers, fail answers that can't be joined

Cause: a plain service got no Accept, range or condition fields and its Location, ETag and the like were lost; an answer of any length was kept whole for resends; and, since the recorder takes a sink's error for a caller that is gone, an event that a plain caller's answer can't be joined from ended as status 200 with an empty body.

Change: two fixed lists say which fields go to a service and come back; they travel as plain fields through Request, Call, Head and the kept answer, also between entry VMs. Hop-by-hop fields, cookies and keys are on neither list. An answer over 4 MiB goes by without being kept, and a resend is told 4004. A sink that couldn't join an answer says so.

Broken builds seen failing: no fields set (TestAnswers/redirect_with_fields), none picked (TestDecode), no bound (TestAnswersAreKeptUpToABound), the broken sink unasked (TestAnswers/event_of_another_form).

--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -17,6 +17,12 @@
 // Gate is asked immediately before the first byte of a call.
 type Gate func() error
 
+// Field is a header field of a call to a plain service or of its answer.
+type Field struct {
+	Name  string
+	Value string
+}
+
 // Call is one run at an endpoint, in plain form.
 type Call struct {
 	// RunID names the run, so that a resumed stream continues it.
@@ -28,6 +34,7 @@
 	Method     string
 	Path       string
 	Type       string
+	Fields     []Field
 	Body       []byte
 	Priority   int
 	// Resume asks for the rest of a run from Offset; the endpoint refuses it if it doesn't know the run.
@@ -39,6 +46,7 @@
 type Head struct {
 	Status      int
 	ContentType string
+	Fields      []Field
 }
 
 // Fragment is one part of an answer as it arrived, perhaps out of order or twice.
--- a/internal/endpoint/http.go
+++ b/internal/endpoint/http.go
@@ -207,7 +207,12 @@
 		if err != nil {
 			return nil, err
 		}
-		req.Header.Set("Content-Type", call.Type)
+		for _, f := range call.Fields {
+			req.Header.Set(f.Name, f.Value)
+		}
+		if call.Type != "" {
+			req.Header.Set("Content-Type", call.Type)
+		}
 		req.Header.Set(headerRunID, call.RunID)
 		return req, nil
 	}
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -67,7 +67,28 @@
 
 // Head implements Stream.
 func (s *httpStream) Head() Head {
-	return Head{Status: s.resp.StatusCode, ContentType: s.resp.Header.Get("Content-Type")}
+	h := Head{Status: s.resp.StatusCode, ContentType: s.resp.Header.Get("Content-Type")}
+	if !s.call.Chat {
+		h.Fields = PickFields(s.resp.Header, answerFields)
+	}
+	return h
+}
+
+// answerFields are the fields of a service's answer that callers get, besides its type.
+var answerFields = []string{
+	"Accept-Ranges", "Allow", "Cache-Control", "Content-Disposition", "Content-Language", "Content-Range", "Etag", "Expires",
+	"Last-Modified", "Location", "Retry-After", "Vary",
+}
+
+// PickFields returns the named fields that a header holds.
+func PickFields(h http.Header, names []string) []Field {
+	var fields []Field
+	for _, name := range names {
+		if v := h.Get(name); v != "" {
+			fields = append(fields, Field{name, v})
+		}
+	}
+	return fields
 }
 
 // Close implements Stream; it cancels the run if it has not ended. The connection of one that has can be used again.
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -40,7 +40,11 @@
 	decoder := &decoder{w: w, r: r, bodyBytes: c.bodyBytes, deadline: arrived.Add(c.timeout)}
 	sink := &sink{w: w, decoder: decoder}
 	x := &filter.Exchange{Credential: bearer(r), Decoder: decoder, Sink: sink, Arrived: arrived}
-	if err := c.chain(r.Context(), x); err != nil {
+	err := c.chain(r.Context(), x)
+	if err == nil && sink.broken != nil {
+		err = sink.broken
+	}
+	if err != nil {
 		e := result.From(err)
 		c.log.Info("request refused", "account", x.Account.Name, "request_id", x.Request.ID,
 			"revision", x.Snapshot.Revision, "code", int(e.Code), "run", e.Run, "detail", e.Detail)
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -13,6 +13,7 @@
 	"unicode"
 	"unicode/utf8"
 
+	"cornelmux/internal/endpoint"
 	"cornelmux/internal/filter"
 	"cornelmux/pkg/catalog"
 	"cornelmux/pkg/result"
@@ -25,6 +26,12 @@
 	maxIDBytes    = 256
 )
 
+// requestFields are the header fields that a plain service gets, besides the body's type.
+var requestFields = []string{
+	"Accept", "Accept-Language", "Content-Encoding", "Content-Language", "If-Match", "If-Modified-Since", "If-None-Match",
+	"If-Range", "If-Unmodified-Since", "Range",
+}
+
 // decoder implements filter.Decoder for HTTP requests. The body is read once the client account is known.
 type decoder struct {
 	w         http.ResponseWriter
@@ -72,6 +79,7 @@
 	case strings.HasPrefix(rest, servicePrefix):
 		name, below, _ := strings.Cut(strings.TrimPrefix(rest, servicePrefix), "/")
 		r.Kind, r.Service, r.Path, r.Query = filter.KindService, name, "/"+below, d.r.URL.RawQuery
+		r.Fields = endpoint.PickFields(d.r.Header, requestFields)
 		return r, nil
 	default:
 		return r, result.Errorf(result.NoSuchRoute, "%s %s", d.r.Method, rest)
--- a/internal/entry/decode_test.go
+++ b/internal/entry/decode_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"flag"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"strings"
@@ -11,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"cornelmux/internal/endpoint"
 	"cornelmux/internal/filter"
 	"cornelmux/pkg/catalog"
 	"cornelmux/pkg/result"
@@ -31,7 +33,7 @@
 func decode(method, target, id string, body []byte, idAt, sessionAt catalog.Place) (filter.Request, error) {
 	r := httptest.NewRequest(method, "/", strings.NewReader(string(body)))
 	r.URL.Path, r.URL.RawQuery, _ = strings.Cut(target, "?")
-	r.Header["X-Id"] = []string{id}
+	r.Header = http.Header{"X-Id": {id}, "If-None-Match": {"e1"}, "Cookie": {"c"}, "Connection": {"close"}}
 	d := &decoder{w: httptest.NewRecorder(), r: r, bodyBytes: testBodyBytes}
 	return d.Decode(catalog.ClientAccount{
 		RequestID: catalog.Source{Place: idAt, Name: "X-Id"}, Session: catalog.Source{Place: sessionAt, Name: "s"},
@@ -40,6 +42,7 @@
 
 func TestDecode(t *testing.T) {
 	chat := `{"model":"m","messages":[{"role":"user","content":"hi"}]`
+	wantFields := []endpoint.Field{{Name: "If-None-Match", Value: "e1"}}
 	rows := []struct {
 		name   string
 		method string
@@ -52,8 +55,8 @@
 		{"chat", "POST", chatPath, "r1", chat + "}", result.OK, filter.Request{ID: "r1", Kind: filter.KindChat, Model: "m", Prompt: "hi\n"}},
 		{"field that stands twice", "POST", chatPath, "r1", chat + `,"model":"n"}`, result.OK, filter.Request{ID: "r1", Kind: filter.KindChat, Model: "n", Prompt: "hi\n"}},
 		{"content in parts", "POST", chatPath, "r1", `{"model":"m","messages":[{"content":[1]}]}`, result.OK, filter.Request{ID: "r1", Kind: filter.KindChat, Model: "m", Prompt: "[1]"}},
-		{"service with query", "HEAD", "/services/stock/a b?x=1&y=%20", "r2", "", result.OK, filter.Request{ID: "r2", Kind: filter.KindService, Service: "stock", Path: "/a b", Query: "x=1&y=%20"}},
-		{"session in the path", "POST", "/s/7/services/stock/a", "r3", "", result.OK, filter.Request{ID: "r3", Session: "7", Kind: filter.KindService, Service: "stock", Path: "/a"}},
+		{"service with query", "HEAD", "/services/stock/a b?x=1&y=%20", "r2", "", result.OK, filter.Request{ID: "r2", Kind: filter.KindService, Service: "stock", Path: "/a b", Query: "x=1&y=%20", Fields: wantFields}},
+		{"session in the path", "POST", "/s/7/services/stock/a", "r3", "", result.OK, filter.Request{ID: "r3", Session: "7", Kind: filter.KindService, Service: "stock", Path: "/a", Fields: wantFields}},
 		{"no model", "POST", chatPath, "r1", `{"messages":[{}]}`, result.BadRequest, filter.Request{}},
 		{"no messages", "POST", chatPath, "r1", `{"model":"m"}`, result.BadRequest, filter.Request{}},
 		{"cut off", "POST", chatPath, "r1", chat, result.BadRequest, filter.Request{}},
--- a/internal/entry/encode.go
+++ b/internal/entry/encode.go
@@ -18,6 +18,8 @@
 	began   bool
 	chat    bool
 	joiner  *joiner
+	// broken says why the answer could not be joined; filters go on with a request whose sink fails.
+	broken *result.Error
 	// buf is reused for each event.
 	buf   []byte
 	flush *http.ResponseController
@@ -39,6 +41,9 @@
 		return nil
 	}
 	s.began = true
+	for _, f := range h.Fields {
+		header.Set(f.Name, f.Value)
+	}
 	if h.ContentType != "" {
 		header.Set("Content-Type", h.ContentType)
 	}
@@ -92,14 +97,16 @@
 
 func (s *sink) join(p endpoint.Piece) error {
 	if err := s.joiner.add(p.Data); err != nil {
-		return result.Errorf(result.AnswerBroken, "event: %v", err)
+		s.broken = result.Errorf(result.AnswerBroken, "event: %v", err)
+		return s.broken
 	}
 	if !p.Last {
 		return nil
 	}
 	whole, err := s.joiner.whole(s.head)
 	if err != nil {
-		return result.Errorf(result.AnswerBroken, "event: %v", err)
+		s.broken = result.Errorf(result.AnswerBroken, "event: %v", err)
+		return s.broken
 	}
 	s.began = true
 	s.w.Header().Set("Content-Type", "application/json")
--- a/internal/entry/encode_test.go
+++ b/internal/entry/encode_test.go
@@ -36,8 +36,8 @@
 			}
 		}
 		for i, p := range pieces {
-			if err := x.Sink.Piece(ctx, endpoint.Piece{Data: []byte(p), Last: i == len(pieces)-1 && last == nil}); err != nil {
-				return err
+			if x.Sink.Piece(ctx, endpoint.Piece{Data: []byte(p), Last: i == len(pieces)-1 && last == nil}) != nil {
+				return nil // as the filters do, which finish the work of a caller that is gone
 			}
 		}
 		return last
@@ -76,9 +76,11 @@
 		{"stream with usage", chat, text, nil, "POST", `"stream":true,"stream_options":{"include_usage":true},`, 200, []string{"total_tokens", "data: [DONE]\n\n"}, nil},
 		{"stream that fails", chat, text[:2], result.Errorf(result.AnswerBroken, "gone"), "POST", `"stream":true,`, 200, []string{`"content":"y"`, `data: {"error":{"code":4003`}, []string{"[DONE]"}},
 		{"plain answer that fails", chat, text[:2], result.Errorf(result.AnswerBroken, "gone"), "POST", "", 502, []string{`"run":"unknown"`}, []string{"content"}},
+		{"event of another form", chat, []string{`{"choices":[{"index":"x"}]}`, usage}, nil, "POST", "", 502, []string{`"code":4003`}, nil},
 		{"refusal", chat, nil, limit, "POST", "", 429, []string{`"code":3001`, `"run":"not_run"`}, nil},
 		{"engine's own error", with(chat, 400), []string{`{"error":"too long"}`}, nil, "POST", "", 400, []string{`{"error":"too long"}`}, nil},
 		{"service answer", service, []string{"a", "b"}, nil, "GET", "", 200, []string{"ab"}, nil},
+		{"redirect with fields", filter.Head{Status: 303, Fields: []endpoint.Field{{Name: "Location", Value: "/b"}}}, []string{""}, nil, "GET", "", 303, nil, nil},
 		{"no content", with(service, 204), []string{""}, nil, "GET", "", 204, nil, nil},
 		{"not modified", with(service, 304), []string{""}, nil, "GET", "", 304, nil, nil},
 		{"head", service, []string{""}, nil, "HEAD", "", 200, nil, nil},
@@ -94,9 +96,10 @@
 			req, err := http.NewRequest(row.method, server.URL+path, strings.NewReader(body))
 			c.Assert(err, qt.IsNil)
 			req.Header.Set("Idempotency-Key", "r1")
-			resp, err := http.DefaultClient.Do(req)
+			resp, err := http.DefaultTransport.RoundTrip(req)
 			c.Assert(err, qt.IsNil)
 			defer resp.Body.Close()
+			c.Assert(resp.Header.Get("Location") != "", qt.Equals, row.status == 303)
 			got, err := io.ReadAll(resp.Body)
 			c.Assert(err, qt.IsNil)
 			c.Assert(resp.StatusCode, qt.Equals, row.status)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -59,6 +59,9 @@
 		return journal.Found{NotRun: r.GetNotRun()}, err
 	}
 	a := &journal.Answer{Status: int(r.Status), ContentType: r.ContentType, Model: r.Model, Version: r.Version}
+	for _, f := range r.Fields {
+		a.Fields = append(a.Fields, endpoint.Field{Name: f.Name, Value: f.Value})
+	}
 	for _, piece := range r.Pieces {
 		a.Pieces = append(a.Pieces, endpoint.Piece{Text: piece.Text, Data: piece.Data, Tokens: int(piece.Tokens), Last: piece.Last})
 	}
@@ -112,6 +115,9 @@
 	resp := &wire.AnswerResponse{
 		Found: true, Status: int32(a.Status), ContentType: a.ContentType, Model: a.Model, Version: a.Version,
 	}
+	for _, f := range a.Fields {
+		resp.Fields = append(resp.Fields, &wire.AnswerField{Name: f.Name, Value: f.Value})
+	}
 	for _, p := range a.Pieces {
 		resp.Pieces = append(resp.Pieces, &wire.AnswerPiece{Text: p.Text, Data: p.Data, Tokens: int32(p.Tokens), Last: p.Last})
 	}
--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -56,7 +56,9 @@
 	Path        string
 	Query       string
 	ContentType string
-	Body        []byte
+	// Fields are the other header fields that a plain service gets.
+	Fields []endpoint.Field
+	Body   []byte
 	// Prompt is the text of a chat request.
 	Prompt   string
 	Deadline time.Time
@@ -74,6 +76,8 @@
 	ContentType string
 	Model       string
 	Version     string
+	// Fields are the other header fields of a plain service's answer.
+	Fields []endpoint.Field
 }
 
 // Failed reports whether the endpoint answered with an error of its own.
--- a/internal/filter/deduplicate.go
+++ b/internal/filter/deduplicate.go
@@ -50,6 +50,9 @@
 func (f Deduplicate) settle(ctx context.Context, x *Exchange, r *recorder, err error) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.Cleanup)
 	defer cancel()
+	if err == nil && r.bytes > maxKeptBytes {
+		return f.Journal.Finish(ctx, x.Claim, nil, result.Errorf(result.AnswerGone, "over %d bytes", maxKeptBytes))
+	}
 	if err == nil {
 		return f.Journal.Finish(ctx, x.Claim, &r.answer, nil)
 	}
@@ -90,7 +93,7 @@
 }
 
 func replay(ctx context.Context, x *Exchange, a journal.Answer) error {
-	head := Head{RequestID: x.Request.ID, Status: a.Status, ContentType: a.ContentType, Model: a.Model, Version: a.Version}
+	head := Head{RequestID: x.Request.ID, Status: a.Status, ContentType: a.ContentType, Model: a.Model, Version: a.Version, Fields: a.Fields}
 	if err := x.Sink.Begin(ctx, head); err != nil {
 		return err
 	}
@@ -102,24 +105,37 @@
 	return nil
 }
 
+// maxKeptBytes bounds an answer that is kept for resends; a longer one only goes by.
+const maxKeptBytes = 4 << 20
+
 // recorder keeps a copy of the answer on its way to the caller.
 // A caller that is gone doesn't end the work: its resend gets the kept answer.
 type recorder struct {
 	sink   Sink
 	answer journal.Answer
+	bytes  int
 	gone   bool
 }
 
 func (r *recorder) Begin(ctx context.Context, h Head) error {
-	r.answer = journal.Answer{Status: h.Status, ContentType: h.ContentType, Model: h.Model, Version: h.Version}
+	r.answer = journal.Answer{Status: h.Status, ContentType: h.ContentType, Model: h.Model, Version: h.Version, Fields: h.Fields}
 	r.gone = r.sink.Begin(ctx, h) != nil
 	return nil
 }
 
 func (r *recorder) Piece(ctx context.Context, p endpoint.Piece) error {
-	r.answer.Pieces = append(r.answer.Pieces, p)
+	r.keep(p)
 	if !r.gone {
 		r.gone = r.sink.Piece(ctx, p) != nil
 	}
 	return nil
 }
+
+func (r *recorder) keep(p endpoint.Piece) {
+	r.bytes += len(p.Text) + len(p.Data)
+	if r.bytes > maxKeptBytes {
+		r.answer.Pieces = nil
+		return
+	}
+	r.answer.Pieces = append(r.answer.Pieces, p)
+}
--- a/internal/filter/send.go
+++ b/internal/filter/send.go
@@ -97,6 +97,7 @@
 		Method:     x.Request.Method,
 		Path:       path,
 		Type:       x.Request.ContentType,
+		Fields:     x.Request.Fields,
 		Body:       x.Request.Body,
 		Priority:   x.Account.Priority,
 	}
@@ -151,7 +152,7 @@
 func (f Send) pass(ctx context.Context, x *Exchange, h endpoint.Head, p endpoint.Piece) (bool, error) {
 	if !x.Relayed {
 		head := Head{
-			RequestID: x.Request.ID, Status: h.Status, ContentType: h.ContentType,
+			RequestID: x.Request.ID, Status: h.Status, ContentType: h.ContentType, Fields: h.Fields,
 			Model: x.Attempt.Model, Version: x.Attempt.Version,
 		}
 		if err := x.Sink.Begin(ctx, head); err != nil {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -32,11 +32,15 @@
 	ContentType string
 	Model       string
 	Version     string
+	Fields      []endpoint.Field
 	Pieces      []endpoint.Piece
 }
 
 func (a *Answer) bytes() int {
 	n := len(a.ContentType) + len(a.Model) + len(a.Version)
+	for _, f := range a.Fields {
+		n += len(f.Name) + len(f.Value)
+	}
 	for _, p := range a.Pieces {
 		n += len(p.Text) + len(p.Data) + pieceBytes
 	}
