--- /dev/null
+++ b/measure/cascade.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"cornelmux/internal/cascade"
+	"cornelmux/internal/task"
+)
+
+const (
+	cascadeAccounts = 10_000
+	cascadeRounds   = 10
+)
+
+// measureCascade gives the slopes of the controller of cascades: its state for each client account and its time for each request.
+func measureCascade() ([]Line, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ends := make(chan task.End, 1)
+	c := cascade.New(nil, nil, costSeed, logr.Discard())
+	task.Start(ctx, "cascades", ends, c.Run)
+	before := liveBytes()
+	if err := planAll(ctx, c); err != nil {
+		return nil, err
+	}
+	state := float64(liveBytes()-before) / cascadeAccounts
+	start := time.Now()
+	for range cascadeRounds {
+		if err := planAll(ctx, c); err != nil {
+			return nil, err
+		}
+	}
+	each := float64(time.Since(start).Nanoseconds()) / (cascadeRounds * cascadeAccounts) / 1000
+	return []Line{
+		{"cascade_state_per_account", state, "bytes", "none"},
+		{"cascade_messages_per_request", 2, "messages", "none"},
+		{"cascade_time_per_request", each, "us", "< 20"},
+	}, task.Stop(cancel, ends, 1)
+}
+
+// planAll plans and observes one request of each client account.
+func planAll(ctx context.Context, c *cascade.Controller) error {
+	for i := range cascadeAccounts {
+		key := cascade.Key{Account: fmt.Sprintf("account-%d", i), Cascade: "draft"}
+		levels := make([]cascade.Level, len(costPrices))
+		for l, price := range costPrices {
+			levels[l] = cascade.Level{Model: "composer", Usable: true, Price: price}
+		}
+		if _, err := c.Plan(ctx, cascade.Query{Key: key, Levels: levels, Idempotent: true}); err != nil {
+			return err
+		}
+		if err := c.Observe(cascade.Outcome{Key: key, Model: "composer", Tokens: costTokens}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func liveBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/measure/main.go
+++ b/measure/main.go
@@ -33,6 +33,7 @@
 // measurements lists every topic; each stands in a file of its own.
 var measurements = []Measurement{
 	{"cost", measureCost},
+	{"cascade", measureCascade},
 	{"ids", measureIDs},
 	{"overhead", measureOverhead},
 	{"journal", measureJournal},
