--- a/measure/main.go
+++ b/measure/main.go
@@ -32,6 +32,7 @@
 
 // measurements lists every topic; each stands in a file of its own.
 var measurements = []Measurement{
+	{"exposure", measureExposure},
 	{"cost", measureCost},
 	{"cascade", measureCascade},
 	{"ids", measureIDs},
