Count a VM itself among the likely owners of a partition

Cause: the list of members holds the other VMs only, so that no VM took itself for an owner: each forwarded to another one, and with two VMs both wrote every partition. Found when the list was wired in; the test cluster's list held the VM itself and hid it.

Change: Owner chooses among the others and the VM itself; the test cluster's list leaves the VM out, as the real one does.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -18,6 +18,7 @@
 	return journal.Options{
 		VM:              cfg.VM.Name,
 		Incarnation:     incarnation,
+		Region:          cfg.VM.Region,
 		Address:         cfg.Listen.Control,
 		ClaimFor:        cfg.Limits.ClaimFor,
 		ResendWindow:    cfg.Limits.ResendWindow,
--- a/internal/journal/cluster_test.go
+++ b/internal/journal/cluster_test.go
@@ -158,8 +158,8 @@
 	c := &cluster{store: newStore(), ends: make(chan task.End, n)}
 	for i := range n {
 		v := &vm{cluster: c, name: fmt.Sprint("vm-", i)}
-		v.Controller = journal.New(v, c, peers{v}, journal.Options{
-			VM: v.name, Address: v.name, ClaimFor: 5 * time.Second, ResendWindow: 10 * time.Minute,
+		v.Controller = journal.New(v, v, peers{v}, journal.Options{
+			VM: v.name, Region: region, Address: v.name, ClaimFor: 5 * time.Second, ResendWindow: 10 * time.Minute,
 			BillHold: 250 * time.Millisecond, MaxBills: maxBills, KeptBytes: keptBytes, WritesPerSecond: 20, ForwardTimeout: time.Second,
 		}, logr.Discard())
 		var run context.Context
@@ -181,10 +181,12 @@
 }
 
 // Members implements journal.Members; a list that a crash hasn't reached is what makes owners wrong.
-func (c *cluster) Members(context.Context) ([]peer.Member, error) {
+func (v *vm) Members(context.Context) ([]peer.Member, error) {
 	var list []peer.Member
-	for _, v := range c.vms {
-		list = append(list, peer.Member{VM: v.name, Region: region, ControlAddress: v.name})
+	for _, other := range v.cluster.vms {
+		if other != v {
+			list = append(list, peer.Member{VM: other.name, Region: region, ControlAddress: other.name})
+		}
 	}
 	return list, nil
 }
--- a/internal/journal/controller.go
+++ b/internal/journal/controller.go
@@ -23,6 +23,7 @@
 type Options struct {
 	VM          string
 	Incarnation uint64
+	Region      string
 	// Address is where this VM answers other entry VMs.
 	Address string
 	// ClaimFor is how long a claim may be used; ResendWindow is how long a request ID is remembered.
--- a/internal/journal/log_test.go
+++ b/internal/journal/log_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"cornelmux/internal/peer"
 	"cornelmux/pkg/result"
 )
 
@@ -307,3 +308,27 @@
 		})
 	}
 }
+
+func TestOwner(t *testing.T) {
+	member := func(vm, region string, leaving bool) peer.Member {
+		return peer.Member{VM: vm, Region: region, ControlAddress: vm, Leaving: leaving}
+	}
+	rows := []struct {
+		name string
+		list []peer.Member
+		want string
+	}{
+		{"nobody", nil, ""},
+		{"another region", []peer.Member{member("a", "q", false)}, ""},
+		{"leaving", []peer.Member{member("a", "r", true), member("b", "r", false)}, "b"},
+		{"any order", []peer.Member{member("a", "r", false), member("b", "r", false), member("c", "r", false)}, "a"},
+		{"other order", []peer.Member{member("c", "r", false), member("b", "r", false), member("a", "r", false)}, "a"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			m, ok := Owner(row.list, "r", 1)
+			qt.Assert(t, ok, qt.Equals, row.want != "")
+			qt.Assert(t, m.VM, qt.Equals, row.want)
+		})
+	}
+}
--- a/internal/journal/owner.go
+++ b/internal/journal/owner.go
@@ -15,7 +15,7 @@
 	avoidFor   = 5 * time.Second
 )
 
-// Members gives the VMs that were heard of lately.
+// Members gives the other VMs that were heard of lately.
 type Members interface {
 	Members(ctx context.Context) ([]peer.Member, error)
 }
@@ -70,7 +70,8 @@
 	if err != nil {
 		return ""
 	}
-	m, ok := Owner(list, o.id.region, o.id.number)
+	self := peer.Member{VM: o.opts.VM, Region: o.opts.Region, ControlAddress: o.opts.Address}
+	m, ok := Owner(append(list, self), o.id.region, o.id.number)
 	if !ok || m.VM == o.opts.VM {
 		return ""
 	}
--- a/internal/journal/request_test.go
+++ b/internal/journal/request_test.go
@@ -56,7 +56,11 @@
 	for n := range hundred {
 		hundred[n] = caller{Key: n + 1, Think: time.Duration(n%10) * ms}
 	}
-	all := make([]result.Code, 100)
+	waves := make([]caller, 200)
+	for n := range waves {
+		waves[n] = caller{Key: n + 1, VM: n % 2, At: time.Duration(n/100*50) * ms, Think: time.Duration(n%10) * ms}
+	}
+	all := make([]result.Code, 200)
 	third := func(second, third string) []string {
 		return append([]string{"", "", second, third}, make([]string, 96)...)
 	}
@@ -79,6 +83,7 @@
 	}{
 		{name: "one", callers: []caller{{Key: 1}}, want: []result.Code{0}, billed: 1, writes: 2},
 		{name: "hundred at once share writes", callers: hundred, want: all, billed: 100, writes: 20},
+		{name: "two hundred at two VMs share writes", callers: waves, want: all, billed: 200, writes: 40},
 		{name: "lost answers are read back", callers: []caller{{Key: 1}}, faults: []string{"", "", "answer lost"}, want: []result.Code{0}, billed: 1, writes: 4},
 		{
 			name: "resends at two VMs join", callers: []caller{{Key: 1, Run: 500 * ms}, {Key: 1, At: 100 * ms}, {Key: 1, VM: 1, At: 100 * ms}},
