Drop sealed batches once their bills are drained

Cause: sealed batches were never deleted, so that the platform's store grew with each request for ever.

Ruled out: dropping by age alone. A bill that no operator has stored would be lost; the head's floor moves only up to a position that an operator handed back, and never into the resend window.

Drain moves the floor by compare-and-swap and then deletes; repeated, it ends a drain that was interrupted. Live never moves back.

Tests: TestDrop, TestDrainDropsOnlyStoredBillsPastTheResendWindow.

--- a/cmd/cornelmux/bills.go
+++ b/cmd/cornelmux/bills.go
@@ -1,29 +1,51 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"os"
 
 	"cornelmux/internal/wire"
 )
 
+const positionsMode = 0o600
+
 type billsCommand struct {
 	target
-	Account string `long:"account" description:"client account; all of them if empty"`
+	Account   string `long:"account" description:"client account; all of them if empty"`
+	Positions string `long:"positions" description:"file to write what was read to, for --drained"`
+	Drained   string `long:"drained" description:"file that --positions wrote; its bills were stored and are dropped"`
 }
 
-// Execute implements flags.Commander. It prints one JSON object a line and changes nothing, so that it may be repeated.
+// Execute implements flags.Commander. It prints one JSON object a line; without --drained it changes nothing.
 func (c *billsCommand) Execute([]string) error {
+	request := &wire.BillsRequest{Account: c.Account}
+	if c.Account != "" && c.Positions != "" {
+		return fmt.Errorf("--positions takes the bills of all client accounts; leave --account out")
+	}
+	if c.Drained != "" {
+		data, err := os.ReadFile(c.Drained)
+		if err != nil {
+			return err
+		}
+		if request.Drained = bytes.Split(bytes.TrimSpace(data), []byte{'\n'}); len(request.Drained[0]) == 0 {
+			return nil
+		}
+	}
 	client, err := c.dial()
 	if err != nil {
 		return err
 	}
-	r, err := client.Bills(context.Background(), &wire.BillsRequest{Account: c.Account})
+	r, err := client.Bills(context.Background(), request)
 	if err != nil {
 		return explain(err)
 	}
 	for _, b := range r.Bills {
 		fmt.Println(string(b))
 	}
-	return nil
+	if c.Positions == "" {
+		return nil
+	}
+	return os.WriteFile(c.Positions, append(bytes.Join(r.Read, []byte{'\n'}), '\n'), positionsMode)
 }
--- /dev/null
+++ b/internal/entry/bills.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"cornelmux/internal/journal"
+	"cornelmux/internal/wire"
+	"cornelmux/pkg/result"
+)
+
+// Bills implements wireconnect.ControlServiceHandler.
+func (c *control) Bills(ctx context.Context, r *wire.BillsRequest) (*wire.BillsResponse, error) {
+	if len(r.Drained) > 0 {
+		return c.drain(ctx, r.Drained)
+	}
+	s, err := c.vm.configurations.Current(ctx)
+	if err != nil {
+		return nil, connectError(err)
+	}
+	regions := map[string]struct{}{}
+	for _, a := range s.Catalog.Accounts {
+		if r.Account == "" || r.Account == a.Name {
+			regions[a.HomeRegion] = struct{}{}
+		}
+	}
+	resp := &wire.BillsResponse{}
+	for _, region := range slices.Sorted(maps.Keys(regions)) {
+		if err := c.readBills(ctx, resp, region, r.Account); err != nil {
+			return nil, connectError(err)
+		}
+	}
+	return resp, nil
+}
+
+// readBills adds the region's bills to the response, and where they were read up to if they are those of all accounts.
+func (c *control) readBills(ctx context.Context, resp *wire.BillsResponse, region, account string) error {
+	bills, read, err := journal.ReadBills(ctx, c.vm.store, region)
+	if err != nil {
+		return result.Errorf(result.PlatformDown, "bills of region %s: %v", region, err)
+	}
+	if account != "" {
+		bills = slices.DeleteFunc(bills, func(b journal.Bill) bool { return b.Key.Account != account })
+		read = nil
+	}
+	encodedBills, err := encodeEach(bills)
+	if err != nil {
+		return err
+	}
+	encodedRead, err := encodeEach(read)
+	if err != nil {
+		return err
+	}
+	resp.Bills = append(resp.Bills, encodedBills...)
+	resp.Read = append(resp.Read, encodedRead...)
+	return nil
+}
+
+func (c *control) drain(ctx context.Context, drained [][]byte) (*wire.BillsResponse, error) {
+	positions, err := decodeEach[journal.Position](drained)
+	if err != nil {
+		return nil, connectError(result.Errorf(result.BadRequest, "positions: %v", err))
+	}
+	for _, p := range positions {
+		if err := journal.Drain(ctx, c.vm.store, p); err != nil {
+			return nil, connectError(result.Errorf(result.PlatformDown, "bills of region %s: %v", p.Region, err))
+		}
+	}
+	return &wire.BillsResponse{}, nil
+}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -6,14 +6,11 @@
 	"crypto/subtle"
 	"encoding/json"
 	"errors"
-	"maps"
 	"net/http"
-	"slices"
 
 	"connectrpc.com/connect"
 
 	"cornelmux/internal/configuration"
-	"cornelmux/internal/journal"
 	"cornelmux/internal/wire"
 	"cornelmux/internal/wire/wireconnect"
 	"cornelmux/pkg/catalog"
@@ -129,34 +126,6 @@
 	return &wire.StatusResponse{Status: data}, nil
 }
 
-// Bills implements wireconnect.ControlServiceHandler.
-func (c *control) Bills(ctx context.Context, r *wire.BillsRequest) (*wire.BillsResponse, error) {
-	s, err := c.vm.configurations.Current(ctx)
-	if err != nil {
-		return nil, connectError(err)
-	}
-	regions := map[string]struct{}{}
-	for _, a := range s.Catalog.Accounts {
-		if r.Account == "" || r.Account == a.Name {
-			regions[a.HomeRegion] = struct{}{}
-		}
-	}
-	resp := &wire.BillsResponse{}
-	for _, region := range slices.Sorted(maps.Keys(regions)) {
-		bills, err := journal.ReadBills(ctx, c.vm.store, region)
-		if err != nil {
-			return nil, connectError(result.Errorf(result.PlatformDown, "bills of region %s: %v", region, err))
-		}
-		bills = slices.DeleteFunc(bills, func(b journal.Bill) bool { return r.Account != "" && b.Key.Account != r.Account })
-		encoded, err := encodeEach(bills)
-		if err != nil {
-			return nil, connectError(err)
-		}
-		resp.Bills = append(resp.Bills, encoded...)
-	}
-	return resp, nil
-}
-
 // connectError keeps the numbered code in the message, which the operators' commands print.
 func connectError(err error) error {
 	e := result.From(err)
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -46,7 +46,7 @@
 	peers          *peer.Controller
 	metrics        *metric.Metrics
 	cascades       *cascade.Controller
-	store          journal.Store
+	store          journal.Archive
 	chain          filter.Next
 	close          func()
 }
--- a/internal/journal/bill_test.go
+++ b/internal/journal/bill_test.go
@@ -27,3 +27,21 @@
 		})
 	}
 }
+
+func TestDrop(t *testing.T) {
+	rows := []struct {
+		name              string
+		floor, live, read uint64
+		want              uint64
+	}{
+		{"all read and past the window", 2, 5, 5, 5},
+		{"read within the window", 2, 5, 9, 5},
+		{"not read yet", 2, 5, 4, 4},
+		{"read before the last drain", 3, 5, 1, 3},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			qt.Assert(t, Drop(Head{Floor: row.floor, Live: row.live, Sequence: 9}, row.read).Floor, qt.Equals, row.want)
+		})
+	}
+}
--- a/internal/journal/cluster_test.go
+++ b/internal/journal/cluster_test.go
@@ -117,6 +117,16 @@
 	}
 }
 
+func (s *store) Delete(_ context.Context, key string, version uint64) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.values[key].Version != version {
+		return false, nil
+	}
+	delete(s.values, key)
+	return true, nil
+}
+
 // vm is an entry VM whose calls all fail once it is dead.
 type vm struct {
 	*journal.Controller
@@ -316,7 +326,7 @@
 	c.store.setDown(false)
 	c.store.setFaults(nil)
 	task.Sleep(ctx, 10*time.Second)
-	bills, err = journal.ReadBills(ctx, c.store, region)
+	bills, _, err = journal.ReadBills(ctx, c.store, region)
 	return outcomes, bills, err
 }
 
--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -228,10 +228,11 @@
 			return h, fmt.Errorf("%w: sealed batch %d differs", ErrStale, h.Sequence)
 		}
 	}
-	h.Live = h.Sequence
+	live := h.Sequence
 	if len(l.sealed) > 0 {
-		h.Live = l.sealed[0].sequence
+		live = l.sealed[0].sequence
 	}
+	h.Live = max(h.Live, live)
 	h.Base += uint64(len(sealed.Entries))
 	h.Entries = h.Entries[len(sealed.Entries):]
 	h.Sequence++
--- a/internal/journal/partition.go
+++ b/internal/journal/partition.go
@@ -288,11 +288,7 @@
 	if err != nil {
 		return nil, false, false, err
 	}
-	data, err := json.Marshal(head)
-	if err != nil {
-		return nil, false, false, err
-	}
-	done, err = p.store.CAS(ctx, p.id.key("head"), data, version)
+	done, err = writeHead(ctx, p.store, p.id, head, version)
 	if !done || err != nil {
 		return nil, false, errors.Is(err, platform.ErrOutcomeUnknown), err
 	}
--- a/internal/journal/read.go
+++ b/internal/journal/read.go
@@ -78,25 +78,3 @@
 	}
 	return batches, nil
 }
-
-// ReadBills reads the bills of a region from the platform and folds them.
-func ReadBills(ctx context.Context, s Store, region string) ([]Bill, error) {
-	var bills []Bill
-	for n := range partitions {
-		id := partitionID{region, n}
-		head, _, err := readHead(ctx, s, id)
-		if err != nil {
-			return nil, err
-		}
-		batches, err := readBatches(ctx, s, id, head.Floor, head.Sequence)
-		if err != nil {
-			return nil, err
-		}
-		var entries []Entry
-		for _, b := range batches {
-			entries = append(entries, b.Entries...)
-		}
-		bills = append(bills, Fold(append(entries, head.Entries...))...)
-	}
-	return bills, nil
-}
--- a/internal/journal/request_test.go
+++ b/internal/journal/request_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"cornelmux/internal/journal"
+	"cornelmux/internal/task"
 	"cornelmux/pkg/result"
 )
 
@@ -176,7 +180,7 @@
 		qt.Assert(t, time.Since(began), qt.Equals, 250*time.Millisecond)
 		c.store.setDown(false)
 		c.stop()
-		bills, err := journal.ReadBills(t.Context(), c.store, region)
+		bills, _, err := journal.ReadBills(t.Context(), c.store, region)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, bills, qt.HasLen, 1)
 	})
@@ -195,3 +199,42 @@
 		qt.Assert(t, err, qt.ErrorIs, context.DeadlineExceeded)
 	})
 }
+
+func TestDrainDropsOnlyStoredBillsPastTheResendWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t.Context(), 1, 10, 1<<20)
+		defer c.stop()
+		fill := func(name string) {
+			var entries []journal.Entry
+			for n := range 1000 {
+				entries = append(entries, journal.Entry{
+					ID: fmt.Sprint(name, n), Kind: journal.EntryBilled, UnixMs: time.Now().UnixMilli(),
+					Key: journal.Key{Region: region, Account: "a", Request: fmt.Sprint(name, n)}, Runs: []journal.Run{{}},
+				})
+			}
+			for batch := range slices.Chunk(entries, 50) {
+				_, err := c.vms[0].Append(t.Context(), region, 0, batch)
+				qt.Assert(t, err, qt.IsNil)
+			}
+		}
+		drain := func() int {
+			bills, read, err := journal.ReadBills(t.Context(), c.store, region)
+			qt.Assert(t, err, qt.IsNil)
+			for range 2 {
+				qt.Assert(t, journal.Drain(t.Context(), c.store, read[0]), qt.IsNil)
+			}
+			return len(bills)
+		}
+		fill("first")
+		qt.Assert(t, drain(), qt.Equals, 1000)
+		qt.Assert(t, drain(), qt.Equals, 1000)
+		task.Sleep(t.Context(), time.Hour)
+		fill("second")
+		qt.Assert(t, drain(), qt.Equals, 2000)
+		left := drain()
+		qt.Assert(t, left >= 1000 && left < 2000, qt.IsTrue, qt.Commentf("%d bills", left))
+		var head journal.Head
+		qt.Assert(t, json.Unmarshal(c.store.values["cornelmux/journal/r/0/head"].Data, &head), qt.IsNil)
+		qt.Assert(t, len(c.store.values), qt.Equals, int(head.Sequence-head.Floor)+1)
+	})
+}
