--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -13,9 +13,11 @@
 
 	"cornelmux/internal/cascade"
 	"cornelmux/internal/configuration"
+	"cornelmux/internal/datagram"
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/filter"
 	"cornelmux/internal/journal"
+	"cornelmux/internal/limit"
 	"cornelmux/internal/metric"
 	"cornelmux/internal/peer"
 	"cornelmux/internal/platform"
@@ -29,6 +31,7 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 60 * time.Second
 	cleanupTimeout = 5 * time.Second
+	healthPath     = "/healthz"
 	// heldBytes bounds an answer that a cascade holds back until it is rated.
 	heldBytes = 4 << 20
 )
@@ -43,6 +46,7 @@
 	sessions       *session.Controller
 	rollouts       *rollout.Controller
 	journal        *journal.Controller
+	limits         *limit.Controller
 	peers          *peer.Controller
 	metrics        *metric.Metrics
 	cascades       *cascade.Controller
@@ -68,7 +72,7 @@
 		configurations: configuration.New(store, others, configuration.Options{
 			VM: cfg.VM.Name, Zone: cfg.VM.Zone, Freshness: cfg.Limits.Freshness,
 		}, log.WithName("configuration")),
-		peers: peer.New(peerOptions(cfg, incarnation), peer.NewSocket(cfg.Listen.Peers, log.WithName("peer")), store, nil, log.WithName("peer")),
+		peers: peer.New(peerOptions(cfg, incarnation), datagram.New(cfg.Listen.Peers, log.WithName("peer")), store, nil, log.WithName("peer")),
 		store: store,
 		close: func() {
 			client.Close()
@@ -76,13 +80,14 @@
 			store.HTTP.CloseIdleConnections()
 		},
 	}
+	v.limits = limit.New(v.configurations, cfg.VM.Name, cfg.Limits.FleetVMs, log.WithName("limit"))
 	v.sessions = session.New(v.configurations.Subscribe(), others, session.Options{
 		VM: cfg.VM.Name, Incarnation: incarnation, Region: cfg.VM.Region, Freshness: cfg.Limits.Freshness,
 		Idle: cfg.Limits.SessionIdle, Settle: cfg.Limits.StepSettle, MaxSessions: cfg.Limits.MaxSessions,
 	}, log.WithName("session"))
 	v.rollouts = rollout.New(v.configurations.Subscribe(), v.configurations, v.sessions, cfg.VM.Name, log.WithName("rollout"))
 	v.endpoints = endpoint.New(store, client, v.peers, nil, endpoint.Options{VM: cfg.VM.Name, At: at}, log.WithName("endpoint"))
-	v.peers.Attach(v.configurations, v.sessions, v.rollouts, v.endpoints)
+	v.peers.Attach(v.configurations, v.sessions, v.rollouts, v.endpoints, v.limits)
 	v.journal = journal.New(store, v.peers, others, journalOptions(cfg, incarnation), log.WithName("journal"))
 	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
 	v.cascades = newCascades(rater, v.rollouts, cfg, log)
@@ -92,6 +97,7 @@
 		v.drain,
 		filter.Identify{Configurations: v.configurations},
 		filter.Authorize{},
+		filter.Limit{Limits: v.limits},
 		filter.Deduplicate{Journal: v.journal, Cleanup: cleanupTimeout},
 		filter.Bill{Journal: v.journal, Log: log.WithName("bill")},
 		filter.Cascade{Levels: v.cascades, Rater: rater, HeldBytes: heldBytes},
@@ -141,6 +147,7 @@
 		{"configuration", v.configurations.Run},
 		{"endpoints", v.endpoints.Run},
 		{"sessions", v.sessions.Run},
+		{"limits", v.limits.Run},
 		{"roll-outs", v.rollouts.Run},
 		{"journal", v.journal.Run},
 		{"peers", v.peers.Run},
@@ -184,12 +191,17 @@
 }
 
 func (v *VM) callersHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", health(v.drain, v.configurations))
-	mux.Handle("/", &callers{
+	ready := health(v.drain, v.configurations)
+	front := &callers{
 		chain: v.chain, bodyBytes: v.cfg.Limits.BodyBytes, timeout: v.cfg.Limits.RequestTimeout, log: v.log.WithName("callers"),
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == healthPath {
+			ready(w, r)
+			return
+		}
+		front.ServeHTTP(w, r)
 	})
-	return mux
 }
 
 // serve returns a task that serves HTTP on the listener until its context ends, then lets requests in flight end.
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -173,7 +173,7 @@
 		})
 	}
 	for _, a := range s.Demand {
-		d.Demand = append(d.Demand, &wire.AccountDemand{Account: a.Account, RequestsPerSecond: a.RequestsPerSecond})
+		d.Demand = append(d.Demand, demandToWire(a))
 	}
 	for _, c := range s.Crashes {
 		d.Crashes = append(d.Crashes, &wire.CrashReport{Fingerprint: c.Fingerprint, Endpoint: c.Endpoint})
@@ -204,7 +204,7 @@
 		})
 	}
 	for _, a := range d.Demand {
-		s.Demand = append(s.Demand, AccountDemand{Account: a.Account, RequestsPerSecond: a.RequestsPerSecond})
+		s.Demand = append(s.Demand, demandFromWire(a))
 	}
 	for _, c := range d.Crashes {
 		s.Crashes = append(s.Crashes, CrashReport{Fingerprint: c.Fingerprint, Endpoint: c.Endpoint})
@@ -217,3 +217,19 @@
 	}
 	return s
 }
+
+func demandToWire(a AccountDemand) *wire.AccountDemand {
+	d := &wire.AccountDemand{Account: a.Account, RequestsPerSecond: a.RequestsPerSecond, Stamp: a.Stamp}
+	if a.Loan.VM != "" {
+		d.Loan = &wire.LimitLoan{Vm: a.Loan.VM, Stamp: a.Loan.Stamp, RequestsPerSecond: a.Loan.RequestsPerSecond}
+	}
+	return d
+}
+
+func demandFromWire(d *wire.AccountDemand) AccountDemand {
+	a := AccountDemand{Account: d.Account, RequestsPerSecond: d.RequestsPerSecond, Stamp: d.Stamp}
+	if d.Loan != nil {
+		a.Loan = LimitLoan{VM: d.Loan.Vm, Stamp: d.Loan.Stamp, RequestsPerSecond: d.Loan.RequestsPerSecond}
+	}
+	return a
+}
--- a/internal/peer/controller.go
+++ b/internal/peer/controller.go
@@ -69,7 +69,10 @@
 
 // New makes a Controller; Run starts it. The registry may be nil, as may be each part of the state.
 func New(opts Options, transport Transport, registry Registry, sections []Section, log logr.Logger) *Controller {
-	self := Member{VM: opts.VM, Incarnation: opts.Incarnation, Region: opts.Region, Zone: opts.Zone}
+	self := Member{
+		VM: opts.VM, Incarnation: opts.Incarnation, Region: opts.Region, Zone: opts.Zone,
+		ControlAddress: opts.ControlAddress, PeerAddress: opts.PeerAddress, Health: Alive,
+	}
 	return &Controller{
 		mailbox: make(chan message, mailboxSize), work: make(chan work, mailboxSize),
 		transport: transport, registry: registry, sections: sections, opts: opts, log: log,
@@ -147,7 +150,7 @@
 	}
 }
 
-// Members returns every other VM that the platform lists or that was heard of.
+// Members returns the VM itself and every other one that the platform lists or that was heard of.
 func (c *Controller) Members(ctx context.Context) ([]Member, error) {
 	return task.Ask(ctx, c.mailbox, func(reply chan<- []Member) message { return membersMessage{reply} })
 }
@@ -163,7 +166,9 @@
 }
 
 func (m membersMessage) handle(c *Controller) {
-	out := make([]Member, 0, len(c.fleet.Members))
+	self := c.fleet.Self
+	self.Leaving = c.leaving
+	out := append(make([]Member, 0, len(c.fleet.Members)+1), self)
 	for _, name := range c.fleet.names() {
 		out = append(out, c.fleet.Members[name].Member)
 	}
@@ -221,6 +226,7 @@
 func (m collectedMessage) handle(c *Controller) {
 	now := time.Now()
 	s := m.state
+	c.fleet.Self.Revision = s.Revision
 	s.Halts = mergeFacts(s.Halts, c.halts.Round(now))
 	s.Crashes = mergeFacts(s.Crashes, c.crashes.Round(now))
 	targets := c.fleet.Choose(c.random)
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -51,9 +51,21 @@
 	RatedBad  uint64
 }
 
-// AccountDemand is the rate of requests of a client account at the sender.
+// AccountDemand asks for a part of the receivers' shares of a client account's limit, or lends one.
 type AccountDemand struct {
-	Account           string
+	Account string
+	// RequestsPerSecond is the rate that the sender lacks.
+	RequestsPerSecond float64
+	// Stamp names the question; a loan repeats it.
+	Stamp uint64
+	// Loan answers a question; its VM is empty where there is none.
+	Loan LimitLoan
+}
+
+// LimitLoan lends a VM a part of the sender's share, counted from the question that Stamp names.
+type LimitLoan struct {
+	VM                string
+	Stamp             uint64
 	RequestsPerSecond float64
 }
 
@@ -101,7 +113,7 @@
 	}
 }
 
-// Member is another VM that the platform lists or that was heard of.
+// Member is a VM of the fleet.
 type Member struct {
 	VM             string
 	Incarnation    uint64
@@ -111,11 +123,14 @@
 	PeerAddress    string
 	Revision       uint64
 	Leaving        bool
-	// HeardAt is when the VM's newest datagram was taken in, here or at the peer that passed it on.
+	// HeardAt is when news of the VM last came; zero for the VM itself and for one that is only listed.
 	HeardAt time.Time
 	Health  Health
 }
 
+// Silent reports whether the member has not been heard of for too long.
+func (m Member) Silent() bool { return m.Health == Suspect || m.Health == Dead }
+
 // Section is a controller's part of the state. The peers controller calls it before each send and after each receipt;
 // neither call may wait for the network. What doesn't fit into one datagram goes into a later one, so a list that is
 // absent or short is no news about the rest. A state may also come by way of another VM, without loads and sessions.
