--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -50,7 +50,7 @@
 	peers          *peer.Controller
 	metrics        *metric.Metrics
 	cascades       *cascade.Controller
-	store          journal.Store
+	store          journal.Archive
 	chain          filter.Next
 	close          func()
 }
--- a/internal/journal/request_test.go
+++ b/internal/journal/request_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"cornelmux/internal/journal"
+	"cornelmux/internal/task"
 	"cornelmux/pkg/result"
 )
 
@@ -56,7 +60,11 @@
 	for n := range hundred {
 		hundred[n] = caller{Key: n + 1, Think: time.Duration(n%10) * ms}
 	}
-	all := make([]result.Code, 100)
+	waves := make([]caller, 200)
+	for n := range waves {
+		waves[n] = caller{Key: n + 1, VM: n % 2, At: time.Duration(n/100*50) * ms, Think: time.Duration(n%10) * ms}
+	}
+	all := make([]result.Code, 200)
 	third := func(second, third string) []string {
 		return append([]string{"", "", second, third}, make([]string, 96)...)
 	}
@@ -79,6 +87,7 @@
 	}{
 		{name: "one", callers: []caller{{Key: 1}}, want: []result.Code{0}, billed: 1, writes: 2},
 		{name: "hundred at once share writes", callers: hundred, want: all, billed: 100, writes: 20},
+		{name: "two hundred at two VMs share writes", callers: waves, want: all, billed: 200, writes: 40},
 		{name: "lost answers are read back", callers: []caller{{Key: 1}}, faults: []string{"", "", "answer lost"}, want: []result.Code{0}, billed: 1, writes: 4},
 		{
 			name: "resends at two VMs join", callers: []caller{{Key: 1, Run: 500 * ms}, {Key: 1, At: 100 * ms}, {Key: 1, VM: 1, At: 100 * ms}},
@@ -171,7 +180,7 @@
 		qt.Assert(t, time.Since(began), qt.Equals, 250*time.Millisecond)
 		c.store.setDown(false)
 		c.stop()
-		bills, err := journal.ReadBills(t.Context(), c.store, region)
+		bills, _, err := journal.ReadBills(t.Context(), c.store, region)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, bills, qt.HasLen, 1)
 	})
@@ -190,3 +199,42 @@
 		qt.Assert(t, err, qt.ErrorIs, context.DeadlineExceeded)
 	})
 }
+
+func TestDrainDropsOnlyStoredBillsPastTheResendWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t.Context(), 1, 10, 1<<20)
+		defer c.stop()
+		fill := func(name string) {
+			var entries []journal.Entry
+			for n := range 1000 {
+				entries = append(entries, journal.Entry{
+					ID: fmt.Sprint(name, n), Kind: journal.EntryBilled, UnixMs: time.Now().UnixMilli(),
+					Key: journal.Key{Region: region, Account: "a", Request: fmt.Sprint(name, n)}, Runs: []journal.Run{{}},
+				})
+			}
+			for batch := range slices.Chunk(entries, 50) {
+				_, err := c.vms[0].Append(t.Context(), region, 0, batch)
+				qt.Assert(t, err, qt.IsNil)
+			}
+		}
+		drain := func() int {
+			bills, read, err := journal.ReadBills(t.Context(), c.store, region)
+			qt.Assert(t, err, qt.IsNil)
+			for range 2 {
+				qt.Assert(t, journal.Drain(t.Context(), c.store, read[0]), qt.IsNil)
+			}
+			return len(bills)
+		}
+		fill("first")
+		qt.Assert(t, drain(), qt.Equals, 1000)
+		qt.Assert(t, drain(), qt.Equals, 1000)
+		task.Sleep(t.Context(), time.Hour)
+		fill("second")
+		qt.Assert(t, drain(), qt.Equals, 2000)
+		left := drain()
+		qt.Assert(t, left >= 1000 && left < 2000, qt.IsTrue, qt.Commentf("%d bills", left))
+		var head journal.Head
+		qt.Assert(t, json.Unmarshal(c.store.values["cornelmux/journal/r/0/head"].Data, &head), qt.IsNil)
+		qt.Assert(t, len(c.store.values), qt.Equals, int(head.Sequence-head.Floor)+1)
+	})
+}
