--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -13,7 +12,6 @@
 	"cornelmux/internal/journal"
 	"cornelmux/internal/settings"
 	"cornelmux/internal/wire"
-	"cornelmux/internal/wire/wireconnect"
 )
 
 func journalOptions(cfg settings.Settings, incarnation uint64) journal.Options {
@@ -37,39 +35,8 @@
 	answerGrace = time.Second
 )
 
-// peers calls other entry VMs over connect.
-type peers struct{ http *http.Client }
-
-// fleetTransport adds the fleet key to each call.
-type fleetTransport struct {
-	key  string
-	next http.RoundTripper
-}
-
-// RoundTrip implements http.RoundTripper.
-func (t fleetTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	r = r.Clone(r.Context())
-	r.Header.Set("Authorization", "Bearer "+t.key)
-	return t.next.RoundTrip(r)
-}
-
-// CloseIdleConnections lets http.Client reach the transport below.
-func (t fleetTransport) CloseIdleConnections() {
-	if c, ok := t.next.(interface{ CloseIdleConnections() }); ok {
-		c.CloseIdleConnections()
-	}
-}
-
-func newPeers(key string) peers {
-	return peers{&http.Client{Transport: fleetTransport{key, &http.Transport{IdleConnTimeout: idleTimeout}}}}
-}
-
-func (p peers) client(address string) wireconnect.PeerServiceClient {
-	return wireconnect.NewPeerServiceClient(p.http, "http://"+address)
-}
-
 // Append implements journal.Peers.
-func (p peers) Append(ctx context.Context, address, region string, partition int, entries []journal.Entry) ([]journal.Outcome, error) {
+func (p *peerClient) Append(ctx context.Context, address, region string, partition int, entries []journal.Entry) ([]journal.Outcome, error) {
 	encoded, err := encodeEach(entries)
 	if err != nil {
 		return nil, err
@@ -82,7 +49,7 @@
 }
 
 // Answer implements journal.Peers. It waits while the VM says that the request runs, but not on a VM that is silent.
-func (p peers) Answer(ctx context.Context, address string, k journal.Key, fingerprint uint64) (journal.Found, error) {
+func (p *peerClient) Answer(ctx context.Context, address string, k journal.Key, fingerprint uint64) (journal.Found, error) {
 	q := &wire.AnswerRequest{Region: k.Region, Account: k.Account, RequestId: k.Request, Fingerprint: fingerprint}
 	r, err := p.pollAnswer(ctx, address, q)
 	for err == nil && r.Running {
@@ -98,25 +65,24 @@
 	return journal.Found{Answer: a}, nil
 }
 
-func (p peers) pollAnswer(ctx context.Context, address string, q *wire.AnswerRequest) (*wire.AnswerResponse, error) {
+func (p *peerClient) pollAnswer(ctx context.Context, address string, q *wire.AnswerRequest) (*wire.AnswerResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerWait+answerGrace)
 	defer cancel()
 	return p.client(address).Answer(ctx, q)
 }
 
-// peerService answers other entry VMs.
-type peerService struct {
-	wireconnect.UnimplementedPeerServiceHandler
-	vm *VM
+// peerJournal answers other entry VMs about the journal.
+type peerJournal struct {
+	journal *journal.Controller
 }
 
 // Append implements wireconnect.PeerServiceHandler.
-func (s *peerService) Append(ctx context.Context, r *wire.AppendRequest) (*wire.AppendResponse, error) {
+func (p peerJournal) Append(ctx context.Context, r *wire.AppendRequest) (*wire.AppendResponse, error) {
 	entries, err := decodeEach[journal.Entry](r.Entries)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	outcomes, err := s.vm.journal.Append(ctx, r.Region, int(r.Partition), entries)
+	outcomes, err := p.journal.Append(ctx, r.Region, int(r.Partition), entries)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
@@ -128,11 +94,11 @@
 }
 
 // Answer implements wireconnect.PeerServiceHandler.
-func (s *peerService) Answer(ctx context.Context, r *wire.AnswerRequest) (*wire.AnswerResponse, error) {
+func (p peerJournal) Answer(ctx context.Context, r *wire.AnswerRequest) (*wire.AnswerResponse, error) {
 	k := journal.Key{Region: r.Region, Account: r.Account, Request: r.RequestId}
 	wait, cancel := context.WithTimeout(ctx, answerWait)
 	defer cancel()
-	found, err := s.vm.journal.Find(wait, k, r.Fingerprint)
+	found, err := p.journal.Find(wait, k, r.Fingerprint)
 	if errors.Is(err, context.DeadlineExceeded) {
 		return &wire.AnswerResponse{Running: true}, nil
 	}
--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -28,7 +28,6 @@
 		{"reach", "silence", "limits", "request_timeout", r.Silence < l.RequestTimeout, "a silent stream could not be resumed in time"},
 		{"reach", "dial_timeout", "limits", "request_timeout", r.DialTimeout < l.RequestTimeout, "no other endpoint could be tried in time"},
 		{"reach", "rating_timeout", "limits", "request_timeout", r.RatingTimeout < l.RequestTimeout, "no time would be left for the next level"},
-		{"reach", "platform_timeout", "limits", "claim_for", r.PlatformTimeout < l.ClaimFor, "a claim could expire before the platform answers"},
 		{"limits", "claim_for", "limits", "resend_window", l.ClaimFor < l.ResendWindow, "a request could be sent after its ID is forgotten"},
 		{"limits", "request_timeout", "limits", "resend_window", l.RequestTimeout < l.ResendWindow, "a request could outlast the memory of its ID"},
 		{"limits", "request_timeout", "limits", "stop_timeout", l.RequestTimeout < l.StopTimeout, "a planned stop could cut a request"},
