Give every command an exit code, next step, example and JSON output

Cause: every failure ended with 1, a conflict looked like a wrong flag, and a script had to read prose.

--- a/cmd/cornelmux/main.go
+++ b/cmd/cornelmux/main.go
@@ -2,8 +2,8 @@
 package main
 
 import (
-	"errors"
 	"os"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
 )
@@ -19,18 +19,51 @@
 	Status  statusCommand  `command:"status" description:"print a VM's status"`
 	Bills   billsCommand   `command:"bills" description:"print what requests cost, a bill for each request ID"`
 	Version versionCommand `command:"version" description:"print the version"`
+	Keygen  keygenCommand  `command:"keygen" description:"make a key file for operators or entry VMs"`
+	Docs    docsCommand    `command:"docs" hidden:"true" description:"print a reference page"`
 
 	Withdraw  withdrawCommand  `command:"withdraw" description:"take a version out of service"`
 	Reinstate reinstateCommand `command:"reinstate" description:"bring a withdrawn version back"`
 }
 
-func main() {
-	parser := flags.NewParser(&commands{}, flags.Default)
-	if _, err := parser.Parse(); err != nil {
-		var e *flags.Error
-		if errors.As(err, &e) && e.Type == flags.ErrHelp {
-			return
+const about = `cornelmux routes requests of callers to model and service endpoints, and is the operators' tool for it.
+
+Completion in bash: complete -F _cornelmux cornelmux, where
+  _cornelmux() { COMPREPLY=($(GO_FLAGS_COMPLETION=1 ${COMP_WORDS[0]} "${COMP_WORDS[@]:1:$COMP_CWORD}")); }
+
+Exit codes: 0 done; 1 failed; 2 wrong use; 3 conflict with another change; 4 VM or platform not reached.`
+
+// examples stand in the help of each command.
+var examples = map[string]string{
+	"serve":     "cornelmux serve --settings vm1.ini",
+	"check":     "cornelmux check --settings vm1.ini\ncornelmux check --configuration site.json --output json",
+	"apply":     "site | cornelmux apply --address 10.0.0.1:8081 --key-file operator.key",
+	"get":       "cornelmux get --address 10.0.0.1:8081 --key-file operator.key > site.json",
+	"diff":      "site | cornelmux diff --address 10.0.0.1:8081 --key-file operator.key",
+	"status":    "cornelmux status --address 10.0.0.1:8081 --key-file operator.key",
+	"bills":     "cornelmux bills --address 10.0.0.1:8081 --key-file operator.key --account parish",
+	"withdraw":  "cornelmux withdraw --address 10.0.0.1:8081 --key-file operator.key --model composer --version v2 --reason 'wrong date'",
+	"reinstate": "cornelmux reinstate --address 10.0.0.1:8081 --key-file operator.key --model composer --version v2",
+	"rollout":   "cornelmux rollout start --address 10.0.0.1:8081 --key-file operator.key --model composer --version v2 --step 0.01 --step 1",
+	"audit":     "cornelmux audit --address 10.0.0.1:8081 --key-file operator.key --after 40 --output json",
+	"keygen":    "cornelmux keygen --file fleet.key",
+}
+
+func newParser() *flags.Parser {
+	parser := flags.NewNamedParser("cornelmux", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = about
+	if _, err := parser.AddGroup("Commands", "", &commands{}); err != nil {
+		panic(err) // a tag of commands is wrong, which the first run shows
+	}
+	for _, c := range parser.Commands() {
+		if example, ok := examples[c.Name]; ok {
+			c.LongDescription = c.ShortDescription + "\n\nExample:\n  " + strings.ReplaceAll(example, "\n", "\n  ")
 		}
-		os.Exit(1)
 	}
+	return parser
+}
+
+func main() {
+	_, err := newParser().Parse()
+	os.Exit(report(os.Stdout, os.Stderr, err))
 }
--- a/cmd/cornelmux/operate.go
+++ b/cmd/cornelmux/operate.go
@@ -10,8 +10,7 @@
 	"strings"
 	"time"
 
-	"connectrpc.com/connect"
-
+	"cornelmux/internal/settings"
 	"cornelmux/internal/wire"
 	"cornelmux/internal/wire/wireconnect"
 	"cornelmux/pkg/catalog"
@@ -36,11 +35,11 @@
 }
 
 func (t *target) dial() (wireconnect.ControlServiceClient, error) {
-	key, err := os.ReadFile(t.KeyFile)
+	key, err := settings.ReadKey(t.KeyFile)
 	if err != nil {
 		return nil, err
 	}
-	client := &http.Client{Transport: keyTransport{strings.TrimSpace(string(key))}, Timeout: callTimeout}
+	client := &http.Client{Transport: keyTransport{key}, Timeout: callTimeout}
 	return wireconnect.NewControlServiceClient(client, "http://"+t.Address), nil
 }
 
@@ -58,8 +57,15 @@
 	return cfg, r.Revision, err
 }
 
+// accepted is the output of a command that changes the configuration.
+type accepted struct {
+	ChangeID string `json:"change_id"`
+	Revision uint64 `json:"revision"`
+}
+
 // change says who submits a change, and lets a submission be repeated under the same ID.
 type change struct {
+	output
 	Author   string `long:"author" env:"USER" default:"operator" description:"who makes the change"`
 	ChangeID string `long:"change-id" description:"ID of the change; a repeated ID is accepted once"`
 }
@@ -80,16 +86,8 @@
 	if err != nil {
 		return fmt.Errorf("change %s: %w", c.ChangeID, explain(err))
 	}
-	fmt.Printf("change %s accepted at revision %d\n", c.ChangeID, r.Revision)
-	return nil
-}
-
-// explain keeps the message of a connect error without its code, which the result code in the message repeats.
-func explain(err error) error {
-	if e, ok := err.(*connect.Error); ok {
-		return fmt.Errorf("%s", e.Message())
-	}
-	return err
+	done := accepted{c.ChangeID, r.Revision}
+	return c.print(done, fmt.Sprintf("change %s accepted at revision %d", c.ChangeID, r.Revision))
 }
 
 func readConfiguration(path string) (catalog.Configuration, error) {
@@ -128,6 +126,7 @@
 
 type diffCommand struct {
 	target
+	output
 	File string `long:"file" default:"-" description:"printed configuration; - reads standard input"`
 }
 
@@ -142,10 +141,8 @@
 		return err
 	}
 	ch := catalog.Diff(have, want)
-	for _, name := range ch.Objects() {
-		fmt.Println(name)
-	}
-	return nil
+	names := ch.Objects()
+	return c.print(names, strings.Join(names, "\n"))
 }
 
 type getCommand struct{ target }
--- a/cmd/cornelmux/serve.go
+++ b/cmd/cornelmux/serve.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/go-logr/logr"
+	"github.com/jessevdk/go-flags"
 
 	"cornelmux/internal/entry"
 	"cornelmux/internal/settings"
@@ -27,11 +28,23 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	log := logr.FromSlogHandler(slog.NewJSONHandler(os.Stderr, nil)).WithValues("vm", cfg.VM.Name)
-	return entry.New(cfg, log).Run(ctx)
+	return entry.New(cfg, newLogger(os.Stderr, cfg.Log).WithValues("vm", cfg.VM.Name)).Run(ctx)
+}
+
+// newLogger makes the one logger that is passed down; each line is a JSON object or a row of key=value.
+func newLogger(w io.Writer, cfg settings.LogSettings) logr.Logger {
+	options := &slog.HandlerOptions{Level: slog.LevelInfo}
+	if cfg.Level == settings.LevelDebug {
+		options.Level = slog.LevelDebug
+	}
+	if cfg.Format == settings.FormatText {
+		return logr.FromSlogHandler(slog.NewTextHandler(w, options))
+	}
+	return logr.FromSlogHandler(slog.NewJSONHandler(w, options))
 }
 
 type checkCommand struct {
+	output
 	Settings      string `long:"settings" description:"INI file to check"`
 	Configuration string `long:"configuration" description:"printed configuration to check"`
 }
@@ -39,7 +52,7 @@
 // Execute implements flags.Commander.
 func (c *checkCommand) Execute([]string) error {
 	if c.Settings == "" && c.Configuration == "" {
-		return fmt.Errorf("give --settings, --configuration or both")
+		return &flags.Error{Type: flags.ErrRequired, Message: "give --settings, --configuration or both"}
 	}
 	if c.Settings != "" {
 		if _, err := settings.Load(c.Settings); err != nil {
@@ -55,14 +68,22 @@
 			return err
 		}
 	}
-	fmt.Println("ok")
-	return nil
+	return c.print(checked{OK: true}, "ok")
 }
 
-type versionCommand struct{}
+// checked is the output of check; an error goes to standard error instead.
+type checked struct {
+	OK bool `json:"ok"`
+}
+
+type versionCommand struct{ output }
+
+// release is the output of version.
+type release struct {
+	Version string `json:"version"`
+}
 
 // Execute implements flags.Commander.
 func (c *versionCommand) Execute([]string) error {
-	fmt.Println("cornelmux", version)
-	return nil
+	return c.print(release{version}, "cornelmux "+version)
 }
--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -22,6 +22,21 @@
 	reason                 string
 }
 
+// Rule describes a check between two keys.
+type Rule struct {
+	Text   string
+	Reason string
+}
+
+// Rules lists the checks between keys.
+func Rules() []Rule {
+	var out []Rule
+	for _, r := range rules(&Settings{}) {
+		out = append(out, Rule{r.section + "." + r.key + " below " + r.otherSection + "." + r.otherKey, r.reason})
+	}
+	return out
+}
+
 func rules(s *Settings) []rule {
 	l, r := &s.Limits, &s.Reach
 	return []rule{
