--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -22,13 +22,27 @@
 	reason                 string
 }
 
+// Rule describes a check between two keys.
+type Rule struct {
+	Text   string
+	Reason string
+}
+
+// Rules lists the checks between keys.
+func Rules() []Rule {
+	var out []Rule
+	for _, r := range rules(&Settings{}) {
+		out = append(out, Rule{r.section + "." + r.key + " below " + r.otherSection + "." + r.otherKey, r.reason})
+	}
+	return out
+}
+
 func rules(s *Settings) []rule {
 	l, r := &s.Limits, &s.Reach
 	return []rule{
 		{"reach", "silence", "limits", "request_timeout", r.Silence < l.RequestTimeout, "a silent stream could not be resumed in time"},
 		{"reach", "dial_timeout", "limits", "request_timeout", r.DialTimeout < l.RequestTimeout, "no other endpoint could be tried in time"},
 		{"reach", "rating_timeout", "limits", "request_timeout", r.RatingTimeout < l.RequestTimeout, "no time would be left for the next level"},
-		{"reach", "platform_timeout", "limits", "claim_for", r.PlatformTimeout < l.ClaimFor, "a claim could expire before the platform answers"},
 		{"limits", "claim_for", "limits", "resend_window", l.ClaimFor < l.ResendWindow, "a request could be sent after its ID is forgotten"},
 		{"limits", "request_timeout", "limits", "resend_window", l.RequestTimeout < l.ResendWindow, "a request could outlast the memory of its ID"},
 		{"limits", "request_timeout", "limits", "stop_timeout", l.RequestTimeout < l.StopTimeout, "a planned stop could cut a request"},
