Refuse for a while the requests that crash endpoints, counted over the fleet

Cause: a caller that resends a request which crashes each endpoint that runs it took one endpoint after the other.

The filter stands behind deduplicate, so that a resend of a request that may have run hears of that and not of not_run, and a claim is released. Members that peers count as silent poll no endpoint.

Ruled out: counting each lost connection (a cut between zones would quarantine whatever ran there); counting endpoints without their incarnation (a site with one endpoint of a version would never reach two).

TestEachEndpointIsPolledByTwoVMsOfItsZone now takes members as the peers controller gives them, without the VM itself, and with dead and leaving ones.

Not told apart: requests that run on the endpoint at the same time as the one that crashes it each count one crash.

--- a/fleet/failure_test.go
+++ b/fleet/failure_test.go
@@ -281,6 +281,7 @@
 		})
 	}
 }
+
 func TestChatIsServedDuringAPlatformOutage(t *testing.T) {
 	s := newSite(t)
 	s.faults(standin.PlatformFaults{Down: true})
@@ -290,4 +291,3 @@
 		s.c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", got.body))
 	}
 }
-
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -79,5 +79,5 @@
 	if !o.Lost {
 		return nil
 	}
-	return []Crash{{o.Fingerprint, o.Endpoint}}
+	return []Crash{newCrash(o.Fingerprint, o.Endpoint, o.Incarnation)}
 }
--- a/internal/endpoint/poll.go
+++ b/internal/endpoint/poll.go
@@ -32,6 +32,9 @@
 // Assign settles which endpoints the VM polls: each is polled by two VMs of its zone, or of its region where the zone
 // has none, chosen by rendezvous hashing over the VMs heard of. With no other VM heard of it polls all.
 func (t *Table) Assign(self string, members []peer.Member) {
+	members = slices.DeleteFunc(slices.Clone(members), func(m peer.Member) bool {
+		return m.VM == self || m.Leaving || m.Health > peer.Alive
+	})
 	for _, r := range t.records {
 		r.mine = polls(self, t.at, r, members)
 	}
@@ -43,7 +46,7 @@
 		candidates, ahead := 0, 0
 		own := xxhash.Sum64String(r.ID + " " + self)
 		for _, m := range members {
-			if m.VM == self || m.Leaving || !within(m.Region, m.Zone) {
+			if !within(m.Region, m.Zone) {
 				continue
 			}
 			candidates++
--- a/internal/endpoint/poll_test.go
+++ b/internal/endpoint/poll_test.go
@@ -17,14 +17,17 @@
 		var members []peer.Member
 		for i := range rapid.IntRange(1, 9).Draw(t, "vms") {
 			at := rapid.SampledFrom(testPlaces).Draw(t, "place")
-			members = append(members, peer.Member{VM: fmt.Sprintf("vm%d", i), Region: at.Region, Zone: at.Zone})
+			members = append(members, peer.Member{VM: fmt.Sprintf("vm%d", i), Region: at.Region, Zone: at.Zone, Health: peer.Alive})
+		}
+		gone := []peer.Member{
+			{VM: "dead", Region: "vest", Zone: "vest-1", Health: peer.Dead}, {VM: "leaving", Region: "ost", Zone: "ost-1", Leaving: true},
 		}
 		place := rapid.SampledFrom(testPlaces).Draw(t, "endpoint")
 		inZone, inRegion, polled := 0, 0, 0
 		for _, m := range members {
 			table := NewTable(Location{m.Region, m.Zone})
 			table.List([]platform.Instance{instance("e1", place, 1, false)}, time.Unix(1, 0))
-			table.Assign(m.VM, members)
+			table.Assign(m.VM, append(gone, members...))
 			if table.records["e1"].mine {
 				polled++
 			}
@@ -39,6 +42,9 @@
 		if inZone == 0 {
 			want = min(pollers, inRegion)
 		}
+		if len(members) == 1 {
+			want = 1 // a VM that hears of no other polls all
+		}
 		if polled != want {
 			t.Fatalf("polled by %d VMs, want %d", polled, want)
 		}
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -57,11 +57,16 @@
 }
 
 // Crash says that an endpoint crashed while it ran the request with the fingerprint.
+// Endpoint is its ID and incarnation, so that a second crash of it is told from the first.
 type Crash struct {
 	Fingerprint uint64
 	Endpoint    string
 }
 
+func newCrash(fingerprint uint64, id string, incarnation uint64) Crash {
+	return Crash{fingerprint, id + "#" + strconv.FormatUint(incarnation, 10)}
+}
+
 // Table holds every known endpoint, indexed by what it serves and how far it is.
 // It takes the time as an argument and does no input or output.
 type Table struct {
@@ -175,7 +180,7 @@
 	var list []Crash
 	for _, l := range r.lost {
 		if now.Before(l.until) {
-			list = append(list, Crash{l.fingerprint, r.ID})
+			list = append(list, newCrash(l.fingerprint, r.ID, r.Incarnation))
 		}
 	}
 	r.lost = nil
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -20,6 +20,7 @@
 	"cornelmux/internal/metric"
 	"cornelmux/internal/peer"
 	"cornelmux/internal/platform"
+	"cornelmux/internal/quarantine"
 	"cornelmux/internal/rollout"
 	"cornelmux/internal/session"
 	"cornelmux/internal/settings"
@@ -45,6 +46,7 @@
 	rollouts       *rollout.Controller
 	journal        *journal.Controller
 	limits         *limit.Controller
+	quarantine     *quarantine.Controller
 	peers          *peer.Controller
 	metrics        *metric.Metrics
 	cascades       *cascade.Controller
@@ -84,8 +86,9 @@
 		Idle: cfg.Limits.SessionIdle, Settle: cfg.Limits.StepSettle, MaxSessions: cfg.Limits.MaxSessions,
 	}, log.WithName("session"))
 	v.rollouts = rollout.New(v.configurations.Subscribe(), v.configurations, v.sessions, cfg.VM.Name, log.WithName("rollout"))
-	v.endpoints = endpoint.New(store, client, v.peers, nil, endpoint.Options{VM: cfg.VM.Name, At: at}, log.WithName("endpoint"))
-	v.peers.Attach(v.configurations, v.sessions, v.rollouts, v.endpoints, v.limits)
+	v.quarantine = quarantine.New(log.WithName("quarantine"))
+	v.endpoints = endpoint.New(store, client, v.peers, v.quarantine, endpoint.Options{VM: cfg.VM.Name, At: at}, log.WithName("endpoint"))
+	v.peers.Attach(v.configurations, v.sessions, v.rollouts, v.endpoints, v.limits, v.quarantine)
 	v.journal = journal.New(store, v.peers, others, journalOptions(cfg, incarnation), log.WithName("journal"))
 	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
 	v.cascades = newCascades(rater, v.rollouts, cfg, log)
@@ -97,6 +100,7 @@
 		filter.Authorize{},
 		filter.Limit{Limits: v.limits},
 		filter.Deduplicate{Journal: v.journal, Cleanup: cleanupTimeout},
+		filter.Quarantine{Quarantines: v.quarantine},
 		filter.Bill{Journal: v.journal, Log: log.WithName("bill")},
 		filter.Cascade{Levels: v.cascades, Rater: rater, HeldBytes: heldBytes},
 		filter.Choose{Sessions: v.sessions, Evidence: v.rollouts},
@@ -146,6 +150,7 @@
 		{"endpoints", v.endpoints.Run},
 		{"sessions", v.sessions.Run},
 		{"limits", v.limits.Run},
+		{"quarantine", v.quarantine.Run},
 		{"roll-outs", v.rollouts.Run},
 		{"journal", v.journal.Run},
 		{"peers", v.peers.Run},
