--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -26,7 +26,10 @@
 // Judge decides what a status means. Model engines say truthfully by 429 and 503 that a call didn't run. A plain
 // service may have run a call whatever its status, so a call that may not be repeated takes any status as its answer.
 func Judge(call Call, status int, contentType string) Verdict {
+	busy := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 	switch {
+	case call.Resume && busy:
+		return VerdictBroken
 	case call.Resume && status != http.StatusOK:
 		return VerdictUnknownRun
 	case !call.Chat && call.Idempotent && status >= http.StatusInternalServerError:
@@ -35,7 +38,7 @@
 		return VerdictWhole
 	case status == http.StatusOK && strings.HasPrefix(contentType, eventStream):
 		return VerdictEvents
-	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+	case busy:
 		return VerdictRefused
 	case status >= http.StatusBadRequest && status < http.StatusInternalServerError && status != http.StatusRequestTimeout:
 		return VerdictWhole
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -65,6 +65,8 @@
 	FaultTwice = "fault:twice"
 	// FaultShuffle sends the events in reverse order.
 	FaultShuffle = "fault:shuffle"
+	// FaultSlow makes a service take its time.
+	FaultSlow = "fault:slow"
 	// FaultOversize sends an event over every limit.
 	FaultOversize = "fault:oversize"
 )
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -14,7 +14,10 @@
 	"cornelmux/internal/task"
 )
 
-const serviceMailbox = 1024
+const (
+	serviceMailbox = 1024
+	slowDelay      = 300 * time.Millisecond
+)
 
 // Service is a stand-in of a plain service. It counts the calls of each request ID, so that tests see a doubled one.
 type Service struct {
@@ -100,7 +103,11 @@
 	if err != nil {
 		return
 	}
-	if !task.Sleep(r.Context(), s.delay) {
+	delay := s.delay
+	if strings.Contains(string(body), FaultSlow) {
+		delay += slowDelay
+	}
+	if !task.Sleep(r.Context(), delay) {
 		return
 	}
 	switch {
