--- a/internal/peer/socket.go
+++ b/internal/datagram/socket.go
@@ -1,4 +1,6 @@
-package peer
+// Package datagram carries the entry VMs' datagrams over UDP by gnet.
+// It stands apart from package peer, so that only the program itself takes in gnet and the goroutines that gnet starts.
+package datagram
 
 import (
 	"context"
@@ -24,7 +26,7 @@
 	bufferBytes = 1 << 20
 )
 
-// Socket is the Transport over one UDP socket: gnet's event loop reads it and one goroutine writes to it.
+// Socket is a peer.Transport over one UDP socket: gnet's event loop reads it and one goroutine writes to it.
 type Socket struct {
 	address string
 	outbox  chan outgoing
@@ -36,12 +38,12 @@
 	packet []byte
 }
 
-// NewSocket makes a Socket that listens on address, an IP number and port.
-func NewSocket(address string, log logr.Logger) *Socket {
+// New makes a Socket that listens on address, an IP number and port.
+func New(address string, log logr.Logger) *Socket {
 	return &Socket{address: address, outbox: make(chan outgoing, outboxSize), log: log}
 }
 
-// Send implements Transport.
+// Send implements peer.Transport.
 func (s *Socket) Send(address string, packet []byte) error {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
@@ -50,7 +52,7 @@
 	return task.Tell(s.outbox, outgoing{to, packet})
 }
 
-// Run implements Transport.
+// Run implements peer.Transport.
 func (s *Socket) Run(ctx context.Context, deliver func([]byte) error) error {
 	if err := s.probe(); err != nil {
 		return err
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -13,6 +13,7 @@
 
 	"cornelmux/internal/cascade"
 	"cornelmux/internal/configuration"
+	"cornelmux/internal/datagram"
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/filter"
 	"cornelmux/internal/journal"
@@ -31,6 +32,7 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 60 * time.Second
 	cleanupTimeout = 5 * time.Second
+	healthPath     = "/healthz"
 	// heldBytes bounds an answer that a cascade holds back until it is rated.
 	heldBytes = 4 << 20
 )
@@ -72,7 +74,7 @@
 		configurations: configuration.New(store, others, configuration.Options{
 			VM: cfg.VM.Name, Zone: cfg.VM.Zone, Freshness: cfg.Limits.Freshness,
 		}, log.WithName("configuration")),
-		peers: peer.New(peerOptions(cfg, incarnation), peer.NewSocket(cfg.Listen.Peers, log.WithName("peer")), store, nil, log.WithName("peer")),
+		peers: peer.New(peerOptions(cfg, incarnation), datagram.New(cfg.Listen.Peers, log.WithName("peer")), store, nil, log.WithName("peer")),
 		store: store,
 		close: func() {
 			client.Close()
@@ -194,12 +196,17 @@
 }
 
 func (v *VM) callersHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", health(v.drain, v.configurations))
-	mux.Handle("/", &callers{
+	ready := health(v.drain, v.configurations)
+	front := &callers{
 		chain: v.chain, bodyBytes: v.cfg.Limits.BodyBytes, timeout: v.cfg.Limits.RequestTimeout, log: v.log.WithName("callers"),
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == healthPath {
+			ready(w, r)
+			return
+		}
+		front.ServeHTTP(w, r)
 	})
-	return mux
 }
 
 // serve returns a task that serves HTTP on the listener until its context ends, then lets requests in flight end.
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -113,7 +113,7 @@
 	}
 }
 
-// Member is another VM that the platform lists or that was heard of.
+// Member is a VM of the fleet.
 type Member struct {
 	VM             string
 	Incarnation    uint64
@@ -123,11 +123,14 @@
 	PeerAddress    string
 	Revision       uint64
 	Leaving        bool
-	// HeardAt is when the VM's newest datagram was taken in, here or at the peer that passed it on.
+	// HeardAt is when news of the VM last came; zero for the VM itself and for one that is only listed.
 	HeardAt time.Time
 	Health  Health
 }
 
+// Silent reports whether the member has not been heard of for too long.
+func (m Member) Silent() bool { return m.Health == Suspect || m.Health == Dead }
+
 // Section is a controller's part of the state. The peers controller calls it before each send and after each receipt;
 // neither call may wait for the network. What doesn't fit into one datagram goes into a later one, so a list that is
 // absent or short is no news about the rest. A state may also come by way of another VM, without loads and sessions.
