--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -92,6 +92,7 @@
 	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
 	v.cascades = newCascades(rater, v.rollouts, cfg, log)
 	metrics.Watch(v.configurations, v.peers, log.WithName("metric"))
+	metrics.WatchJournal(v.journal, log.WithName("metric"))
 	v.chain = filter.Chain(
 		filter.Observe{Meter: metrics},
 		v.drain,
--- a/internal/journal/controller.go
+++ b/internal/journal/controller.go
@@ -87,8 +87,17 @@
 		reply chan<- Outcome
 	}
 	billedMessage struct{ bills int }
+	countsMessage struct{ reply chan<- Counts }
 )
 
+// Counts says what the journal holds.
+type Counts struct {
+	// Outstanding counts the requests that run here or whose bill isn't written.
+	Outstanding int
+	Kept        int
+	KeptBytes   int
+}
+
 // Run owns the state until ctx ends and the partitions have written what waits.
 func (c *Controller) Run(ctx context.Context) error {
 	running, cancel := context.WithCancel(ctx)
@@ -145,6 +154,15 @@
 	}
 }
 
+func (m countsMessage) handle(_ context.Context, c *Controller) {
+	m.reply <- Counts{c.outstanding, len(c.kept), c.keptBytes}
+}
+
+// Counts returns what the journal holds now.
+func (c *Controller) Counts(ctx context.Context) (Counts, error) {
+	return task.Ask(ctx, c.mailbox, func(reply chan<- Counts) message { return countsMessage{reply} })
+}
+
 func (m billedMessage) handle(_ context.Context, c *Controller) { c.outstanding -= m.bills }
 
 // entry makes an entry with an ID that no other has.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -8,6 +8,9 @@
 	"cornelmux/pkg/result"
 )
 
+// outageRetry is when a caller may come back that was refused because of the platform.
+const outageRetry = 2 * time.Second
+
 // Key names a request. Region is the client account's home region, which holds the request's entries.
 type Key struct {
 	Region  string `json:"region"`
@@ -117,7 +120,11 @@
 	if o.Appended {
 		return nil
 	}
-	return result.Errorf(o.Code, "%s", o.Detail)
+	e := result.Errorf(o.Code, "%s", o.Detail)
+	if o.Failed {
+		return e.After(outageRetry)
+	}
+	return e
 }
 
 // Holder names the VM that may have sent a request.
--- a/internal/journal/log_test.go
+++ b/internal/journal/log_test.go
@@ -321,6 +321,7 @@
 		{"nobody", nil, ""},
 		{"another region", []peer.Member{member("a", "q", false)}, ""},
 		{"leaving", []peer.Member{member("a", "r", true), member("b", "r", false)}, "b"},
+		{"silent", []peer.Member{{VM: "a", Region: "r", ControlAddress: "a", Health: peer.Suspect}, member("b", "r", false)}, "b"},
 		{"any order", []peer.Member{member("a", "r", false), member("b", "r", false), member("c", "r", false)}, "a"},
 		{"other order", []peer.Member{member("c", "r", false), member("b", "r", false), member("a", "r", false)}, "a"},
 	}
--- a/internal/journal/request.go
+++ b/internal/journal/request.go
@@ -73,7 +73,7 @@
 	case m.join:
 		m.reply <- openReply{}
 	case c.outstanding >= c.opts.MaxBills:
-		m.reply <- openReply{err: result.Errorf(result.BillsFull, "%d requests run or wait for their bill", c.outstanding)}
+		m.reply <- openReply{err: result.Errorf(result.BillsFull, "%d requests run or wait for their bill", c.outstanding).After(outageRetry)}
 	default:
 		c.outstanding++
 		c.live[m.key] = &request{fingerprint: m.fingerprint, running: true, runner: m.reply}
--- a/internal/journal/request_test.go
+++ b/internal/journal/request_test.go
@@ -156,6 +156,11 @@
 					qt.Check(t, o.code(), qt.Equals, row.want[i], qt.Commentf("caller %d: %v", i, o.err))
 				}
 				qt.Check(t, len(bills), qt.Equals, row.billed)
+				for _, v := range c.vms {
+					counts, err := v.Counts(t.Context())
+					qt.Check(t, err, qt.IsNil)
+					qt.Check(t, counts.Outstanding, qt.Equals, 0)
+				}
 				qt.Check(t, c.store.writes <= row.writes, qt.IsTrue, qt.Commentf("%d writes", c.store.writes))
 			})
 		})
--- /dev/null
+++ b/internal/metric/journal.go
@@ -0,0 +1,34 @@
+package metric
+
+import (
+	"context"
+
+	"github.com/go-logr/logr"
+	"go.opentelemetry.io/otel/metric"
+
+	"cornelmux/internal/journal"
+)
+
+// Journal says what the VM's journal holds.
+type Journal interface {
+	Counts(ctx context.Context) (journal.Counts, error)
+}
+
+// WatchJournal observes the journal at each scrape.
+func (m *Metrics) WatchJournal(j Journal, log logr.Logger) {
+	b := &builder{meter: m.meter}
+	outstanding := b.gauge("cornelmux.journal.outstanding", "{request}", "Requests that run or whose bill is not written.")
+	kept := b.gauge("cornelmux.journal.kept", "{answer}", "Answers kept for resends.")
+	size := b.gauge("cornelmux.journal.kept.size", "By", "Bytes of the answers kept for resends.")
+	b.callback(func(ctx context.Context, o metric.Observer) error {
+		counts, err := j.Counts(ctx)
+		if err != nil {
+			return err
+		}
+		o.ObserveFloat64(outstanding, float64(counts.Outstanding))
+		o.ObserveFloat64(kept, float64(counts.Kept))
+		o.ObserveFloat64(size, float64(counts.KeptBytes))
+		return nil
+	}, outstanding, kept, size)
+	b.report(log)
+}
--- a/internal/metric/metric_test.go
+++ b/internal/metric/metric_test.go
@@ -32,6 +32,12 @@
 	return peer.Counts{Sent: 5, SentBytes: 600, BadMAC: 2}, nil
 }
 
+type fixedJournal struct{}
+
+func (fixedJournal) Counts(context.Context) (journal.Counts, error) {
+	return journal.Counts{Outstanding: 3, Kept: 2, KeptBytes: 100}, nil
+}
+
 func read(c *qt.C, m *Metrics) string {
 	w := httptest.NewRecorder()
 	m.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
@@ -43,6 +49,7 @@
 	c := qt.New(t)
 	m := New(logr.Discard())
 	m.Watch(fixed{}, fixed{}, logr.Discard())
+	m.WatchJournal(fixedJournal{}, logr.Discard())
 	ctx := context.Background()
 	for range 3 {
 		m.Started(ctx)
@@ -68,6 +75,9 @@
 		`cornelmux_configuration_revision 7`,
 		`cornelmux_members{health="alive"} 2`,
 		`cornelmux_datagrams_total{outcome="bad_mac"} 2`,
+		`cornelmux_journal_outstanding 3`,
+		`cornelmux_journal_kept 2`,
+		`cornelmux_journal_kept_size_bytes 100`,
 		`cornelmux_datagrams_size_bytes_total{outcome="sent"} 600`,
 	}
 	for _, row := range rows {
