--- a/fleet/site_test.go
+++ b/fleet/site_test.go
@@ -64,6 +64,8 @@
 	vms      []*vm
 	relays   map[string]*relay
 	procs    map[string]*exec.Cmd
+	// sessions counts the new sessions that a test began.
+	sessions int
 }
 
 type vm struct {
