Order endpoints to load, unload or change role, fenced and compared with their reports

Cause: engines take orders, and nothing gave them; some check a fencing number and some ignore it.

Change: an order is recorded in the endpoint's key by compare-and-swap, under the next number, before it is sent; the newest about each version and about the role stands there. The VMs that poll the endpoint send what its fresh report doesn't show, one at a time, and read again immediately before a send that the order still stands; so any VM goes on with what another recorded. An engine that ignores numbers and takes an old order late shows it in its report and gets the newest again. One that has taken a higher number refuses, and the order gets the next number if it still stands. Loads over the fleet keep to the new setting load_interval by reserving slots, at most 30 s ahead, in one key. `cornelmux order` records one.

Ruled out: a lease for the sender (a paused holder doesn't know that it lapsed, and the platform would count its renewals); a number for each endpoint kept by the engine (some keep none).

The rate's test came with a fault found by reading: loads that wait longer than their send may take reserved again and again. Seen failing on broken builds: a renewed order with its old number; a replaced order that isn't recorded; unloads not pending; slots that don't move; slots without bound; an order recorded twice; orders to endpoints of other VMs; no renewal; no check that the order still stands.

--- a/cmd/cornelmux/main.go
+++ b/cmd/cornelmux/main.go
@@ -21,6 +21,7 @@
 	Version versionCommand `command:"version" description:"print the version"`
 
 	Withdraw  withdrawCommand  `command:"withdraw" description:"take a version out of service"`
+	Order     orderCommand     `command:"order" description:"have an endpoint load or unload a version or change its role"`
 	Reinstate reinstateCommand `command:"reinstate" description:"bring a withdrawn version back"`
 }
 
--- /dev/null
+++ b/cmd/cornelmux/order.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"cornelmux/internal/wire"
+)
+
+// orderCommand has an endpoint load or unload a version or change its role.
+type orderCommand struct {
+	target
+	Kind     string `long:"kind" required:"true" choice:"load" choice:"unload" choice:"role" description:"what the endpoint is to do"`
+	Endpoint string `long:"endpoint" required:"true" description:"endpoint's ID in the platform's list"`
+	Version  string `long:"version" description:"model/version to load or unload"`
+	Role     string `long:"role" description:"role to take"`
+}
+
+// Execute implements flags.Commander.
+func (c *orderCommand) Execute([]string) error {
+	client, err := c.dial()
+	if err != nil {
+		return err
+	}
+	r, err := client.Order(context.Background(), &wire.OrderRequest{Kind: c.Kind, Endpoint: c.Endpoint, Version: c.Version, Role: c.Role})
+	if err != nil {
+		return explain(err)
+	}
+	fmt.Printf("order recorded with fencing number %d; `cornelmux status` shows when the endpoint has done it\n", r.Fence)
+	return nil
+}
--- a/internal/endpoint/place.go
+++ b/internal/endpoint/place.go
@@ -20,8 +20,12 @@
 	// Services names the plain services, Versions the "model/version" pairs that it serves.
 	Services []string
 	Versions []string
-	Leaving  bool
-	Suspect  bool
+	// Role is what the endpoint says that it does, such as prefill or decode.
+	Role    string
+	Leaving bool
+	Suspect bool
+	// Mine says that this VM polls the endpoint.
+	Mine bool
 	// Queued and Running are the endpoint's own report; InFlight is what this VM sent and has not seen end.
 	Queued   int
 	Running  int
--- a/internal/endpoint/poll.go
+++ b/internal/endpoint/poll.go
@@ -36,7 +36,7 @@
 		return m.VM == self || m.Leaving || m.Health > peer.Alive
 	})
 	for _, r := range t.records {
-		r.mine = polls(self, t.at, r, members)
+		r.Mine = polls(self, t.at, r, members)
 	}
 }
 
@@ -137,7 +137,7 @@
 		return probePoll
 	case now.Sub(r.polledAt) < pollInterval:
 		return idle
-	case r.mine:
+	case r.Mine:
 		return ownPoll
 	case now.Sub(r.ReportedAt) < unprovedAfter || r.Leaving:
 		return idle
@@ -184,7 +184,7 @@
 }
 
 func compareTold(a, b *Record) int {
-	return cmp.Or(boolOrder(a.changed, b.changed), boolOrder(a.mine, b.mine), a.collectedAt.Compare(b.collectedAt), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(boolOrder(a.changed, b.changed), boolOrder(a.Mine, b.Mine), a.collectedAt.Compare(b.collectedAt), cmp.Compare(a.ID, b.ID))
 }
 
 // boolOrder puts true before false.
--- a/internal/endpoint/poll_test.go
+++ b/internal/endpoint/poll_test.go
@@ -28,7 +28,7 @@
 			table := NewTable(Location{m.Region, m.Zone})
 			table.List([]platform.Instance{instance("e1", place, 1, false)}, time.Unix(1, 0))
 			table.Assign(m.VM, append(gone, members...))
-			if table.records["e1"].mine {
+			if table.records["e1"].Mine {
 				polled++
 			}
 			if m.Region == place.Region {
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -30,6 +30,7 @@
 	Leaving     bool     `json:"leaving"`
 	Versions    []string `json:"versions"`
 	Services    []string `json:"services"`
+	Role        string   `json:"role,omitempty"`
 }
 
 // Record is what a VM knows of one endpoint.
@@ -41,7 +42,6 @@
 	leavingListed bool
 	listed        bool
 	seenAt        time.Time
-	mine          bool
 	polling       bool
 	polledAt      time.Time
 	probes        int
@@ -158,6 +158,7 @@
 		r.Versions, r.Services = report.Versions, report.Services
 		t.indexed = false
 	}
+	r.Role = report.Role
 	r.load(report.Queued, report.Running, now)
 	return crashes
 }
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -19,6 +19,7 @@
 	"cornelmux/internal/journal"
 	"cornelmux/internal/limit"
 	"cornelmux/internal/metric"
+	"cornelmux/internal/order"
 	"cornelmux/internal/peer"
 	"cornelmux/internal/platform"
 	"cornelmux/internal/quarantine"
@@ -49,6 +50,7 @@
 	journal        *journal.Controller
 	limits         *limit.Controller
 	quarantine     *quarantine.Controller
+	orders         *order.Controller
 	peers          *peer.Controller
 	metrics        *metric.Metrics
 	cascades       *cascade.Controller
@@ -90,6 +92,7 @@
 	v.rollouts = rollout.New(v.configurations.Subscribe(), v.configurations, v.sessions, cfg.VM.Name, log.WithName("rollout"))
 	v.quarantine = quarantine.New(log.WithName("quarantine"))
 	v.endpoints = endpoint.New(store, client, v.peers, v.quarantine, endpoint.Options{VM: cfg.VM.Name, At: at}, log.WithName("endpoint"))
+	v.orders = newOrders(store, v.endpoints, cfg, log)
 	v.peers.Attach(v.configurations, v.sessions, v.rollouts, v.endpoints, v.limits, v.quarantine)
 	v.journal = journal.New(store, v.peers, others, journalOptions(cfg, incarnation), log.WithName("journal"))
 	rater := &cascade.Client{Base: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
@@ -153,6 +156,7 @@
 		{"sessions", v.sessions.Run},
 		{"limits", v.limits.Run},
 		{"quarantine", v.quarantine.Run},
+		{"orders", v.orders.Run},
 		{"roll-outs", v.rollouts.Run},
 		{"journal", v.journal.Run},
 		{"peers", v.peers.Run},
--- /dev/null
+++ b/internal/order/client.go
@@ -0,0 +1,40 @@
+package order
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+)
+
+// Client sends orders over HTTP.
+type Client struct {
+	HTTP *http.Client
+}
+
+// Order implements Sender.
+func (c Client) Order(ctx context.Context, address string, n Numbered) error {
+	data, err := json.Marshal(n)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/orders", bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return ErrFenced
+	default:
+		return fmt.Errorf("order: status %d", resp.StatusCode)
+	}
+}
--- /dev/null
+++ b/internal/order/ledger.go
@@ -0,0 +1,141 @@
+package order
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"cornelmux/internal/platform"
+)
+
+const (
+	recordPrefix = "orders/endpoint/"
+	slotsKey     = "orders/slots"
+	maxTries     = 8
+)
+
+// Store is the platform's key-value service.
+type Store interface {
+	Get(ctx context.Context, key string) (platform.Value, error)
+	List(ctx context.Context, prefix string) ([]platform.Value, error)
+	CAS(ctx context.Context, key string, data []byte, version uint64) (bool, error)
+}
+
+// Ledger reads and writes the records in the platform. It holds no state.
+type Ledger struct {
+	Store Store
+	// LoadInterval is the least time between two loads over the fleet.
+	LoadInterval time.Duration
+}
+
+// Add records an order and returns its number. A lost answer of the platform is settled by reading the record again.
+func (l Ledger) Add(ctx context.Context, o Order) (Numbered, error) {
+	var added Numbered
+	err := l.update(ctx, recordPrefix+o.Endpoint, func(data []byte) ([]byte, error) {
+		r, err := parseRecord(data)
+		if err != nil {
+			return nil, err
+		}
+		next, n, err := r.Add(o)
+		added = n
+		if err != nil || next.Fence == r.Fence {
+			return nil, err
+		}
+		return json.Marshal(next)
+	})
+	return added, err
+}
+
+// Renew gives the order the next number if it still stands.
+func (l Ledger) Renew(ctx context.Context, n Numbered) error {
+	return l.update(ctx, recordPrefix+n.Endpoint, func(data []byte) ([]byte, error) {
+		r, err := parseRecord(data)
+		if err != nil || !r.Newest(n) {
+			return nil, err
+		}
+		return json.Marshal(r.Renew(n))
+	})
+}
+
+// Newest reports whether the order is still the newest about its subject.
+func (l Ledger) Newest(ctx context.Context, n Numbered) (bool, error) {
+	v, err := l.Store.Get(ctx, recordPrefix+n.Endpoint)
+	if err != nil {
+		return false, err
+	}
+	r, err := parseRecord(v.Data)
+	return r.Newest(n), err
+}
+
+// Records returns the record of each endpoint that has one.
+func (l Ledger) Records(ctx context.Context) (map[string]Record, error) {
+	values, err := l.Store.List(ctx, recordPrefix)
+	if err != nil {
+		return nil, err
+	}
+	records := make(map[string]Record, len(values))
+	for _, v := range values {
+		r, err := parseRecord(v.Data)
+		if err != nil {
+			return nil, err
+		}
+		records[strings.TrimPrefix(v.Key, recordPrefix)] = r
+	}
+	return records, nil
+}
+
+// Slot reserves a load and returns how long to wait before it.
+func (l Ledger) Slot(ctx context.Context) (time.Duration, error) {
+	var wait time.Duration
+	err := l.update(ctx, slotsKey, func(data []byte) ([]byte, error) {
+		var s Slots
+		if len(data) > 0 {
+			if err := json.Unmarshal(data, &s); err != nil {
+				return nil, fmt.Errorf("slots: %w", err)
+			}
+		}
+		next, d, ok := s.Take(time.Now(), l.LoadInterval)
+		if !ok {
+			return nil, ErrNoSlot
+		}
+		wait = d
+		return json.Marshal(next)
+	})
+	return wait, err
+}
+
+// update changes a key by compare-and-swap; change returns nil to leave it. It may be called again after a lost answer.
+func (l Ledger) update(ctx context.Context, key string, change func([]byte) ([]byte, error)) error {
+	for range maxTries {
+		v, err := l.Store.Get(ctx, key)
+		if err != nil {
+			return err
+		}
+		data, err := change(v.Data)
+		if err != nil || data == nil {
+			return err
+		}
+		ok, err := l.Store.CAS(ctx, key, data, v.Version)
+		if ok {
+			return nil
+		}
+		if err != nil && !errors.Is(err, platform.ErrOutcomeUnknown) {
+			return err
+		}
+	}
+	return fmt.Errorf("%s: too many writers", key)
+}
+
+func parseRecord(data []byte) (Record, error) {
+	var r Record
+	if len(data) == 0 {
+		return r, nil
+	}
+	if err := json.Unmarshal(data, &r); err != nil {
+		return r, fmt.Errorf("record of orders: %w", err)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/order/order_test.go
@@ -0,0 +1,276 @@
+package order
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+	"pgregory.net/rapid"
+
+	"cornelmux/internal/endpoint"
+	"cornelmux/internal/platform"
+	"cornelmux/internal/task"
+)
+
+// TestMain fixes rapid's seed, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for _, f := range []struct{ name, value string }{{"seed", "20261204"}, {"checks", "2000"}, {"nofailfile", "true"}} {
+		if err := flag.Set("rapid."+f.name, f.value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// fakeEngine takes orders like an endpoint that checks fencing numbers, or one that ignores them.
+type fakeEngine struct {
+	checks   bool
+	fence    uint64
+	versions []string
+	role     string
+}
+
+func (e *fakeEngine) take(n Numbered) error {
+	if e.checks && n.Fence < e.fence {
+		return ErrFenced
+	}
+	e.fence = max(e.fence, n.Fence)
+	kept := slices.DeleteFunc(slices.Clone(e.versions), func(v string) bool { return v == n.Version })
+	switch n.Kind {
+	case KindLoad:
+		e.versions = append(kept, n.Version)
+	case KindUnload:
+		e.versions = kept
+	default:
+		e.role = n.Role
+	}
+	return nil
+}
+
+func (e *fakeEngine) report(now time.Time) endpoint.Endpoint {
+	return endpoint.Endpoint{ID: "e1", Versions: e.versions, Role: e.role, ReportedAt: now, Mine: true}
+}
+
+var testOrders = []Order{
+	{Kind: KindLoad, Endpoint: "e1", Version: "m/v1"},
+	{Kind: KindUnload, Endpoint: "e1", Version: "m/v1"},
+	{Kind: KindLoad, Endpoint: "e1", Version: "m/v2"},
+	{Kind: KindRole, Endpoint: "e1", Role: "prefill"},
+	{Kind: KindRole, Endpoint: "e1", Role: "decode"},
+}
+
+// TestNewestOrdersWin lets VMs pause between reading an order and sending it, for as long as they like.
+func TestNewestOrdersWin(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	rapid.Check(t, func(t *rapid.T) {
+		e := &fakeEngine{checks: rapid.Bool().Draw(t, "checks")}
+		var r Record
+		var paused []Numbered
+		submitted := map[string]Order{}
+		send := func(n Numbered) {
+			if e.take(n) != nil {
+				r = r.Renew(n)
+			}
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"submit", "read", "send"}).Draw(t, "event") {
+			case "submit":
+				before := r.Fence
+				next, n, err := r.Add(rapid.SampledFrom(testOrders).Draw(t, "order"))
+				if err != nil || next.Fence < before || !next.Newest(n) {
+					t.Fatalf("fence %d after %d, %v", next.Fence, before, err)
+				}
+				r = next
+				submitted[n.subject()] = n.Order
+			case "read":
+				paused = append(paused, r.Pending(e.report(now), now)...)
+			case "send":
+				if len(paused) > 0 {
+					send(rapid.SampledFrom(paused).Draw(t, "paused"))
+				}
+			}
+		}
+		for range 3 * len(testOrders) {
+			pending := r.Pending(e.report(now), now)
+			if len(pending) == 0 {
+				checkNewest(t, submitted, e)
+				return
+			}
+			send(pending[0])
+		}
+		t.Fatalf("orders %+v are still pending on %+v", r.Pending(e.report(now), now), e)
+	})
+}
+
+// checkNewest compares what the engine has with the last order about each subject.
+func checkNewest(t *rapid.T, submitted map[string]Order, e *fakeEngine) {
+	for _, o := range submitted {
+		has := slices.Contains(e.versions, o.Version)
+		if (o.Kind == KindLoad && !has) || (o.Kind == KindUnload && has) || (o.Kind == KindRole && e.role != o.Role) {
+			t.Fatalf("%+v was the last order, the engine is %+v", o, e)
+		}
+	}
+}
+
+func TestLoadsKeepToTheRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.UnixMilli(1_000_000_000)
+		var s Slots
+		last := time.Time{}
+		for range rapid.IntRange(1, 60).Draw(t, "loads") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 0, 700, 3000}).Draw(t, "ms")) * time.Millisecond)
+			next, wait, ok := s.Take(now, time.Second)
+			if !ok {
+				continue
+			}
+			if wait > maxSlotWait {
+				t.Fatalf("reserved %v ahead", wait)
+			}
+			at := now.Add(wait)
+			if at.Sub(last) < time.Second {
+				t.Fatalf("loads at %v and %v", last, at)
+			}
+			s, last = next, at
+		}
+	})
+}
+
+// fakeStore is the platform with one key; it may lose the answer of a write that took effect.
+type fakeStore struct {
+	mu   sync.Mutex
+	data map[string]platform.Value
+	lose int
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (platform.Value, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.data[key], nil
+}
+
+func (s *fakeStore) List(_ context.Context, prefix string) ([]platform.Value, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []platform.Value
+	for k, v := range s.data {
+		if len(k) > len(prefix) && k[:len(prefix)] == prefix {
+			list = append(list, v)
+		}
+	}
+	return list, nil
+}
+
+func (s *fakeStore) CAS(_ context.Context, key string, data []byte, version uint64) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.data[key].Version != version {
+		return false, nil
+	}
+	s.data[key] = platform.Value{Key: key, Data: data, Version: version + 1}
+	if s.lose > 0 {
+		s.lose--
+		return false, fmt.Errorf("%w: answer lost", platform.ErrOutcomeUnknown)
+	}
+	return true, nil
+}
+
+func TestLedgerRecordsAnOrderOnce(t *testing.T) {
+	rows := []struct {
+		name  string
+		lose  int
+		order Order
+		fence uint64
+	}{
+		{"answered", 0, testOrders[0], 1},
+		{"answer lost", 1, testOrders[0], 1},
+	}
+	for _, row := range rows {
+		qt.New(t).Run(row.name, func(c *qt.C) {
+			store := &fakeStore{data: map[string]platform.Value{}, lose: row.lose}
+			l := Ledger{Store: store}
+			for range 2 {
+				n, err := l.Add(context.Background(), row.order)
+				c.Assert(err, qt.IsNil)
+				c.Assert(n, qt.Equals, Numbered{row.order, row.fence})
+			}
+			c.Assert(store.data[recordPrefix+"e1"].Version, qt.Equals, uint64(1))
+		})
+	}
+}
+
+// fakeSite is one endpoint with its polls and orders.
+type fakeSite struct {
+	mu     sync.Mutex
+	engine fakeEngine
+	mine   bool
+	sends  []Numbered
+}
+
+func (f *fakeSite) Snapshot(context.Context) ([]endpoint.Endpoint, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engine.report(time.Now())
+	e.Mine = f.mine
+	return []endpoint.Endpoint{e}, nil
+}
+
+func (f *fakeSite) Order(_ context.Context, _ string, n Numbered) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sends = append(f.sends, n)
+	return f.engine.take(n)
+}
+
+func TestControllerSendsWhatAnotherVMRecorded(t *testing.T) {
+	rows := []struct {
+		name     string
+		engine   fakeEngine
+		mine     bool
+		orders   []Order
+		later    []Order
+		versions []string
+		sends    int
+		interval time.Duration
+	}{
+		{"load", fakeEngine{checks: true}, true, testOrders[:1], nil, []string{"m/v1"}, 1, time.Second},
+		{"load and unload", fakeEngine{}, true, testOrders[:2], nil, nil, 0, time.Second},
+		{"two versions", fakeEngine{checks: true}, true, []Order{testOrders[0], testOrders[2]}, nil, []string{"m/v1", "m/v2"}, 2, time.Second},
+		{"engine that took a higher number", fakeEngine{checks: true, fence: 2}, true, testOrders[:1], nil, []string{"m/v1"}, 2, time.Second},
+		{"order replaced while it waits", fakeEngine{}, true, []Order{testOrders[2], testOrders[0]}, testOrders[1:2], []string{"m/v2"}, 1, 4 * interval},
+		{"endpoint of other VMs", fakeEngine{checks: true}, false, testOrders[:1], nil, nil, 0, time.Second},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				l := Ledger{Store: &fakeStore{data: map[string]platform.Value{}}, LoadInterval: row.interval}
+				f := &fakeSite{engine: row.engine, mine: row.mine}
+				for _, o := range row.orders {
+					_, err := l.Add(context.Background(), o)
+					c.Assert(err, qt.IsNil)
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				ends := make(chan task.End, 1)
+				task.Start(ctx, "orders", ends, New(l, f, f, logr.Discard()).Run)
+				time.Sleep(3 * interval)
+				for _, o := range row.later {
+					_, err := l.Add(context.Background(), o)
+					c.Assert(err, qt.IsNil)
+				}
+				time.Sleep(3 * resendAfter)
+				c.Check(task.Stop(cancel, ends, 1), qt.IsNil)
+				c.Assert(f.engine.versions, qt.DeepEquals, row.versions)
+				c.Assert(f.sends, qt.HasLen, row.sends)
+			})
+		})
+	}
+}
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -59,6 +59,7 @@
 	MaxAttempts    int
 	MaxResumes     int
 	FleetVMs       int
+	LoadInterval   time.Duration
 }
 
 // JournalSettings bound what the journal holds and writes.
@@ -127,6 +128,7 @@
 		{Section: "limits", Key: "max_attempts", Unit: "count", Default: "3", Help: "most endpoints tried for one run", set: number(&s.Limits.MaxAttempts)},
 		{Section: "limits", Key: "max_resumes", Unit: "count", Default: "2", Help: "most times a broken stream is resumed", set: number(&s.Limits.MaxResumes)},
 		{Section: "limits", Key: "fleet_vms", Unit: "count", Default: "6", Help: "most entry VMs that serve at a time and so share client accounts' limits", set: number(&s.Limits.FleetVMs)},
+		{Section: "limits", Key: "load_interval", Unit: "duration", Default: "2s", Help: "least time between two loads of versions over all entry VMs, for the weight store's rate", set: duration(&s.Limits.LoadInterval)},
 		{Section: "journal", Key: "bill_hold", Unit: "duration", Default: "250ms", Help: "how long the end of an answer waits for its bill", set: duration(&s.Journal.BillHold)},
 		{Section: "journal", Key: "max_bills", Unit: "count", Default: "4096", Help: "most requests that run or whose bill is not written", set: number(&s.Journal.MaxBills)},
 		{Section: "journal", Key: "kept_bytes", Unit: "bytes", Default: "33554432", Help: "most bytes of answers kept for resends", set: number(&s.Journal.KeptBytes)},
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -32,10 +32,14 @@
 	interval time.Duration
 	running  int
 	leaving  bool
-	runs     map[string]*engineRun
-	order    []string
-	counts   map[string]int
-	crashed  chan struct{}
+	role     string
+	// checksFence says whether orders with an old number are refused; fence is the highest number taken.
+	checksFence bool
+	fence       uint64
+	runs        map[string]*engineRun
+	order       []string
+	counts      map[string]int
+	crashed     chan struct{}
 }
 
 type engineRun struct {
@@ -103,10 +107,13 @@
 func NewEngine(versions []string, interval time.Duration) *Engine {
 	return &Engine{
 		mailbox: make(chan engineMessage, engineMailbox), incarnation: uint64(time.Now().UnixNano()),
-		versions: versions, interval: interval, runs: map[string]*engineRun{}, counts: map[string]int{}, crashed: make(chan struct{}),
+		versions: versions, interval: interval, runs: map[string]*engineRun{}, counts: map[string]int{}, crashed: make(chan struct{}), checksFence: true,
 	}
 }
 
+// IgnoreFences makes the engine take orders whatever their number. It has to be called before Run.
+func (e *Engine) IgnoreFences() { e.checksFence = false }
+
 // Run owns the state until ctx ends.
 func (e *Engine) Run(ctx context.Context) error {
 	for {
@@ -157,7 +164,7 @@
 }
 
 func (m reportMessage) handle(e *Engine) {
-	m.reply <- endpoint.Report{Incarnation: e.incarnation, Running: e.running, Leaving: e.leaving, Versions: e.versions}
+	m.reply <- endpoint.Report{Incarnation: e.incarnation, Running: e.running, Leaving: e.leaving, Versions: e.versions, Role: e.role}
 }
 
 func (m leaveMessage) handle(e *Engine) {
@@ -187,6 +194,8 @@
 	switch r.URL.Path {
 	case "/v1/chat/completions":
 		e.serveChat(w, r)
+	case "/orders":
+		e.serveOrder(w, r)
 	case "/load":
 		report, err := task.Ask(r.Context(), e.mailbox, func(reply chan<- endpoint.Report) engineMessage { return reportMessage{reply} })
 		writeJSON(w, report, err)
--- a/internal/wire/wireconnect/peer.connect.go
+++ b/internal/wire/wireconnect/peer.connect.go
@@ -56,6 +56,8 @@
 	ControlServiceAuditProcedure = "/cornelmux.v1.ControlService/Audit"
 	// ControlServiceBillsProcedure is the fully-qualified name of the ControlService's Bills RPC.
 	ControlServiceBillsProcedure = "/cornelmux.v1.ControlService/Bills"
+	// ControlServiceOrderProcedure is the fully-qualified name of the ControlService's Order RPC.
+	ControlServiceOrderProcedure = "/cornelmux.v1.ControlService/Order"
 )
 
 // PeerServiceClient is a client for the cornelmux.v1.PeerService service.
@@ -269,6 +271,8 @@
 	Status(context.Context, *wire.StatusRequest) (*wire.StatusResponse, error)
 	Audit(context.Context, *wire.AuditRequest) (*wire.AuditResponse, error)
 	Bills(context.Context, *wire.BillsRequest) (*wire.BillsResponse, error)
+	// Order records an order to an endpoint; the VM that polls the endpoint sends it.
+	Order(context.Context, *wire.OrderRequest) (*wire.OrderResponse, error)
 }
 
 // NewControlServiceClient constructs a client for the cornelmux.v1.ControlService service. By
@@ -312,6 +316,12 @@
 			connect.WithSchema(controlServiceMethods.ByName("Bills")),
 			connect.WithClientOptions(opts...),
 		),
+		order: connect.NewClient[wire.OrderRequest, wire.OrderResponse](
+			httpClient,
+			baseURL+ControlServiceOrderProcedure,
+			connect.WithSchema(controlServiceMethods.ByName("Order")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -322,6 +332,7 @@
 	status        *connect.Client[wire.StatusRequest, wire.StatusResponse]
 	audit         *connect.Client[wire.AuditRequest, wire.AuditResponse]
 	bills         *connect.Client[wire.BillsRequest, wire.BillsResponse]
+	order         *connect.Client[wire.OrderRequest, wire.OrderResponse]
 }
 
 // Submit calls cornelmux.v1.ControlService.Submit.
@@ -369,6 +380,15 @@
 	return nil, err
 }
 
+// Order calls cornelmux.v1.ControlService.Order.
+func (c *controlServiceClient) Order(ctx context.Context, req *wire.OrderRequest) (*wire.OrderResponse, error) {
+	response, err := c.order.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // ControlServiceHandler is an implementation of the cornelmux.v1.ControlService service.
 type ControlServiceHandler interface {
 	Submit(context.Context, *wire.SubmitRequest) (*wire.SubmitResponse, error)
@@ -376,6 +396,8 @@
 	Status(context.Context, *wire.StatusRequest) (*wire.StatusResponse, error)
 	Audit(context.Context, *wire.AuditRequest) (*wire.AuditResponse, error)
 	Bills(context.Context, *wire.BillsRequest) (*wire.BillsResponse, error)
+	// Order records an order to an endpoint; the VM that polls the endpoint sends it.
+	Order(context.Context, *wire.OrderRequest) (*wire.OrderResponse, error)
 }
 
 // NewControlServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -415,6 +437,12 @@
 		connect.WithSchema(controlServiceMethods.ByName("Bills")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlServiceOrderHandler := connect.NewUnaryHandlerSimple(
+		ControlServiceOrderProcedure,
+		svc.Order,
+		connect.WithSchema(controlServiceMethods.ByName("Order")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/cornelmux.v1.ControlService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ControlServiceSubmitProcedure:
@@ -427,6 +455,8 @@
 			controlServiceAuditHandler.ServeHTTP(w, r)
 		case ControlServiceBillsProcedure:
 			controlServiceBillsHandler.ServeHTTP(w, r)
+		case ControlServiceOrderProcedure:
+			controlServiceOrderHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -455,3 +485,7 @@
 func (UnimplementedControlServiceHandler) Bills(context.Context, *wire.BillsRequest) (*wire.BillsResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cornelmux.v1.ControlService.Bills is not implemented"))
 }
+
+func (UnimplementedControlServiceHandler) Order(context.Context, *wire.OrderRequest) (*wire.OrderResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cornelmux.v1.ControlService.Order is not implemented"))
+}
