--- a/cmd/cornelmux/order.go
+++ b/cmd/cornelmux/order.go
@@ -10,6 +10,7 @@
 // orderCommand has an endpoint load or unload a version or change its role.
 type orderCommand struct {
 	target
+	output
 	Kind     string `long:"kind" required:"true" choice:"load" choice:"unload" choice:"role" description:"what the endpoint is to do"`
 	Endpoint string `long:"endpoint" required:"true" description:"endpoint's ID in the platform's list"`
 	Version  string `long:"version" description:"model/version to load or unload"`
@@ -26,6 +27,12 @@
 	if err != nil {
 		return explain(err)
 	}
-	fmt.Printf("order recorded with fencing number %d; `cornelmux status` shows when the endpoint has done it\n", r.Fence)
-	return nil
+	text := fmt.Sprintf("order recorded with fencing number %d; `cornelmux status` shows when the endpoint has done it", r.Fence)
+	return c.print(recorded{c.Endpoint, r.Fence}, text)
+}
+
+// recorded is the output of an order.
+type recorded struct {
+	Endpoint string `json:"endpoint"`
+	Fence    uint64 `json:"fence"`
 }
--- a/measure/main.go
+++ b/measure/main.go
@@ -32,7 +32,9 @@
 
 // measurements lists every topic; each stands in a file of its own.
 var measurements = []Measurement{
+	{"exposure", measureExposure},
 	{"cost", measureCost},
+	{"cascade", measureCascade},
 	{"ids", measureIDs},
 	{"overhead", measureOverhead},
 	{"journal", measureJournal},
