--- a/cmd/cornelmux/rollout.go
+++ b/cmd/cornelmux/rollout.go
@@ -179,7 +179,7 @@
 			}
 		}
 		if len(open) == 0 {
-			fmt.Printf("revision %d is in force in all %d availability zone(s)\n", revision, len(s.Zones))
+			fmt.Fprintf(os.Stderr, "revision %d is in force in all %d availability zone(s)\n", revision, len(s.Zones))
 			return nil
 		}
 		if time.Now().After(deadline) {
@@ -191,8 +191,8 @@
 
 type auditCommand struct {
 	target
-	After  uint64 `long:"after" description:"print only changes after this revision"`
-	Output string `long:"output" choice:"text" choice:"json" default:"text" description:"format"`
+	output
+	After uint64 `long:"after" description:"print only changes after this revision"`
 }
 
 // Execute implements flags.Commander.
--- a/internal/entry/encode.go
+++ b/internal/entry/encode.go
@@ -18,13 +18,17 @@
 	began   bool
 	chat    bool
 	joiner  *joiner
+	// broken says why the answer could not be joined; filters go on with a request whose sink fails.
+	broken *result.Error
 	// buf is reused for each event.
-	buf []byte
+	buf   []byte
+	flush *http.ResponseController
 }
 
 // Begin implements filter.Sink.
 func (s *sink) Begin(_ context.Context, h filter.Head) error {
 	s.head = h
+	s.flush = http.NewResponseController(s.w)
 	s.chat = h.Version != "" && h.Status == http.StatusOK
 	header := s.w.Header()
 	header.Set(headerRequestID, h.RequestID)
@@ -37,6 +41,9 @@
 		return nil
 	}
 	s.began = true
+	for _, f := range h.Fields {
+		header.Set(f.Name, f.Value)
+	}
 	if h.ContentType != "" {
 		header.Set("Content-Type", h.ContentType)
 	}
@@ -61,7 +68,7 @@
 	if _, err := s.w.Write(p.Data); err != nil || p.Last {
 		return err
 	}
-	return http.NewResponseController(s.w).Flush()
+	return s.flush.Flush()
 }
 
 // event passes on one event. The usage that the router asked the engine for goes only to callers that asked for it too.
@@ -78,7 +85,7 @@
 	if _, err := s.w.Write(s.buf); err != nil {
 		return err
 	}
-	return http.NewResponseController(s.w).Flush()
+	return s.flush.Flush()
 }
 
 func onlyUsage(data []byte) bool {
@@ -90,14 +97,16 @@
 
 func (s *sink) join(p endpoint.Piece) error {
 	if err := s.joiner.add(p.Data); err != nil {
-		return result.Errorf(result.AnswerBroken, "event: %v", err)
+		s.broken = result.Errorf(result.AnswerBroken, "event: %v", err)
+		return s.broken
 	}
 	if !p.Last {
 		return nil
 	}
 	whole, err := s.joiner.whole(s.head)
 	if err != nil {
-		return result.Errorf(result.AnswerBroken, "event: %v", err)
+		s.broken = result.Errorf(result.AnswerBroken, "event: %v", err)
+		return s.broken
 	}
 	s.began = true
 	s.w.Header().Set("Content-Type", "application/json")
@@ -118,7 +127,7 @@
 		data, err := json.Marshal(newFailure(e))
 		if err == nil {
 			_, _ = s.w.Write([]byte("data: " + string(data) + "\n\n")) // the caller is gone if this fails
-			_ = http.NewResponseController(s.w).Flush()
+			_ = s.flush.Flush()
 			return
 		}
 	}
--- a/internal/journal/cluster_test.go
+++ b/internal/journal/cluster_test.go
@@ -117,6 +117,16 @@
 	}
 }
 
+func (s *store) Delete(_ context.Context, key string, version uint64) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.values[key].Version != version {
+		return false, nil
+	}
+	delete(s.values, key)
+	return true, nil
+}
+
 // vm is an entry VM whose calls all fail once it is dead.
 type vm struct {
 	*journal.Controller
@@ -158,8 +168,8 @@
 	c := &cluster{store: newStore(), ends: make(chan task.End, n)}
 	for i := range n {
 		v := &vm{cluster: c, name: fmt.Sprint("vm-", i)}
-		v.Controller = journal.New(v, c, peers{v}, journal.Options{
-			VM: v.name, Address: v.name, ClaimFor: 5 * time.Second, ResendWindow: 10 * time.Minute,
+		v.Controller = journal.New(v, v, peers{v}, journal.Options{
+			VM: v.name, Region: region, Address: v.name, ClaimFor: 5 * time.Second, ResendWindow: 10 * time.Minute,
 			BillHold: 250 * time.Millisecond, MaxBills: maxBills, KeptBytes: keptBytes, WritesPerSecond: 20, ForwardTimeout: time.Second,
 		}, logr.Discard())
 		var run context.Context
@@ -181,10 +191,12 @@
 }
 
 // Members implements journal.Members; a list that a crash hasn't reached is what makes owners wrong.
-func (c *cluster) Members(context.Context) ([]peer.Member, error) {
+func (v *vm) Members(context.Context) ([]peer.Member, error) {
 	var list []peer.Member
-	for _, v := range c.vms {
-		list = append(list, peer.Member{VM: v.name, Region: region, ControlAddress: v.name})
+	for _, other := range v.cluster.vms {
+		if other != v {
+			list = append(list, peer.Member{VM: other.name, Region: region, ControlAddress: other.name})
+		}
 	}
 	return list, nil
 }
@@ -314,7 +326,7 @@
 	c.store.setDown(false)
 	c.store.setFaults(nil)
 	task.Sleep(ctx, 10*time.Second)
-	bills, err = journal.ReadBills(ctx, c.store, region)
+	bills, _, err = journal.ReadBills(ctx, c.store, region)
 	return outcomes, bills, err
 }
 
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -8,6 +8,9 @@
 	"cornelmux/pkg/result"
 )
 
+// outageRetry is when a caller may come back that was refused because of the platform.
+const outageRetry = 2 * time.Second
+
 // Key names a request. Region is the client account's home region, which holds the request's entries.
 type Key struct {
 	Region  string `json:"region"`
@@ -32,11 +35,15 @@
 	ContentType string
 	Model       string
 	Version     string
+	Fields      []endpoint.Field
 	Pieces      []endpoint.Piece
 }
 
 func (a *Answer) bytes() int {
 	n := len(a.ContentType) + len(a.Model) + len(a.Version)
+	for _, f := range a.Fields {
+		n += len(f.Name) + len(f.Value)
+	}
 	for _, p := range a.Pieces {
 		n += len(p.Text) + len(p.Data) + pieceBytes
 	}
@@ -117,7 +124,11 @@
 	if o.Appended {
 		return nil
 	}
-	return result.Errorf(o.Code, "%s", o.Detail)
+	e := result.Errorf(o.Code, "%s", o.Detail)
+	if o.Failed {
+		return e.After(outageRetry)
+	}
+	return e
 }
 
 // Holder names the VM that may have sent a request.
--- a/measure/main.go
+++ b/measure/main.go
@@ -34,6 +34,7 @@
 var measurements = []Measurement{
 	{"exposure", measureExposure},
 	{"cost", measureCost},
+	{"cascade", measureCascade},
 	{"ids", measureIDs},
 	{"overhead", measureOverhead},
 	{"journal", measureJournal},
--- a/measure/proxy.go
+++ b/measure/proxy.go
@@ -1,27 +1,40 @@
 package main
 
 import (
+	"bytes"
 	"io"
 	"net/http"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const proxyBufferBytes = 32 << 10
 
 // proxy is the plain reverse proxy that the router is compared with: it copies the request and streams the answer.
 type proxy struct {
-	target string
-	client *http.Client
+	targets []string
+	client  *http.Client
+}
+
+// target spreads requests evenly.
+func (p *proxy) target(r *http.Request) string {
+	return p.targets[xxhash.Sum64String(r.Header.Get("X-Request-Id"))%uint64(len(p.targets))]
 }
 
 // ServeHTTP implements http.Handler.
 func (p *proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	out, err := http.NewRequestWithContext(r.Context(), r.Method, p.target+r.URL.RequestURI(), r.Body)
+	// The body is read first, since net/http may end it once the answer has begun.
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	out, err := http.NewRequestWithContext(r.Context(), r.Method, p.target(r)+r.URL.RequestURI(), bytes.NewReader(body))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	out.Header = r.Header.Clone()
-	out.ContentLength = r.ContentLength
 	resp, err := p.client.Do(out)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadGateway)
