--- a/cmd/cornelmux/main.go
+++ b/cmd/cornelmux/main.go
@@ -25,6 +25,8 @@
 	Withdraw  withdrawCommand  `command:"withdraw" description:"take a version out of service"`
 	Order     orderCommand     `command:"order" description:"have an endpoint load or unload a version or change its role"`
 	Reinstate reinstateCommand `command:"reinstate" description:"bring a withdrawn version back"`
+	RollOut   rollOutCommands  `command:"rollout" description:"start, step, halt, resume or show a roll-out"`
+	Audit     auditCommand     `command:"audit" description:"print the trail of accepted changes"`
 }
 
 const about = `cornelmux routes requests of callers to model and service endpoints, and is the operators' tool for it.
