Count a VM as ready only once it has read the sessions of another

Cause: with every entry VM killed and restarted one after the other, sessions moved to the version under roll-out: the second VM was killed before the first had read its sessions. Seen in TestSessionsKeepTheirVersionThroughARollOutAndRestarts, both rows, 20 of 20 sessions. Ruled out: refusing requests until then, which would stop a site of one VM. Change: /healthz answers not_ready until sessions were read from a peer, or for 5 s where none is heard; the test waits for /healthz as a balancer does.

--- a/fleet/configuration_test.go
+++ b/fleet/configuration_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -57,3 +59,81 @@
 	}
 	return err
 }
+
+// served returns the version that answers a session at the VM, waiting while there is none.
+func (s *site) served(v *vm, session string) string {
+	version := ""
+	s.until(v.name+" answers "+session, func() error {
+		got, err := s.send(v, chat("", session, "composer", "hello"))
+		if err == nil && got.status != http.StatusOK {
+			err = fmt.Errorf("%d %s", got.status, got.body)
+		}
+		version = got.version
+		return err
+	})
+	return version
+}
+
+// restart ends a VM, starts it again and waits until the balancer would use it.
+func (s *site) restart(v *vm, sig syscall.Signal) {
+	s.signal(v.name, sig)
+	_ = s.procs[v.name].Wait()
+	s.startVM(v)
+	s.wait(v.control)
+	s.until(v.name+" is ready", func() error {
+		got, err := s.send(v, call{method: "GET", path: "/healthz"})
+		if err == nil && got.status != http.StatusOK {
+			err = fmt.Errorf("%s", got.body)
+		}
+		return err
+	})
+	s.warm(v)
+}
+
+func TestSessionsKeepTheirVersionThroughARollOutAndRestarts(t *testing.T) {
+	rows := []struct {
+		name string
+		sig  syscall.Signal
+	}{{"killed", syscall.SIGKILL}, {"stopped", syscall.SIGTERM}}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newSite(t)
+			const sessions = 20
+			before := map[string]string{}
+			for i := range sessions {
+				name := fmt.Sprintf("session-%d", i)
+				before[name] = s.served(s.vms[i%2], name)
+				s.c.Assert(before[name], qt.Equals, "composer/v1")
+			}
+			out, err := s.operate(s.vms[0], "", "rollout", "start", "--model", "composer", "--version", "v2", "--step", "0.9", "--step-seconds", "0")
+			s.c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+			s.until("new sessions go to the new version", func() error { return s.newSessionOn("composer/v2") })
+			for i := range sessions {
+				name := fmt.Sprintf("session-%d", i)
+				s.c.Check(s.served(s.vms[(i+1)%2], name), qt.Equals, before[name], qt.Commentf("%s at the other VM", name))
+			}
+			s.restart(s.vms[0], row.sig)
+			s.restart(s.vms[1], row.sig)
+			for i := range sessions {
+				name := fmt.Sprintf("session-%d", i)
+				s.c.Check(s.served(s.vms[i%2], name), qt.Equals, before[name], qt.Commentf("%s after the restarts", name))
+			}
+		})
+	}
+}
+
+// newSessionOn starts a few sessions and reports an error unless one runs on the version.
+func (s *site) newSessionOn(version string) error {
+	const tries = 4
+	for i := range tries {
+		s.sessions++
+		got, err := s.send(s.vms[i%2], chat("", fmt.Sprintf("new-%d", s.sessions), "composer", "hello"))
+		if err != nil {
+			return err
+		}
+		if got.version == version {
+			return nil
+		}
+	}
+	return fmt.Errorf("no new session on %s", version)
+}
--- a/fleet/site_test.go
+++ b/fleet/site_test.go
@@ -361,11 +361,29 @@
 	return byRequest
 }
 
+// The addresses stand below the range that outgoing connections take their ports from.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+var nextPort = firstPort + os.Getpid()%(lastPort-firstPort)
+
 func freeAddress(c *qt.C) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().String()
+	for range lastPort - firstPort {
+		nextPort++
+		if nextPort > lastPort {
+			nextPort = firstPort
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			l.Close()
+			return address
+		}
+	}
+	c.Fatal("no free port")
+	return ""
 }
 
 type storedValue struct {
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -96,18 +96,26 @@
 	return e.RetryAfter
 }
 
+// syncer says whether the VM knows the sessions of others.
+type syncer interface {
+	Synced(ctx context.Context) (bool, error)
+}
+
 // health answers the balancer: 200 while the VM takes requests.
-func health(d *drain, configurations filter.Configurations) http.HandlerFunc {
+func health(d *drain, configurations filter.Configurations, sessions syncer) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithTimeout(r.Context(), time.Second)
 		defer cancel()
 		s, err := configurations.Current(ctx)
 		state, stateErr := d.state(ctx)
+		synced, syncErr := sessions.Synced(ctx)
 		switch {
 		case err != nil || stateErr != nil || s.Revision == 0:
 			writeError(w, result.Errorf(result.NotReady, "no configuration yet"))
 		case state.leaving:
 			writeError(w, result.Errorf(result.Leaving, "%d requests in flight", state.inFlight))
+		case syncErr != nil || !synced:
+			writeError(w, result.Errorf(result.NotReady, "sessions of other VMs are not read yet"))
 		default:
 			_, _ = io.WriteString(w, "ready\n") // the balancer is gone if this fails
 		}
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -201,7 +201,7 @@
 }
 
 func (v *VM) callersHandler() http.Handler {
-	ready := health(v.drain, v.configurations)
+	ready := health(v.drain, v.configurations, v.sessions)
 	front := &callers{
 		chain: v.chain, bodyBytes: v.cfg.Limits.BodyBytes, timeout: v.cfg.Limits.RequestTimeout, log: v.log.WithName("callers"),
 	}
--- a/internal/session/controller.go
+++ b/internal/session/controller.go
@@ -18,9 +18,11 @@
 )
 
 const (
-	mailboxSize  = 4096
-	ageInterval  = 10 * time.Second
-	startTime    = 10 * time.Second
+	mailboxSize = 4096
+	ageInterval = 10 * time.Second
+	startTime   = 10 * time.Second
+	// syncLimit is how long a VM that hears of no other waits for their sessions before it counts as ready.
+	syncLimit    = 5 * time.Second
 	memberMaxAge = 2 * time.Minute
 	// pullsPerIdle is how often within the idle time the sets of other VMs are read again,
 	// and rollingInterval while a roll-out is running, when a VM that fails takes more knowledge along.
@@ -61,6 +63,7 @@
 	changed   bool
 	pulledAt  time.Time
 	startedAt time.Time
+	synced    bool
 	pulling   bool
 	again     bool
 	due       *time.Timer
@@ -118,7 +121,10 @@
 	pulledMessage struct {
 		startedAt time.Time
 		sets      []Set
+		// answered counts the VMs that gave their sets.
+		answered int
 	}
+	syncedMessage struct{ reply chan<- bool }
 )
 
 // Run owns the state until ctx ends.
@@ -161,6 +167,16 @@
 	return r.version, r.err
 }
 
+// Synced reports whether the VM has read the sessions of another VM since its start, or has waited long enough for one.
+// A balancer that sends requests before may move sessions whose version a roll-out has changed.
+func (c *Controller) Synced(ctx context.Context) (bool, error) {
+	return task.Ask(ctx, c.mailbox, func(reply chan<- bool) message { return syncedMessage{reply} })
+}
+
+func (m syncedMessage) handle(c *Controller) {
+	m.reply <- c.synced || time.Since(c.startedAt) >= syncLimit
+}
+
 // Sets returns the sets of active sessions here and, as far as known, elsewhere.
 func (c *Controller) Sets(ctx context.Context) ([]Set, error) {
 	r, err := task.Ask(ctx, c.mailbox, func(reply chan<- setsReply) message { return setsMessage{reply} })
@@ -331,6 +347,7 @@
 func (m pulledMessage) handle(c *Controller) {
 	now := time.Now()
 	c.pulling, c.pulledAt = false, now
+	c.synced = c.synced || m.answered > 0
 	sets := slices.DeleteFunc(m.sets, func(s Set) bool { return c.withdrawn[binding{s.Model, s.Version}] })
 	if err := c.foreign.add(sets, now); err != nil {
 		c.log.Info("a set of sessions was refused", "error", err.Error())
--- a/internal/session/pull.go
+++ b/internal/session/pull.go
@@ -23,9 +23,9 @@
 		select {
 		case addresses := <-c.pulls:
 			startedAt := time.Now()
-			sets := c.pullAll(ctx, addresses)
+			sets, answered := c.pullAll(ctx, addresses)
 			select {
-			case c.mailbox <- pulledMessage{startedAt, sets}:
+			case c.mailbox <- pulledMessage{startedAt, sets, answered}:
 			case <-ctx.Done():
 				return nil
 			}
@@ -35,8 +35,8 @@
 	}
 }
 
-// pullAll asks the VMs, a few at a time; those that don't answer in time are left out.
-func (c *Controller) pullAll(ctx context.Context, addresses []string) []Set {
+// pullAll asks the VMs, a few at a time; those that don't answer in time are left out. It also counts the answers.
+func (c *Controller) pullAll(ctx context.Context, addresses []string) ([]Set, int) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	todo := make(chan string, len(addresses))
@@ -64,8 +64,9 @@
 	}
 	close(found)
 	var all []Set
+	answered := len(found)
 	for sets := range found {
 		all = append(all, sets...)
 	}
-	return all
+	return all, answered
 }
