Share out polls only when the fleet changes, and pace the list of a platform that answers at once

Cause, found by reading: the share of polls was worked out twice a second for each endpoint and VM; a platform that ignores the wait, or a full mailbox, would have made the list's watch spin. Found by running: internal/entry's tests took a port that was free for TCP as the peers' UDP address; where a datagram socket held it, a VM didn't start (seen in 2 of 8 runs of the package on a busy machine: "listen udp 127.0.0.1:42701: bind: address already in use").

Change: the share is kept until the VMs heard of or the endpoints change; endpoints of other regions aren't hashed; the list is asked again after 250 to 750 ms where the index hasn't moved; the tests pick a free UDP port.

Seen failing on broken builds: a new endpoint that leaves the share as it was; a share that ignores which VMs there are (TestShareOfPollsFollowsTheFleet).

--- a/internal/endpoint/controller.go
+++ b/internal/endpoint/controller.go
@@ -324,13 +324,16 @@
 		list, index, err := c.lister.Instances(ctx, serviceName, after, listWait)
 		if err != nil {
 			c.log.V(1).Info("endpoint list failed", "error", err.Error())
-			task.Sleep(ctx, listRetry)
+			task.Sleep(ctx, listRetry/2+rand.N(listRetry))
 			continue
 		}
-		after = index
 		if err := task.Tell(c.mailbox, message(listMessage{list})); err != nil {
-			after = 0
+			index = 0
+		}
+		if index <= after {
+			task.Sleep(ctx, listRetry/2+rand.N(listRetry)) // a platform that answers at once is asked again no faster
 		}
+		after = index
 	}
 	return nil
 }
--- a/internal/endpoint/poll.go
+++ b/internal/endpoint/poll.go
@@ -35,12 +35,29 @@
 	members = slices.DeleteFunc(slices.Clone(members), func(m peer.Member) bool {
 		return m.VM == self || m.Leaving || m.Health > peer.Alive
 	})
+	shared := hashMembers(members)
+	if shared == t.assignedTo {
+		return
+	}
+	t.assignedTo = shared
 	for _, r := range t.records {
 		r.Mine = polls(self, t.at, r, members)
 	}
 }
 
+// hashMembers returns a hash of the VMs and their places, whatever their order; it is never 0.
+func hashMembers(members []peer.Member) uint64 {
+	sum := uint64(1)
+	for _, m := range members {
+		sum += mix(xxhash.Sum64String(m.VM + "\x00" + m.Region + "\x00" + m.Zone))
+	}
+	return max(sum, 1)
+}
+
 func polls(self string, at Location, r *Record, members []peer.Member) bool {
+	if len(members) == 0 || r.Region != at.Region {
+		return len(members) == 0
+	}
 	for _, wide := range []bool{false, true} {
 		within := func(region, zone string) bool { return region == r.Region && (wide || zone == r.Zone) }
 		candidates, ahead := 0, 0
@@ -61,7 +78,7 @@
 			return false
 		}
 	}
-	return len(members) == 0
+	return false
 }
 
 // Due returns the polls to start now and marks them as started: suspects first, then the VM's own share,
--- a/internal/endpoint/poll_test.go
+++ b/internal/endpoint/poll_test.go
@@ -148,3 +148,35 @@
 		})
 	}
 }
+
+func TestShareOfPollsFollowsTheFleet(t *testing.T) {
+	at := time.Unix(1_000_000, 0)
+	near := peer.Member{VM: "vm2", Region: "vest", Zone: "vest-1", Health: peer.Alive}
+	far := peer.Member{VM: "vm3", Region: "ost", Zone: "ost-1", Health: peer.Alive}
+	rows := []struct {
+		name          string
+		before, after []peer.Member
+		endpoint      Location
+		added         bool
+		mine          bool
+	}{
+		{"endpoint that is new", []peer.Member{near}, []peer.Member{near}, testHere, true, true},
+		{"last VM of the other region gone", []peer.Member{near, far}, []peer.Member{near}, testPlaces[2], false, false},
+		{"alone", []peer.Member{near, far}, nil, testPlaces[2], false, true},
+		{"no longer alone", nil, []peer.Member{far}, testPlaces[2], false, false},
+	}
+	for _, row := range rows {
+		qt.New(t).Run(row.name, func(c *qt.C) {
+			table := NewTable(testHere)
+			table.List([]platform.Instance{instance("e1", row.endpoint, 1, false)}, at)
+			table.Assign("vm1", row.before)
+			if row.added {
+				table.List([]platform.Instance{instance("e1", row.endpoint, 1, false), instance("e2", row.endpoint, 1, false)}, at)
+			}
+			table.Assign("vm1", row.after)
+			for _, r := range table.records {
+				c.Assert(r.Mine, qt.Equals, row.mine)
+			}
+		})
+	}
+}
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -76,6 +76,8 @@
 	// indexed is false after a change that the index doesn't show.
 	indexed bool
 	wanted  map[string]time.Time
+	// assignedTo is the hash of the VMs that the polls are shared with; 0 asks for a new share.
+	assignedTo uint64
 }
 
 // NewTable makes an empty Table of a VM at the location.
@@ -111,7 +113,7 @@
 	r.leavingListed = i.Meta["leaving"] == "true"
 	r.leavingHere = r.leavingHere || (r.leavingListed && incarnation == r.Incarnation)
 	r.settle()
-	t.indexed = false
+	t.indexed, t.assignedTo = false, 0
 }
 
 func (t *Table) forget(now time.Time) {
--- a/internal/entry/vm_test.go
+++ b/internal/entry/vm_test.go
@@ -29,6 +29,13 @@
 	return l.Addr().String()
 }
 
+func freePacketAddress(c *qt.C) string {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	return conn.LocalAddr().String()
+}
+
 func TestWholePath(t *testing.T) {
 	s := newSite(t)
 	s.configure()
--- a/measure/placement.go
+++ b/measure/placement.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cornelmux/internal/endpoint"
+	"cornelmux/internal/peer"
 	"cornelmux/internal/platform"
 )
 
@@ -208,6 +209,7 @@
 // choiceCosts measures a placement where every endpoint is in the VM's zone and serves the version.
 func choiceCosts() []Line {
 	var lines []Line
+	members := placementMembers()
 	for _, n := range []int{20, 200, 2900} {
 		before := heapBytes()
 		table := fullTable(n)
@@ -225,6 +227,7 @@
 		}
 		interval := costOf(200, func(i int) {
 			now := placementStart.Add(time.Duration(i) * time.Millisecond)
+			table.Assign("vm-0", members)
 			table.Due(now, 0)
 			table.Collect(now)
 		})
@@ -233,6 +236,18 @@
 	return lines
 }
 
+// placementMembers returns 460 VMs in 15 zones of 7 regions.
+func placementMembers() []peer.Member {
+	var members []peer.Member
+	for i := range 460 {
+		zone := i % 15
+		members = append(members, peer.Member{
+			VM: "vm-" + strconv.Itoa(i), Region: "r" + strconv.Itoa(zone%7), Zone: "z" + strconv.Itoa(zone), Health: peer.Alive,
+		})
+	}
+	return members
+}
+
 func fullTable(n int) *endpoint.Table {
 	table := endpoint.NewTable(endpoint.Location{Region: "r1", Zone: "z1"})
 	var list []platform.Instance
