Give the endpoint's place back before the bill is awaited

Cause: the filter of bills waited inside the last piece, so that for up to bill_hold (250 ms) a finished run still counted as in flight at its endpoint and kept its connection; placement saw endpoints as loaded that had nothing to do.

Change: the last piece is kept until the rest of the chain has returned; then the bill is recorded and the piece passed.

Broken build seen failing: the old bill.go (TestBillDoesNotKeepTheEndpointsPlace).

--- a/internal/filter/bill.go
+++ b/internal/filter/bill.go
@@ -17,10 +17,14 @@
 
 // Handle implements Filter.
 func (f Bill) Handle(ctx context.Context, x *Exchange, next Next) error {
-	b := &billing{sink: x.Sink, x: x, bill: f}
+	b := &billing{sink: x.Sink, x: x}
 	x.Sink = b
 	err := next(ctx, x)
-	if err != nil && !b.done && len(x.Runs) > 0 {
+	if b.last != nil {
+		f.record(ctx, x, Charge(x.Runs, &b.answered))
+		return b.sink.Piece(ctx, *b.last)
+	}
+	if err != nil && len(x.Runs) > 0 {
 		f.record(ctx, x, Charge(x.Runs, nil))
 	}
 	return err
@@ -42,19 +46,21 @@
 	return charged
 }
 
+// billing holds the last piece back until the rest of the chain has returned, so that neither the endpoint's place
+// nor its connection waits for the bill.
 type billing struct {
-	sink Sink
-	x    *Exchange
-	bill Bill
-	done bool
+	sink     Sink
+	x        *Exchange
+	last     *endpoint.Piece
+	answered Attempt
 }
 
 func (b *billing) Begin(ctx context.Context, h Head) error { return b.sink.Begin(ctx, h) }
 
 func (b *billing) Piece(ctx context.Context, p endpoint.Piece) error {
 	if p.Last {
-		b.done = true
-		b.bill.record(ctx, b.x, Charge(b.x.Runs, &b.x.Attempt))
+		b.last, b.answered = &p, b.x.Attempt
+		return nil
 	}
 	return b.sink.Piece(ctx, p)
 }
--- a/internal/filter/kept_test.go
+++ b/internal/filter/kept_test.go
@@ -56,3 +56,31 @@
 		})
 	}
 }
+
+// doneFirst is a Journal and an Endpoints that says whether the endpoint's place was given back before the bill.
+type doneFirst struct {
+	Journal
+	fakeEndpoints
+	done, inOrder bool
+}
+
+func (d *doneFirst) Done(context.Context, endpoint.Outcome) error {
+	d.done = true
+	return nil
+}
+
+func (d *doneFirst) Bill(context.Context, journal.Bill) error {
+	d.inOrder = d.done
+	return nil
+}
+
+func TestBillDoesNotKeepTheEndpointsPlace(t *testing.T) {
+	c := qt.New(t)
+	d, passed := &doneFirst{}, &keptAnswer{}
+	next := Chain(Bill{Journal: d}, Place{Endpoints: d, MaxAttempts: 1}, filterFunc(func(ctx context.Context, x *Exchange) error {
+		return x.Sink.Piece(ctx, endpoint.Piece{Last: true})
+	}))
+	c.Assert(next(context.Background(), &Exchange{Sink: passed}), qt.IsNil)
+	c.Assert(d.inOrder, qt.IsTrue)
+	c.Assert(passed.pieces, qt.HasLen, 1)
+}
