Cut the platform in tests without waiting for its watches

Cause: Server.Close waited up to 30 s for watches that clients had opened again. No check was changed.

--- a/internal/entry/rollout_test.go
+++ b/internal/entry/rollout_test.go
@@ -21,13 +21,18 @@
 	}}}}
 }
 
+// cutPlatform refuses connections to the platform and ends those that are open; Server.Close would wait for watches.
+func (s *site) cutPlatform() {
+	s.c.Assert(s.platform.Listener.Close(), qt.IsNil)
+	s.platform.CloseClientConnections()
+}
+
 // TestVMStartsFromPeers starts a VM while the platform is down, and lets it hear of a peer.
 func TestVMStartsFromPeers(t *testing.T) {
 	s := newSite(t)
 	s.configure()
 	cfg := s.settings(3, "")
-	s.platform.CloseClientConnections()
-	s.platform.Close()
+	s.cutPlatform()
 	ctx, cancel := context.WithCancel(context.Background())
 	ends := make(chan task.End, 1)
 	vm := New(cfg, logr.Discard())
@@ -98,8 +103,7 @@
 		return fmt.Sprint(prefix, n)
 	}
 	bound := version("fresh", "composer/v2")
-	s.platform.CloseClientConnections()
-	s.platform.Close()
+	s.cutPlatform()
 	version("stale", "composer/v1")
 	kept := s.send(1, call{"POST", chatURL, "", bound, chatBody("composer", "hello", false)})
 	s.c.Assert(kept.version, qt.Equals, "composer/v2")
