Mend the test of halts: a member may be suspect, never dead, under its cut

Cause: TestHaltReachesEveryVM failed in about 1 of 10 runs. It let only VM 1 of another zone hear VM 0, which a round picks 1 time in 3, and asked that VM 0 be alive at one instant: 6.2 s of silence, which makes it suspect, come up in (2/3)^6 = 9% of instants. The check was wrong: nothing promises that.

Change: VM 2 of VM 0's own zone hears it, and in each of the 30 seconds no VM may hold any other for dead.

--- a/internal/peer/controller_test.go
+++ b/internal/peer/controller_test.go
@@ -190,17 +190,21 @@
 		halt := Halt{Model: "composer", Version: "v2", Reason: "failures"}
 		crash := CrashReport{Fingerprint: 5, Endpoint: "engine-1"}
 		g.notes[0].state = State{Revision: 9, Halts: []Halt{halt}, Crashes: []CrashReport{crash}}
-		// Only VM 1 hears VM 0, so that the others need its word.
+		// Only VM 2, of the same zone, hears VM 0, so that the others need its word.
 		g.change(func() {
-			g.net.cut = func(from, to string) bool { return from == "10.0.0.1:1" && to != "10.0.0.2:1" }
+			g.net.cut = func(from, to string) bool { return from == "10.0.0.1:1" && to != "10.0.0.3:1" }
 		})
-		g.pass(30 * time.Second)
+		for range 30 {
+			g.pass(time.Second)
+			for i := range g.vms {
+				c.Check(g.health(i), qt.Not(qt.Contains), Dead)
+			}
+		}
 		for i := 1; i < 6; i++ {
 			heard := g.notes[i].heard
 			c.Check(slices.ContainsFunc(heard, func(s State) bool { return slices.Contains(s.Halts, halt) }), qt.IsTrue)
 			c.Check(slices.ContainsFunc(heard, func(s State) bool { return slices.Contains(s.Crashes, crash) }), qt.IsTrue)
 			c.Check(slices.ContainsFunc(heard, func(s State) bool { return s.VM == "vm-0" && s.Revision == 9 }), qt.IsTrue)
-			c.Check(g.health(i), qt.DeepEquals, []Health{Alive, Alive, Alive, Alive, Alive})
 		}
 	})
 }
