--- a/cmd/cornelmux/main.go
+++ b/cmd/cornelmux/main.go
@@ -23,7 +23,10 @@
 	Docs    docsCommand    `command:"docs" hidden:"true" description:"print a reference page"`
 
 	Withdraw  withdrawCommand  `command:"withdraw" description:"take a version out of service"`
+	Order     orderCommand     `command:"order" description:"have an endpoint load or unload a version or change its role"`
 	Reinstate reinstateCommand `command:"reinstate" description:"bring a withdrawn version back"`
+	RollOut   rollOutCommands  `command:"rollout" description:"start, step, halt, resume or show a roll-out"`
+	Audit     auditCommand     `command:"audit" description:"print the trail of accepted changes"`
 }
 
 const about = `cornelmux routes requests of callers to model and service endpoints, and is the operators' tool for it.
@@ -45,6 +48,7 @@
 	"withdraw":  "cornelmux withdraw --address 10.0.0.1:8081 --key-file operator.key --model composer --version v2 --reason 'wrong date'",
 	"reinstate": "cornelmux reinstate --address 10.0.0.1:8081 --key-file operator.key --model composer --version v2",
 	"rollout":   "cornelmux rollout start --address 10.0.0.1:8081 --key-file operator.key --model composer --version v2 --step 0.01 --step 1",
+	"order":     "cornelmux order --address 10.0.0.1:8081 --key-file operator.key --kind load --endpoint engine-1 --version composer/v2",
 	"audit":     "cornelmux audit --address 10.0.0.1:8081 --key-file operator.key --after 40 --output json",
 	"keygen":    "cornelmux keygen --file fleet.key",
 }
--- a/internal/endpoint/poll.go
+++ b/internal/endpoint/poll.go
@@ -32,8 +32,11 @@
 // Assign settles which endpoints the VM polls: each is polled by two VMs of its zone, or of its region where the zone
 // has none, chosen by rendezvous hashing over the VMs heard of. With no other VM heard of it polls all.
 func (t *Table) Assign(self string, members []peer.Member) {
+	members = slices.DeleteFunc(slices.Clone(members), func(m peer.Member) bool {
+		return m.VM == self || m.Leaving || m.Health > peer.Alive
+	})
 	for _, r := range t.records {
-		r.mine = polls(self, t.at, r, members)
+		r.Mine = polls(self, t.at, r, members)
 	}
 }
 
@@ -43,7 +46,7 @@
 		candidates, ahead := 0, 0
 		own := xxhash.Sum64String(r.ID + " " + self)
 		for _, m := range members {
-			if m.VM == self || m.Leaving || !within(m.Region, m.Zone) {
+			if !within(m.Region, m.Zone) {
 				continue
 			}
 			candidates++
@@ -134,7 +137,7 @@
 		return probePoll
 	case now.Sub(r.polledAt) < pollInterval:
 		return idle
-	case r.mine:
+	case r.Mine:
 		return ownPoll
 	case now.Sub(r.ReportedAt) < unprovedAfter || r.Leaving:
 		return idle
@@ -181,7 +184,7 @@
 }
 
 func compareTold(a, b *Record) int {
-	return cmp.Or(boolOrder(a.changed, b.changed), boolOrder(a.mine, b.mine), a.collectedAt.Compare(b.collectedAt), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(boolOrder(a.changed, b.changed), boolOrder(a.Mine, b.Mine), a.collectedAt.Compare(b.collectedAt), cmp.Compare(a.ID, b.ID))
 }
 
 // boolOrder puts true before false.
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -16,7 +16,9 @@
 const (
 	maxEventBytes     = 1 << 20
 	serviceChunkBytes = 32 << 10
-	maxDrainBytes     = 4 << 10
+	// eventBufferBytes holds most events; a longer line is put together from several reads.
+	eventBufferBytes = 2 << 10
+	maxDrainBytes    = 4 << 10
 	// drainTimeout bounds the wait for the end of an answer whose last piece has come.
 	drainTimeout = 20 * time.Millisecond
 )
@@ -34,7 +36,11 @@
 }
 
 func newStream(resp *http.Response, call Call, cancel context.CancelFunc) *httpStream {
-	return &httpStream{resp: resp, call: call, cancel: cancel, reader: bufio.NewReaderSize(resp.Body, serviceChunkBytes)}
+	size := serviceChunkBytes
+	if call.Chat {
+		size = eventBufferBytes
+	}
+	return &httpStream{resp: resp, call: call, cancel: cancel, reader: bufio.NewReaderSize(resp.Body, size)}
 }
 
 // check settles what the head of the answer means.
@@ -61,7 +67,28 @@
 
 // Head implements Stream.
 func (s *httpStream) Head() Head {
-	return Head{Status: s.resp.StatusCode, ContentType: s.resp.Header.Get("Content-Type")}
+	h := Head{Status: s.resp.StatusCode, ContentType: s.resp.Header.Get("Content-Type")}
+	if !s.call.Chat {
+		h.Fields = PickFields(s.resp.Header, answerFields)
+	}
+	return h
+}
+
+// answerFields are the fields of a service's answer that callers get, besides its type.
+var answerFields = []string{
+	"Accept-Ranges", "Allow", "Cache-Control", "Content-Disposition", "Content-Language", "Content-Range", "Etag", "Expires",
+	"Last-Modified", "Location", "Retry-After", "Vary",
+}
+
+// PickFields returns the named fields that a header holds.
+func PickFields(h http.Header, names []string) []Field {
+	var fields []Field
+	for _, name := range names {
+		if v := h.Get(name); v != "" {
+			fields = append(fields, Field{name, v})
+		}
+	}
+	return fields
 }
 
 // Close implements Stream; it cancels the run if it has not ended. The connection of one that has can be used again.
@@ -152,6 +179,9 @@
 	}
 }
 
+// usageField stands in every event that holds a usage; text can't hold it, since its quotes are escaped.
+var usageField = []byte(`"usage"`)
+
 // chunk is the part of a chat completion chunk that the router reads.
 type chunk struct {
 	Choices []struct {
@@ -172,16 +202,31 @@
 	if err != nil {
 		return Fragment{}, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
+	p := Piece{Data: data}
+	if !bytes.Contains(data, usageField) {
+		if !json.Valid(data) {
+			return Fragment{}, fmt.Errorf("%w: an event is no JSON", ErrBroken)
+		}
+		return Fragment{RunID: runID, Offset: offset, Piece: p}, nil
+	}
 	var c chunk
 	if err := json.Unmarshal(data, &c); err != nil {
 		return Fragment{}, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
-	p := Piece{Data: data}
-	if len(c.Choices) > 0 {
-		p.Text = c.Choices[0].Delta.Content
-	}
 	if c.Usage != nil {
 		p.Tokens, p.Last = c.Usage.TotalTokens, true
 	}
 	return Fragment{RunID: runID, Offset: offset, Piece: p}, nil
 }
+
+// Content returns the text of a piece of a chat answer. Few requests need it, so it is read from the data when asked for.
+func (p Piece) Content() string {
+	if p.Text != "" {
+		return p.Text
+	}
+	var c chunk
+	if json.Unmarshal(p.Data, &c) != nil || len(c.Choices) == 0 {
+		return ""
+	}
+	return c.Choices[0].Delta.Content
+}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -6,14 +6,12 @@
 	"crypto/subtle"
 	"encoding/json"
 	"errors"
-	"maps"
 	"net/http"
-	"slices"
 
 	"connectrpc.com/connect"
 
 	"cornelmux/internal/configuration"
-	"cornelmux/internal/journal"
+	"cornelmux/internal/rollout"
 	"cornelmux/internal/wire"
 	"cornelmux/internal/wire/wireconnect"
 	"cornelmux/pkg/catalog"
@@ -35,6 +33,11 @@
 	Leaving  bool             `json:"leaving"`
 	InFlight int              `json:"in_flight"`
 	Reached  []EndpointStatus `json:"endpoints"`
+	// ProvenAgeMS is the age of the proof that the revision is the newest; it is renewed while a roll-out is running.
+	ProvenAgeMS int64            `json:"proven_age_ms,omitempty"`
+	Members     []MemberStatus   `json:"members"`
+	Zones       []ZoneStatus     `json:"zones"`
+	RollOuts    []rollout.Status `json:"roll_outs,omitempty"`
 }
 
 // EndpointStatus is what a VM knows of an endpoint.
@@ -122,39 +125,14 @@
 			Leaving: e.Leaving, Suspect: e.Suspect, Queued: e.Queued, Running: e.Running,
 		})
 	}
-	data, err := json.Marshal(status)
-	if err != nil {
+	if err := c.addFleet(ctx, &status, list, s.ProvenAt); err != nil {
 		return nil, connectError(err)
 	}
-	return &wire.StatusResponse{Status: data}, nil
-}
-
-// Bills implements wireconnect.ControlServiceHandler.
-func (c *control) Bills(ctx context.Context, r *wire.BillsRequest) (*wire.BillsResponse, error) {
-	s, err := c.vm.configurations.Current(ctx)
+	data, err := json.Marshal(status)
 	if err != nil {
 		return nil, connectError(err)
 	}
-	regions := map[string]struct{}{}
-	for _, a := range s.Catalog.Accounts {
-		if r.Account == "" || r.Account == a.Name {
-			regions[a.HomeRegion] = struct{}{}
-		}
-	}
-	resp := &wire.BillsResponse{}
-	for _, region := range slices.Sorted(maps.Keys(regions)) {
-		bills, err := journal.ReadBills(ctx, c.vm.store, region)
-		if err != nil {
-			return nil, connectError(result.Errorf(result.PlatformDown, "bills of region %s: %v", region, err))
-		}
-		bills = slices.DeleteFunc(bills, func(b journal.Bill) bool { return r.Account != "" && b.Key.Account != r.Account })
-		encoded, err := encodeEach(bills)
-		if err != nil {
-			return nil, connectError(err)
-		}
-		resp.Bills = append(resp.Bills, encoded...)
-	}
-	return resp, nil
+	return &wire.StatusResponse{Status: data}, nil
 }
 
 // connectError keeps the numbered code in the message, which the operators' commands print.
--- a/measure/main.go
+++ b/measure/main.go
@@ -32,13 +32,16 @@
 
 // measurements lists every topic; each stands in a file of its own.
 var measurements = []Measurement{
+	{"exposure", measureExposure},
 	{"cost", measureCost},
+	{"cascade", measureCascade},
 	{"ids", measureIDs},
 	{"overhead", measureOverhead},
 	{"journal", measureJournal},
 	{"placement", measurePlacement},
 	{"peers", measurePeers},
 	{"fleet", measureFleet},
+	{"limits", measureLimits},
 }
 
 // Verdicts of a line.
--- a/measure/slopes.go
+++ b/measure/slopes.go
@@ -102,7 +102,7 @@
 func fleetCost(shape fleetShape) ([]Line, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	before := liveBytes()
+	before := heldHeap()
 	vms, err := newPeers(shape)
 	if err != nil {
 		return nil, err
@@ -126,7 +126,7 @@
 	if err != nil {
 		return nil, err
 	}
-	memory := float64(liveBytes()-before) / float64(shape.vms)
+	memory := float64(heldHeap()-before) / float64(shape.vms)
 	if err := task.Stop(cancel, ends, len(vms)); err != nil {
 		return nil, err
 	}
@@ -219,7 +219,7 @@
 	return ages, nil
 }
 
-func liveBytes() uint64 {
+func heldHeap() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
