--- a/measure/main.go
+++ b/measure/main.go
@@ -39,6 +39,8 @@
 	{"overhead", measureOverhead},
 	{"journal", measureJournal},
 	{"placement", measurePlacement},
+	{"peers", measurePeers},
+	{"fleet", measureFleet},
 	{"limits", measureLimits},
 }
 
