--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -38,7 +38,9 @@
 	urls     []string
 }
 
-func newSite(t *testing.T) *site {
+func newSite(t *testing.T) *site { return newLoggedSite(t, logr.Discard()) }
+
+func newLoggedSite(t *testing.T, log logr.Logger) *site {
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	ends := make(chan task.End, 16)
@@ -69,7 +71,7 @@
 	c.Cleanup(rating.Close)
 	for n := 1; n <= 2; n++ {
 		cfg := s.settings(n, rating.URL)
-		vm := New(cfg, logr.Discard())
+		vm := New(cfg, log)
 		s.vms = append(s.vms, vm)
 		s.urls = append(s.urls, "http://"+cfg.Listen.Callers)
 		start("vm", vm.Run)
