Show a roll-out, a halt, the withdrawal of its version, the trail and the bills in the demo

Cause: a newcomer should reach each of them from the README. A first try withdrew the stable version under a halted roll-out, which leaves no version and is refused with 2005: a halted version never takes over. The demo now withdraws the version that was rolled out, and its session goes back to the stable one.

--- a/demo/main.go
+++ b/demo/main.go
@@ -33,13 +33,23 @@
 }
 
 type afterCommand struct {
+	Callers     string `long:"callers" required:"true" description:"URL of an entry VM"`
+	SessionFile string `long:"session-file" required:"true" description:"file that names a session of the withdrawn version"`
+}
+
+type versionsCommand struct {
 	Callers string `long:"callers" required:"true" description:"URL of an entry VM"`
+	Old     string `long:"old" required:"true" description:"version that session s-1 keeps"`
+	New     string `long:"new" required:"true" description:"version that a new session gets"`
+
+	SessionFile string `long:"session-file" description:"file to name the new session in"`
 }
 
 type commands struct {
-	Wait   waitCommand   `command:"wait"`
-	Before beforeCommand `command:"before"`
-	After  afterCommand  `command:"after"`
+	Wait     waitCommand     `command:"wait"`
+	Before   beforeCommand   `command:"before"`
+	Versions versionsCommand `command:"versions"`
+	After    afterCommand    `command:"after"`
 }
 
 // answer is what came back for a request.
@@ -193,21 +203,53 @@
 	)
 }
 
+// Execute implements flags.Commander.
+func (c *versionsCommand) Execute([]string) error {
+	n, session := 0, ""
+	err := until(func() error {
+		n++
+		session = fmt.Sprintf("new-%s-%d", c.New, n)
+		a, err := send(c.Callers, request{http.MethodPost, "/v1/chat/completions", "", session, chat("composer", "a new session", false)})
+		if err == nil && a.version != c.New {
+			err = fmt.Errorf("new session on %s", a.version)
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%-34s %s\n", "a new session gets", c.New)
+	if c.SessionFile != "" {
+		if err := os.WriteFile(c.SessionFile, []byte(session), 0o600); err != nil {
+			return err
+		}
+	}
+	old, err := send(c.Callers, request{http.MethodPost, "/v1/chat/completions", "", "s-1", chat("composer", "the same session", false)})
+	if err != nil {
+		return err
+	}
+	return expect("session s-1 keeps", old, http.StatusOK, c.Old)
+}
+
 // Execute implements flags.Commander.
 func (c *afterCommand) Execute([]string) error {
+	session, err := os.ReadFile(c.SessionFile)
+	if err != nil {
+		return err
+	}
 	var a answer
-	err := until(func() error {
+	err = until(func() error {
 		var err error
-		a, err = send(c.Callers, request{http.MethodPost, "/v1/chat/completions", "", "s-1", chat("composer", "after the withdrawal", false)})
-		if err == nil && a.version != "composer/v2" {
-			err = fmt.Errorf("still on %s", a.version)
+		a, err = send(c.Callers, request{http.MethodPost, "/v1/chat/completions", "", string(session), chat("composer", "after the withdrawal", false)})
+		if err == nil && a.version != "composer/v1" {
+			err = fmt.Errorf("still on %s: %d %s", a.version, a.status, a.body)
 		}
 		return err
 	})
 	if err != nil {
 		return err
 	}
-	return expect("chat after the withdrawal", a, http.StatusOK, "composer/v2")
+	return expect("its session after the withdrawal", a, http.StatusOK, "composer/v1")
 }
 
 func main() {
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -53,7 +53,13 @@
 "$RUN/demo" wait --address 127.0.0.1:18201
 "$RUN/tsagaan_lavra" | "$RUN/cornelmux" apply "${OPERATE[@]}"
 "$RUN/demo" before --callers http://127.0.0.1:18102 --service http://127.0.0.1:18703
-"$RUN/cornelmux" withdraw "${OPERATE[@]}" --model composer --version v1 --reason "wrong feast in the text"
-"$RUN/demo" after --callers http://127.0.0.1:18102
+"$RUN/cornelmux" rollout start "${OPERATE[@]}" --model composer --version v2 --step 1 --step-seconds 0
+"$RUN/demo" versions --callers http://127.0.0.1:18102 --old composer/v1 --new composer/v2 --session-file "$RUN/session"
+"$RUN/cornelmux" rollout halt "${OPERATE[@]}" --model composer --reason "a poor text was seen"
+"$RUN/demo" versions --callers http://127.0.0.1:18101 --old composer/v1 --new composer/v1
+"$RUN/cornelmux" withdraw "${OPERATE[@]}" --model composer --version v2 --reason "wrong feast in the text"
+"$RUN/demo" after --callers http://127.0.0.1:18102 --session-file "$RUN/session"
+"$RUN/cornelmux" audit --address 127.0.0.1:18202 --key-file "$RUN/operator.key"
+"$RUN/cornelmux" bills --address 127.0.0.1:18202 --key-file "$RUN/operator.key" | grep -E '"request":"[bd]-'
 "$RUN/cornelmux" status --address 127.0.0.1:18202 --key-file "$RUN/operator.key"
 echo "demo: every answer was right"
