Place requests without a session by the beginning of their prompt

Cause: a request without a session gets one of its own from the front end, and placement took that for affinity: callers that send no session never met a cached prefix. Found in the read-through. The third row of TestAffinityFollowsTheSessionOrElseThePrompt failed before the change and passes after it.

--- a/internal/filter/place.go
+++ b/internal/filter/place.go
@@ -87,7 +87,7 @@
 
 // affinity names the cached prefix that helps the request: its session's, or that of the prompts which begin alike.
 func affinity(x *Exchange) string {
-	if x.Request.Session != "" {
+	if x.Request.Session != "" && !x.Request.Transient {
 		return x.Account.Name + " session " + x.Request.Session
 	}
 	return x.Account.Name + " prompt " + x.Request.Prompt[:min(len(x.Request.Prompt), prefixBytes)]
