--- a/fleet/failure_test.go
+++ b/fleet/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -11,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"cornelmux/internal/entry"
 	"cornelmux/internal/standin"
 	"cornelmux/internal/task"
 )
@@ -300,3 +302,38 @@
 		s.c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", got.body))
 	}
 }
+
+func TestLeavingEndpointGetsNoNewWorkWhileThePlatformIsDown(t *testing.T) {
+	s := newSite(t)
+	s.faults(standin.PlatformFaults{Down: true})
+	s.put(s.engines["engine-2"]+"/leave", "")
+	for _, v := range s.vms {
+		s.until(v.name+" knows that engine-2 leaves", func() error { return s.knowsLeaving(v, "engine-2") })
+	}
+	before := len(s.counts(s.engines["engine-2"]))
+	const requests = 20
+	for i := range requests {
+		got, err := s.send(s.vms[i%2], chat("", fmt.Sprintf("s-%d", i), "composer", "hello"))
+		s.c.Assert(err, qt.IsNil)
+		s.c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", got.body))
+	}
+	s.c.Check(len(s.counts(s.engines["engine-2"])), qt.Equals, before)
+}
+
+// knowsLeaving reports an error unless the VM's status shows the endpoint as leaving.
+func (s *site) knowsLeaving(v *vm, endpoint string) error {
+	out, err := s.operate(v, "", "status")
+	if err != nil {
+		return err
+	}
+	var status entry.Status
+	if err := json.Unmarshal([]byte(out), &status); err != nil {
+		return err
+	}
+	for _, e := range status.Reached {
+		if e.ID == endpoint && e.Leaving {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s", out)
+}
--- a/fleet/site_test.go
+++ b/fleet/site_test.go
@@ -61,9 +61,11 @@
 	dir      string
 	platform string
 	service  string
-	vms      []*vm
-	relays   map[string]*relay
-	procs    map[string]*exec.Cmd
+	// engines are the URLs of the engines themselves, past their relays.
+	engines map[string]string
+	vms     []*vm
+	relays  map[string]*relay
+	procs   map[string]*exec.Cmd
 	// sessions counts the new sessions that a test began.
 	sessions int
 }
@@ -80,7 +82,7 @@
 
 func newSite(t *testing.T, options ...option) *site {
 	c := qt.New(t)
-	s := &site{c: c, dir: c.Mkdir(), relays: map[string]*relay{}, procs: map[string]*exec.Cmd{}}
+	s := &site{c: c, dir: c.Mkdir(), engines: map[string]string{}, relays: map[string]*relay{}, procs: map[string]*exec.Cmd{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	ends := make(chan task.End, 16)
 	c.Cleanup(func() {
@@ -129,6 +131,7 @@
 
 func (s *site) engine(id, zone, versions string, relayTo func(name, target string) string) {
 	address := freeAddress(s.c)
+	s.engines[id] = "http://" + address
 	s.start(id, "standin", "engine", "--listen", address, "--versions", versions, "--interval", "20ms")
 	s.wait(address)
 	s.register(id, zone, relayTo(id, address))
@@ -345,15 +348,20 @@
 	return reply{resp.StatusCode, resp.Header.Get("X-Cornelmux-Version"), string(body)}, err
 }
 
-// serviceCounts returns how often the service ran each request, by the caller's request ID.
-func (s *site) serviceCounts() map[string]int {
-	resp, err := http.Get(s.service + "/counts")
+// counts returns how often a stand-in ran each run.
+func (s *site) counts(url string) map[string]int {
+	resp, err := http.Get(url + "/counts")
 	s.c.Assert(err, qt.IsNil)
 	defer resp.Body.Close()
 	counts := map[string]int{}
 	s.c.Assert(json.NewDecoder(resp.Body).Decode(&counts), qt.IsNil)
+	return counts
+}
+
+// serviceCounts returns how often the service ran each request, by the caller's request ID.
+func (s *site) serviceCounts() map[string]int {
 	byRequest := map[string]int{}
-	for runID, n := range counts {
+	for runID, n := range s.counts(s.service) {
 		if parts := strings.Split(runID, "/"); len(parts) == 3 {
 			byRequest[parts[1]] += n
 		}
--- a/internal/entry/peers.go
+++ b/internal/entry/peerservice.go
@@ -4,75 +4,92 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
 
-	"cornelmux/internal/endpoint"
+	"cornelmux/internal/configuration"
 	"cornelmux/internal/journal"
-	"cornelmux/internal/settings"
+	"cornelmux/internal/session"
 	"cornelmux/internal/wire"
+	"cornelmux/internal/wire/wireconnect"
 )
 
-func journalOptions(cfg settings.Settings, incarnation uint64) journal.Options {
-	return journal.Options{
-		VM:              cfg.VM.Name,
-		Incarnation:     incarnation,
-		Region:          cfg.VM.Region,
-		Address:         cfg.Listen.Control,
-		ClaimFor:        cfg.Limits.ClaimFor,
-		ResendWindow:    cfg.Limits.ResendWindow,
-		BillHold:        cfg.Journal.BillHold,
-		MaxBills:        cfg.Journal.MaxBills,
-		KeptBytes:       cfg.Journal.KeptBytes,
-		WritesPerSecond: cfg.Journal.WritesPerSecond,
-		ForwardTimeout:  cfg.Journal.ForwardTimeout,
-	}
+// peerService answers other entry VMs: each area is an embedded struct with its methods.
+type peerService struct {
+	notServed
+	peerConfiguration
+	peerSessions
+	peerJournal
 }
 
-// A VM that runs the request says so after answerWait; one that says nothing for answerGrace more counts as out of reach.
-const (
-	answerWait  = time.Second
-	answerGrace = time.Second
-)
+// notServed answers what no area serves.
+type notServed struct {
+	wireconnect.UnimplementedPeerServiceHandler
+}
 
-// Append implements journal.Peers.
-func (p *peerClient) Append(ctx context.Context, address, region string, partition int, entries []journal.Entry) ([]journal.Outcome, error) {
-	encoded, err := encodeEach(entries)
-	if err != nil {
-		return nil, err
-	}
-	r, err := p.client(address).Append(ctx, &wire.AppendRequest{Region: region, Partition: uint32(partition), Entries: encoded})
-	if err != nil {
-		return nil, err
-	}
-	return decodeEach[journal.Outcome](r.Outcomes)
+// peerHandler serves other entry VMs behind the fleet key.
+func (v *VM) peerHandler() (string, http.Handler) {
+	path, handler := wireconnect.NewPeerServiceHandler(&peerService{
+		peerConfiguration: peerConfiguration{v.configurations},
+		peerSessions:      peerSessions{v.sessions},
+		peerJournal:       peerJournal{v.journal},
+	})
+	return path, requireKey(v.cfg.Keys.Fleet, handler)
+}
+
+// peerConfiguration answers other entry VMs about the configuration.
+type peerConfiguration struct {
+	configurations *configuration.Controller
 }
 
-// Answer implements journal.Peers. It waits while the VM says that the request runs, but not on a VM that is silent.
-func (p *peerClient) Answer(ctx context.Context, address string, k journal.Key, fingerprint uint64) (journal.Found, error) {
-	q := &wire.AnswerRequest{Region: k.Region, Account: k.Account, RequestId: k.Request, Fingerprint: fingerprint}
-	r, err := p.pollAnswer(ctx, address, q)
-	for err == nil && r.Running {
-		r, err = p.pollAnswer(ctx, address, q)
+// Head implements wireconnect.PeerServiceHandler.
+func (p peerConfiguration) Head(ctx context.Context, r *wire.HeadRequest) (*wire.HeadResponse, error) {
+	held, err := p.configurations.Held(ctx)
+	if err != nil {
+		return nil, connectError(err)
 	}
-	if err != nil || !r.Found {
-		return journal.Found{NotRun: r.GetNotRun()}, err
+	resp := &wire.HeadResponse{Revision: held.Head.Revision}
+	if at := held.Snapshot.ProvenAt; !at.IsZero() {
+		resp.Proven = true
+		resp.ProvenAgeMs = uint32(time.Since(at).Milliseconds() + 1)
 	}
-	a := &journal.Answer{Status: int(r.Status), ContentType: r.ContentType, Model: r.Model, Version: r.Version}
-	for _, f := range r.Fields {
-		a.Fields = append(a.Fields, endpoint.Field{Name: f.Name, Value: f.Value})
+	if held.Head.Revision <= r.NewerThan {
+		return resp, nil
 	}
-	for _, piece := range r.Pieces {
-		a.Pieces = append(a.Pieces, endpoint.Piece{Text: piece.Text, Data: piece.Data, Tokens: int(piece.Tokens), Last: piece.Last})
+	resp.Head, err = json.Marshal(held.Head)
+	return resp, err
+}
+
+// Part implements wireconnect.PeerServiceHandler.
+func (p peerConfiguration) Part(ctx context.Context, r *wire.PartRequest) (*wire.PartResponse, error) {
+	held, err := p.configurations.Held(ctx)
+	if err != nil {
+		return nil, connectError(err)
 	}
-	return journal.Found{Answer: a}, nil
+	return &wire.PartResponse{Content: held.Parts[r.Digest]}, nil
 }
 
-func (p *peerClient) pollAnswer(ctx context.Context, address string, q *wire.AnswerRequest) (*wire.AnswerResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, answerWait+answerGrace)
-	defer cancel()
-	return p.client(address).Answer(ctx, q)
+// peerSessions answers other entry VMs about active sessions.
+type peerSessions struct {
+	sessions *session.Controller
+}
+
+// Sessions implements wireconnect.PeerServiceHandler.
+func (p peerSessions) Sessions(ctx context.Context, _ *wire.SessionsRequest) (*wire.SessionsResponse, error) {
+	sets, err := p.sessions.Sets(ctx)
+	if err != nil {
+		return nil, connectError(err)
+	}
+	resp := &wire.SessionsResponse{}
+	for _, s := range sets {
+		resp.Sets = append(resp.Sets, &wire.ActiveSet{
+			Vm: s.VM, Incarnation: s.Incarnation, Model: s.Model, Version: s.Version,
+			Filter: s.Filter, AgeMs: uint32(s.Age.Milliseconds()),
+		})
+	}
+	return resp, nil
 }
 
 // peerJournal answers other entry VMs about the journal.
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -123,6 +123,22 @@
 	}
 }
 
+func journalOptions(cfg settings.Settings, incarnation uint64) journal.Options {
+	return journal.Options{
+		VM:              cfg.VM.Name,
+		Incarnation:     incarnation,
+		Region:          cfg.VM.Region,
+		Address:         cfg.Listen.Control,
+		ClaimFor:        cfg.Limits.ClaimFor,
+		ResendWindow:    cfg.Limits.ResendWindow,
+		BillHold:        cfg.Journal.BillHold,
+		MaxBills:        cfg.Journal.MaxBills,
+		KeptBytes:       cfg.Journal.KeptBytes,
+		WritesPerSecond: cfg.Journal.WritesPerSecond,
+		ForwardTimeout:  cfg.Journal.ForwardTimeout,
+	}
+}
+
 // newCascades makes the controller of cascades; without a rating service no answer is rated.
 func newCascades(rater cascade.Rater, evidence cascade.Evidence, cfg settings.Settings, log logr.Logger) *cascade.Controller {
 	if cfg.Reach.Rating == "" {
