Count refused starts in the engine stand-in, so that the test of a leaving endpoint sees them

Cause: with the condition on leaving taken out of placement, the fleet test still passed: the engine refused the work and the request went elsewhere.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -75,6 +75,9 @@
 	FaultOversize = "fault:oversize"
 )
 
+// RefusedPrefix stands before the run IDs that an engine counts as refused.
+const RefusedPrefix = "refused "
+
 type engineMessage interface{ handle(*Engine) }
 
 type (
@@ -128,6 +131,7 @@
 
 func (m startMessage) handle(e *Engine) {
 	if e.leaving || !slices.Contains(e.versions, m.model) {
+		e.counts[RefusedPrefix+m.id]++
 		m.reply <- startReply{}
 		return
 	}
