--- a/fleet/site_test.go
+++ b/fleet/site_test.go
@@ -198,7 +198,7 @@
 }
 
 func (s *site) start(name, binary string, args ...string) {
-	p := exec.Command(filepath.Join(binaries, binary), args...)
+	p := exec.Command(filepath.Join(binaries, filepath.Base(binary)), args...)
 	log, err := os.OpenFile(filepath.Join(s.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	s.c.Assert(err, qt.IsNil)
 	defer log.Close()
