--- a/pkg/catalog/change.go
+++ b/pkg/catalog/change.go
@@ -101,14 +101,14 @@
 // a withdrawal is only lifted by a reinstatement that names it, and a roll-out that exists belongs to the roll-out commands.
 func Diff(from, to Configuration) Change {
 	var ch Change
-	old := map[string]any{}
+	old := map[string]object{}
 	for _, o := range from.objects() {
-		old[o.name] = o.value
+		old[o.name] = o
 	}
 	for _, o := range to.objects() {
 		v, exists := old[o.name]
 		delete(old, o.name)
-		if exists && (isManaged(v) || reflect.DeepEqual(v, o.value)) {
+		if exists && (isManaged(v.value) || reflect.DeepEqual(v.value, o.value)) {
 			continue
 		}
 		ch.Set.add(o.value)
