Keep a site running for the README's examples, and let apply say when nothing changes

Cause: a newcomer had nothing to run the README's commands against after the demo ended, and applying what is in force made an empty revision. Repeated under its own change ID it would have been a conflict. Change: make site; apply prints 'nothing to change'. TestApplyOfWhatIsInForceChangesNothing failed before and passes after it. The evidence in 'rollout status' prints in snake case, as all own formats do.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test format lint generate build measure
+.PHONY: demo site test format lint generate build measure
 
 TOOL = go tool -modfile=tools/go.mod
 KNOWN_RED = $(shell awk -F ' [|] ' '!/^\#/ && NF {print $$1}' KNOWN-RED.txt | paste -sd '|' -)
@@ -9,6 +9,9 @@
 demo:
 	timeout 60 ./demo/run.sh
 
+site:
+	./demo/run.sh keep
+
 test:
 	@grep -v '^#' KNOWN-RED.txt | sed 's/^/known red, passed over: /' || true
 	go test -race -count=1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
--- a/cmd/cornelmux/operate.go
+++ b/cmd/cornelmux/operate.go
@@ -124,7 +124,11 @@
 	if err != nil {
 		return err
 	}
-	return c.submit(ctx, &c.target, revision, catalog.Diff(have, want))
+	ch := catalog.Diff(have, want)
+	if len(ch.Objects()) == 0 {
+		return c.print(accepted{c.ChangeID, revision}, fmt.Sprintf("nothing to change at revision %d", revision))
+	}
+	return c.submit(ctx, &c.target, revision, ch)
 }
 
 type diffCommand struct {
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Sets up a small site on loopback, sends real requests through it and takes it down again.
+# With the argument "keep" it sends none, and keeps the site running until it is interrupted.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 RUN=$(mktemp -d)
@@ -52,6 +53,13 @@
 OPERATE=(--address 127.0.0.1:18201 --key-file "$RUN/operator.key" --author demo)
 "$RUN/demo" wait --address 127.0.0.1:18201
 "$RUN/tsagaan_lavra" | "$RUN/cornelmux" apply "${OPERATE[@]}"
+if [ "${1:-}" = keep ]; then
+	cp "$RUN/operator.key" operator.key
+	trap 'stop; rm -f operator.key' EXIT
+	trap exit INT TERM
+	echo "site: callers at 127.0.0.1:18101 and :18102, control at :18201 and :18202, operators' key in operator.key"
+	wait
+fi
 "$RUN/demo" before --callers http://127.0.0.1:18102 --service http://127.0.0.1:18703
 "$RUN/cornelmux" rollout start "${OPERATE[@]}" --model composer --version v2 --step 1 --step-seconds 0
 "$RUN/demo" versions --callers http://127.0.0.1:18102 --old composer/v1 --new composer/v2 --session-file "$RUN/session"
--- a/fleet/configuration_test.go
+++ b/fleet/configuration_test.go
@@ -52,6 +52,18 @@
 	}
 }
 
+func TestApplyOfWhatIsInForceChangesNothing(t *testing.T) {
+	s := newSite(t)
+	file, err := s.operate(s.vms[0], "", "get")
+	s.c.Assert(err, qt.IsNil)
+	out, err := s.operate(s.vms[0], file, "apply", "--change-id", "again")
+	s.c.Assert(err, qt.IsNil)
+	s.c.Check(out, qt.Equals, "nothing to change at revision 1\n")
+	trail, err := s.operate(s.vms[0], "", "audit")
+	s.c.Assert(err, qt.IsNil)
+	s.c.Check(trail, qt.Not(qt.Contains), "again")
+}
+
 func (s *site) moved(v *vm) error {
 	got, err := s.send(v, chat("", "s", "composer", "hello"))
 	if err == nil && got.version != "composer/v2" {
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -12,10 +12,10 @@
 
 // Count is the evidence about a version.
 type Count struct {
-	Answers  uint64
-	Failures uint64
-	Rated    uint64
-	RatedBad uint64
+	Answers  uint64 `json:"answers"`
+	Failures uint64 `json:"failures"`
+	Rated    uint64 `json:"rated"`
+	RatedBad uint64 `json:"rated_bad"`
 }
 
 func (c Count) plus(o Count) Count {
