--- a/internal/filter/place.go
+++ b/internal/filter/place.go
@@ -1,6 +1,7 @@
 package filter
 
 import (
+	"cmp"
 	"context"
 
 	"cornelmux/internal/endpoint"
@@ -29,7 +30,7 @@
 	for range f.MaxAttempts {
 		e, err := f.Endpoints.Choose(ctx, query(x, tried))
 		if err != nil {
-			return truthful(x, firstError(last, err))
+			return truthful(x, cmp.Or(last, err))
 		}
 		x.Attempt.Endpoint = e
 		x.Relayed = x.Relayed && !x.Held
@@ -93,13 +94,6 @@
 	return x.Account.Name + " prompt " + x.Request.Prompt[:min(len(x.Request.Prompt), prefixBytes)]
 }
 
-func firstError(first, second error) error {
-	if first != nil {
-		return first
-	}
-	return second
-}
-
 func blamesEndpoint(err error) bool {
 	if err == nil {
 		return false
--- a/internal/journal/request.go
+++ b/internal/journal/request.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -148,7 +149,7 @@
 		until := time.Now().Add(c.opts.ClaimFor)
 		r, err := c.ask(ctx, openMessage{key: k, fingerprint: fingerprint})
 		if err != nil || r.err != nil || r.answer != nil {
-			return Opening{Answer: r.answer}, firstError(err, r.err)
+			return Opening{Answer: r.answer}, cmp.Or(err, r.err)
 		}
 		if idempotent {
 			return Opening{Claim: Claim{Key: k, Until: until}}, nil
@@ -163,13 +164,6 @@
 	return Opening{}, stillRuns(k)
 }
 
-func firstError(first, second error) error {
-	if first != nil {
-		return first
-	}
-	return second
-}
-
 // ask opens the request in the controller. A caller whose context ends takes itself back.
 func (c *Controller) ask(ctx context.Context, m openMessage) (openReply, error) {
 	reply := make(chan openReply, 1)
@@ -200,8 +194,8 @@
 	if err == nil && outcome.Holder.ID != "" {
 		return c.resolve(ctx, started, outcome)
 	}
-	err = firstError(err, outcome.err())
-	return Opening{}, false, firstError(c.Finish(ctx, Claim{Key: k}, nil, err), err)
+	err = cmp.Or(err, outcome.err())
+	return Opening{}, false, cmp.Or(c.Finish(ctx, Claim{Key: k}, nil, err), err)
 }
 
 // record appends the started entry. If the caller leaves before it is settled, the claim is taken back.
@@ -245,7 +239,7 @@
 func (c *Controller) Find(ctx context.Context, k Key, fingerprint uint64) (Found, error) {
 	r, err := c.ask(ctx, openMessage{key: k, fingerprint: fingerprint, join: true})
 	if err != nil {
-		return Found{}, firstError(ctx.Err(), err)
+		return Found{}, cmp.Or(ctx.Err(), err)
 	}
 	notRun := r.joined && r.err != nil && result.From(r.err).Run == result.NotRun
 	return Found{Answer: r.answer, NotRun: notRun}, nil
@@ -270,5 +264,5 @@
 	}
 	e := release(Entry{ID: claim.ID, Key: claim.Key, VM: c.opts.VM, UnixMs: time.Now().UnixMilli()})
 	o, err := task.Ask(ctx, in.appends, func(reply chan<- Outcome) appendMessage { return appendMessage{entry: e, reply: reply} })
-	return firstError(err, o.err())
+	return cmp.Or(err, o.err())
 }
