--- a/internal/endpoint/controller.go
+++ b/internal/endpoint/controller.go
@@ -180,14 +180,7 @@
 
 // tellSurely waits a moment for room in the mailbox, since a lost message would count a run as in flight for good.
 func (c *Controller) tellSurely(ctx context.Context, m message) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), doneTimeout)
-	defer cancel()
-	select {
-	case c.mailbox <- m:
-		return nil
-	case <-ctx.Done():
-		return task.ErrFull
-	}
+	return task.TellWithin(ctx, c.mailbox, m, doneTimeout)
 }
 
 // Snapshot returns every known endpoint.
--- a/internal/endpoint/place.go
+++ b/internal/endpoint/place.go
@@ -56,9 +56,9 @@
 
 // Distances from the VM to an endpoint.
 const (
-	sameZone = iota
-	sameRegion
-	otherRegion
+	SameZone = iota
+	SameRegion
+	OtherRegion
 	distances
 )
 
@@ -100,7 +100,7 @@
 		if i := r % n; candidates[i].usable(q, now) {
 			return int(i)
 		}
-		r = mix(r)
+		r = Mix(r)
 	}
 	for k := range n {
 		if i := (r%n + k) % n; candidates[i].usable(q, now) {
@@ -115,7 +115,7 @@
 	key := xxhash.Sum64String(q.Affinity)
 	best := shortlist[affine]{limit: maxAffine, compare: compareAffine}
 	for i, e := range candidates {
-		best.add(affine{mix(key ^ e.hash()), i})
+		best.add(affine{Mix(key ^ e.hash()), i})
 	}
 	bound := math.Ceil(affinityFactor * meanLoad(candidates, q, now, r))
 	for _, b := range best.items {
@@ -149,8 +149,8 @@
 	return (sum + 1) / float64(max(usable, 1))
 }
 
-// mix spreads the bits of h, as the finaliser of SplitMix64 does.
-func mix(h uint64) uint64 {
+// Mix spreads the bits of h, as the finaliser of SplitMix64 does.
+func Mix(h uint64) uint64 {
 	h += 0x9e3779b97f4a7c15
 	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
 	h = (h ^ h>>27) * 0x94d049bb133111eb
@@ -176,13 +176,14 @@
 
 func (e *Endpoint) full() bool { return e.Queued >= maxQueued || e.InFlight >= maxInFlight }
 
-func (l Location) distance(e *Endpoint) int {
+// Distance says how far something in the region and zone is.
+func (l Location) Distance(region, zone string) int {
 	switch {
-	case e.Region != l.Region:
-		return otherRegion
-	case e.Zone != l.Zone:
-		return sameRegion
+	case region != l.Region:
+		return OtherRegion
+	case zone != l.Zone:
+		return SameRegion
 	default:
-		return sameZone
+		return SameZone
 	}
 }
--- a/internal/endpoint/poll.go
+++ b/internal/endpoint/poll.go
@@ -49,7 +49,7 @@
 func hashMembers(members []peer.Member) uint64 {
 	sum := uint64(1)
 	for _, m := range members {
-		sum += mix(xxhash.Sum64String(m.VM + "\x00" + m.Region + "\x00" + m.Zone))
+		sum += Mix(xxhash.Sum64String(m.VM + "\x00" + m.Region + "\x00" + m.Zone))
 	}
 	return max(sum, 1)
 }
@@ -161,7 +161,7 @@
 	case t.lacked(r, now):
 		return wantedPoll
 	default:
-		return otherPoll + t.at.distance(&r.Endpoint)
+		return otherPoll + t.at.Distance(r.Region, r.Zone)
 	}
 }
 
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -224,7 +224,7 @@
 	}
 	choice := ChoiceNone
 	for distance, list := range lists {
-		if distance == otherRegion && (!q.CrossRegion || choice == ChoiceFull) {
+		if distance == OtherRegion && (!q.CrossRegion || choice == ChoiceFull) {
 			break
 		}
 		i := Pick(list, q, now, r1, r2)
@@ -295,7 +295,7 @@
 	t.indexed = true
 	t.index = map[string]*[distances][]*Endpoint{}
 	for _, r := range t.records {
-		distance := t.at.distance(&r.Endpoint)
+		distance := t.at.Distance(r.Region, r.Zone)
 		for _, k := range r.keys() {
 			if t.index[k] == nil {
 				t.index[k] = &[distances][]*Endpoint{}
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -147,11 +146,6 @@
 	return cascade.New(rater, evidence, xxhash.Sum64String(cfg.VM.Name), log.WithName("cascade"))
 }
 
-type namedTask struct {
-	name string
-	run  func(context.Context) error
-}
-
 // Run serves until ctx ends, then stops gracefully: new requests are refused, those in flight end first.
 func (v *VM) Run(ctx context.Context) error {
 	callersListener, err := net.Listen("tcp", v.cfg.Listen.Callers)
@@ -166,25 +160,22 @@
 	state, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	defer v.close()
-	tasks := []namedTask{
-		{"drain", v.drain.run},
-		{"configuration", v.configurations.Run},
-		{"endpoints", v.endpoints.Run},
-		{"sessions", v.sessions.Run},
-		{"limits", v.limits.Run},
-		{"quarantine", v.quarantine.Run},
-		{"orders", v.orders.Run},
-		{"roll-outs", v.rollouts.Run},
-		{"journal", v.journal.Run},
-		{"peers", v.peers.Run},
-		{"cascades", v.cascades.Run},
-		{"control", serve(controlListener, v.controlHandler())},
-		{"callers", serve(callersListener, v.callersHandler())},
-	}
-	ends := make(chan task.End, len(tasks))
-	for _, t := range tasks {
-		task.Start(state, t.name, ends, t.run)
+	tasks := []task.Named{
+		{Name: "drain", Run: v.drain.run},
+		{Name: "configuration", Run: v.configurations.Run},
+		{Name: "endpoints", Run: v.endpoints.Run},
+		{Name: "sessions", Run: v.sessions.Run},
+		{Name: "limits", Run: v.limits.Run},
+		{Name: "quarantine", Run: v.quarantine.Run},
+		{Name: "orders", Run: v.orders.Run},
+		{Name: "roll-outs", Run: v.rollouts.Run},
+		{Name: "journal", Run: v.journal.Run},
+		{Name: "peers", Run: v.peers.Run},
+		{Name: "cascades", Run: v.cascades.Run},
+		{Name: "control", Run: task.Serve(newServer(v.controlHandler()), controlListener, cleanupTimeout)},
+		{Name: "callers", Run: task.Serve(newServer(v.callersHandler()), callersListener, cleanupTimeout)},
 	}
+	ends := task.StartAll(state, tasks)
 	v.log.Info("serving", "callers", v.cfg.Listen.Callers, "control", v.cfg.Listen.Control)
 	select {
 	case end := <-ends:
@@ -230,26 +221,6 @@
 	})
 }
 
-// serve returns a task that serves HTTP on the listener until its context ends, then lets requests in flight end.
-func serve(l net.Listener, h http.Handler) func(context.Context) error {
-	return func(ctx context.Context) error {
-		server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-		ends := make(chan task.End, 1)
-		task.Start(ctx, "listener", ends, func(context.Context) error { return server.Serve(l) })
-		select {
-		case end := <-ends:
-			return end.Err
-		case <-ctx.Done():
-		}
-		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), cleanupTimeout)
-		defer cancel()
-		if err := server.Shutdown(stop); err != nil {
-			server.Close()
-		}
-		end := <-ends
-		if errors.Is(end.Err, http.ErrServerClosed) {
-			return nil
-		}
-		return end.Err
-	}
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
--- a/internal/feed/controller.go
+++ b/internal/feed/controller.go
@@ -175,12 +175,7 @@
 }
 
 func (c *Controller) tell(ctx context.Context, m message) error {
-	select {
-	case c.mailbox <- m:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return task.TellUntil(ctx, c.mailbox, m)
 }
 
 func (m pageMessage) handle(ctx context.Context, c *Controller) {
--- a/internal/journal/controller.go
+++ b/internal/journal/controller.go
@@ -195,12 +195,7 @@
 
 // send waits for room in the mailbox, for what must not be refused.
 func (c *Controller) send(ctx context.Context, m message) error {
-	select {
-	case c.mailbox <- m:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return task.TellUntil(ctx, c.mailbox, m)
 }
 
 // inbox asks for the partition's inbox.
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -25,7 +25,7 @@
 
 // Options say where the VM is and how many sends may repeat others.
 type Options struct {
-	At Location
+	At endpoint.Location
 	// RepeatShare is how many repeats each request of a service allows, RepeatsSaved how many may be saved up.
 	RepeatShare  float64
 	RepeatsSaved float64
@@ -151,14 +151,7 @@
 
 // tell waits a moment for room in the mailbox, since a lost message would leave a wrong belief for good.
 func (c *Controller) tell(ctx context.Context, m message) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), tellTimeout)
-	defer cancel()
-	select {
-	case c.mailbox <- m:
-		return nil
-	case <-ctx.Done():
-		return task.ErrFull
-	}
+	return task.TellWithin(ctx, c.mailbox, m, tellTimeout)
 }
 
 func (m putMessage) handle(ctx context.Context, c *Controller) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -119,9 +119,3 @@
 	Gap         time.Duration
 	Fingerprint uint64
 }
-
-// Location is where the VM stands.
-type Location struct {
-	Region string
-	Zone   string
-}
--- a/internal/pool/score.go
+++ b/internal/pool/score.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cornelmux/internal/endpoint"
 )
 
 // Weights of a placement, each as the time that it adds to an answer.
@@ -26,8 +28,8 @@
 )
 
 // Score is the time that a run of q would add at the endpoint, by what this VM knows; less is better.
-func (r *Record) Score(q *Query, at Location, rank int, now time.Time) time.Duration {
-	cost := at.distance(&r.Entry) + r.failureCost() + r.slowness()
+func (r *Record) Score(q *Query, at endpoint.Location, rank int, now time.Time) time.Duration {
+	cost := distanceCost(at, &r.Entry) + r.failureCost() + r.slowness()
 	if now.Before(r.refusedUntil) {
 		cost += refusedCost
 	}
@@ -59,11 +61,12 @@
 	return min(time.Duration((r.pace-1)*float64(slowCost)), maxSlowCost)
 }
 
-func (l Location) distance(e *Entry) time.Duration {
-	switch {
-	case e.Zone == l.Zone:
+// distanceCost is what it costs to reach the endpoint from the VM.
+func distanceCost(at endpoint.Location, e *Entry) time.Duration {
+	switch at.Distance(e.Region, e.Zone) {
+	case endpoint.SameZone:
 		return 0
-	case e.Region == l.Region:
+	case endpoint.SameRegion:
 		return otherZone
 	default:
 		return otherRegion
@@ -71,14 +74,6 @@
 }
 
 // rank is the endpoint's place by rendezvous hashing for an affinity.
-func rank(affinity, id uint64) uint64 { return mix(affinity ^ id) }
-
-// mix spreads the bits of h, as the finaliser of SplitMix64 does.
-func mix(h uint64) uint64 {
-	h += 0x9e3779b97f4a7c15
-	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
-	h = (h ^ h>>27) * 0x94d049bb133111eb
-	return h ^ h>>31
-}
+func rank(affinity, id uint64) uint64 { return endpoint.Mix(affinity ^ id) }
 
 func hashOf(s string) uint64 { return xxhash.Sum64String(s) }
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"cornelmux/internal/endpoint"
 )
 
 const (
@@ -33,7 +35,7 @@
 
 // Table holds the known endpoints by service. It takes the time as an argument and does no input or output.
 type Table struct {
-	at       Location
+	at       endpoint.Location
 	records  map[string]*Record
 	services map[string][]*Record
 	usual    map[usualKey]Pace
@@ -48,7 +50,7 @@
 }
 
 // NewTable makes an empty Table of a VM at the location.
-func NewTable(at Location) *Table {
+func NewTable(at endpoint.Location) *Table {
 	return &Table{at: at, records: map[string]*Record{}, services: map[string][]*Record{}, usual: map[usualKey]Pace{}}
 }
 
--- a/internal/pool/table_test.go
+++ b/internal/pool/table_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"cornelmux/internal/endpoint"
 	"cornelmux/pkg/routing"
 )
 
@@ -17,7 +18,7 @@
 }
 
 func newTable(entries ...Entry) *Table {
-	t := NewTable(Location{Region: "r", Zone: "z"})
+	t := NewTable(endpoint.Location{Region: "r", Zone: "z"})
 	for _, e := range entries {
 		t.Put(e, start)
 	}
--- a/internal/shift/controller.go
+++ b/internal/shift/controller.go
@@ -266,12 +266,7 @@
 }
 
 func (c *Controller) tell(ctx context.Context, m message) error {
-	select {
-	case c.mailbox <- m:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return task.TellUntil(ctx, c.mailbox, m)
 }
 
 func (m versionsMessage) handle(_ context.Context, c *Controller) {
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -33,6 +33,42 @@
 	}
 }
 
+// TellUntil waits for room in the mailbox until ctx ends.
+func TellUntil[M any](ctx context.Context, mailbox chan<- M, m M) error {
+	select {
+	case mailbox <- m:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// TellWithin waits at most limit for room in the mailbox, also where ctx has ended: for messages whose loss would leave a
+// wrong belief for good.
+func TellWithin[M any](ctx context.Context, mailbox chan<- M, m M, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	defer cancel()
+	if TellUntil(ctx, mailbox, m) != nil {
+		return ErrFull
+	}
+	return nil
+}
+
+// Named is a task that an owner starts with others.
+type Named struct {
+	Name string
+	Run  func(context.Context) error
+}
+
+// StartAll starts the tasks and returns the channel that their ends come on, with room for all of them.
+func StartAll(ctx context.Context, tasks []Named) chan End {
+	ends := make(chan End, len(tasks))
+	for _, t := range tasks {
+		Start(ctx, t.Name, ends, t.Run)
+	}
+	return ends
+}
+
 // Ask puts the message that build makes around a reply channel into the mailbox, and waits for the reply.
 // The reply channel has room for one value, so that the receiver never waits.
 func Ask[M, R any](ctx context.Context, mailbox chan<- M, build func(chan<- R) M) (R, error) {
--- a/internal/task/task_test.go
+++ b/internal/task/task_test.go
@@ -75,3 +75,30 @@
 		})
 	}
 }
+
+func TestTellWaits(t *testing.T) {
+	rows := []struct {
+		name  string
+		room  int
+		tell  func(ctx context.Context, mailbox chan<- int) error
+		after time.Duration
+		err   error
+	}{
+		{"room, until", 1, func(ctx context.Context, m chan<- int) error { return TellUntil(ctx, m, 1) }, 0, nil},
+		{"no room, until", 0, func(ctx context.Context, m chan<- int) error { return TellUntil(ctx, m, 1) }, time.Second, context.DeadlineExceeded},
+		{"room, within", 1, func(ctx context.Context, m chan<- int) error { return TellWithin(ctx, m, 1, time.Minute) }, 0, nil},
+		{"no room, within longer than ctx", 0, func(ctx context.Context, m chan<- int) error { return TellWithin(ctx, m, 1, time.Minute) }, time.Minute, ErrFull},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				began := time.Now()
+				c.Assert(errors.Is(row.tell(ctx, make(chan int, row.room)), row.err), qt.IsTrue)
+				c.Assert(time.Since(began), qt.Equals, row.after)
+			})
+		})
+	}
+}
