--- a/internal/cascade/confidence.go
+++ b/internal/cascade/confidence.go
@@ -16,6 +16,8 @@
 type Opinion struct {
 	// Confidence is 0 to 100.
 	Confidence int
+	// Allowed says that the request may be sent again.
+	Allowed bool
 	// Load is the endpoint's, as a share of its slots.
 	Load float64
 	// Took is the time to the answer's head, Left the time to the deadline.
@@ -30,17 +32,47 @@
 	StrongerRest  time.Duration
 }
 
-// Climbs reports whether the answer is dropped and a stronger model asked.
+// Ruling says what becomes of an answer that its model rated.
+type Ruling int
+
+// The values of Ruling.
+const (
+	// RulingSure keeps an answer that the model is sure of.
+	RulingSure Ruling = iota + 1
+	// RulingClimb drops the answer for one of a stronger model.
+	RulingClimb
+	// RulingLate keeps a doubtful answer, since the stronger model's would begin after the objective.
+	RulingLate
+	// RulingNoTime keeps a doubtful answer, since the stronger model's wouldn't end before the deadline.
+	RulingNoTime
+	// RulingNoSend keeps a doubtful answer, since the request may not be sent again.
+	RulingNoSend
+)
+
+var rulingNames = map[Ruling]string{
+	RulingSure: "sure", RulingClimb: "climb", RulingLate: "late", RulingNoTime: "no_time", RulingNoSend: "no_send",
+}
+
+// String implements fmt.Stringer.
+func (v Ruling) String() string { return rulingNames[v] }
+
+// Weigh decides whether the answer is dropped and a stronger model asked.
 // A climb that can't be in time for the caller isn't made; the busier the endpoints, the worse an answer has to be.
-func Climbs(o Opinion) bool {
+func Weigh(o Opinion) Ruling {
 	first := max(o.StrongerFirst, o.Took)
-	if o.Left < max(spareTime*o.Took, first+o.StrongerRest) {
-		return false
-	}
-	if o.Objective > 0 && o.Elapsed+first > o.Objective {
-		return o.Confidence < hopeless
+	late := o.Objective > 0 && o.Elapsed+first > o.Objective
+	switch {
+	case float64(o.Confidence) >= threshold(o.Load):
+		return RulingSure
+	case !o.Allowed:
+		return RulingNoSend
+	case o.Left < max(spareTime*o.Took, first+o.StrongerRest):
+		return RulingNoTime
+	case late && o.Confidence >= hopeless:
+		return RulingLate
+	default:
+		return RulingClimb
 	}
-	return float64(o.Confidence) < threshold(o.Load)
 }
 
 func threshold(load float64) float64 {
--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"cornelmux/internal/cascade"
 	"cornelmux/internal/configuration"
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/journal"
@@ -102,6 +103,8 @@
 	// Load is the endpoint's load at the time of the choice; Spare says that the budget allows another send.
 	Load  float64
 	Spare bool
+	// Ruling says what became of the answer by its own confidence; 0 where it has none.
+	Ruling cascade.Ruling
 	// Stronger is how long runs of the cascade's strongest model usually take.
 	Stronger pool.Pace
 }
--- a/internal/filter/climb.go
+++ b/internal/filter/climb.go
@@ -55,14 +55,14 @@
 // Begin implements Sink.
 func (c *critic) Begin(ctx context.Context, h Head) error {
 	x := c.x
-	if h.Rated && !h.Failed() && x.Attempt.Level < c.strongest && c.mayClimb() {
+	if h.Rated && !h.Failed() && x.Attempt.Level < c.strongest {
 		now := time.Now()
-		o := cascade.Opinion{
-			Confidence: h.Confidence, Load: x.Attempt.Load, Took: now.Sub(c.began), Left: x.Request.Deadline.Sub(now),
-			Objective: x.Routed.Route.Objective, Elapsed: now.Sub(x.Arrived),
+		x.Attempt.Ruling = cascade.Weigh(cascade.Opinion{
+			Confidence: h.Confidence, Allowed: c.mayClimb(), Load: x.Attempt.Load, Took: now.Sub(c.began),
+			Left: x.Request.Deadline.Sub(now), Objective: x.Routed.Route.Objective, Elapsed: now.Sub(x.Arrived),
 			StrongerFirst: x.Attempt.Stronger.First, StrongerRest: time.Duration(c.events()) * x.Attempt.Stronger.Gap,
-		}
-		if cascade.Climbs(o) {
+		})
+		if x.Attempt.Ruling == cascade.RulingClimb {
 			return errUnsure
 		}
 	}
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -157,6 +157,7 @@
 	step := Step{
 		Endpoint: place.ID, Model: x.Attempt.Model, Version: place.Version, End: s.end.String(), Load: place.Load,
 		First: s.first, Took: s.took, Events: s.events, Gap: a.Gap, Confidence: -1,
+		Ruling: x.Attempt.Ruling.String(),
 	}
 	if s.head.Rated {
 		step.Confidence = s.head.Confidence
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -52,8 +52,10 @@
 	Events int           `json:"events"`
 	Gap    time.Duration `json:"gap_ns"`
 	// Confidence is the model's own opinion of its answer; negative is none.
-	Confidence int    `json:"confidence"`
-	Err        string `json:"error"`
+	Confidence int `json:"confidence"`
+	// Ruling is what became of the answer by its confidence.
+	Ruling string `json:"ruling,omitempty"`
+	Err    string `json:"error"`
 }
 
 // ErrBodyTooLarge reports a body over the limit.
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -26,9 +26,8 @@
 // Options say where the VM is and how many sends may repeat others.
 type Options struct {
 	At endpoint.Location
-	// RepeatShare is how many repeats each request of a service allows, RepeatsSaved how many may be saved up.
-	RepeatShare  float64
-	RepeatsSaved float64
+	// Repeats bounds the repeats of each service.
+	Repeats Limit
 }
 
 // Controller owns what the VM knows of the endpoints.
@@ -40,7 +39,7 @@
 	opts    Options
 	log     logr.Logger
 	table   *Table
-	budgets map[string]*endpoint.Budget
+	budgets map[string]*Budget
 	// read says that the directory was read whole once; waiting holds who waits for that.
 	read    bool
 	waiting []chan<- int
@@ -76,7 +75,7 @@
 func New(crashes Crashes, o Options, log logr.Logger) *Controller {
 	return &Controller{
 		mailbox: make(chan message, mailboxSize), ended: make(chan struct{}), crashes: crashes, opts: o, log: log,
-		table: NewTable(o.At), budgets: map[string]*endpoint.Budget{},
+		table: NewTable(o.At), budgets: map[string]*Budget{},
 	}
 }
 
@@ -189,25 +188,26 @@
 }
 
 func (m chooseMessage) handle(_ context.Context, c *Controller) {
+	now := time.Now()
 	budget := c.budget(m.query.Service)
 	switch {
 	case !m.query.Repeat:
-		budget.Request()
+		budget.Request(now)
 	case m.query.Climb:
-		budget.Tokens--
-	case !budget.Retry():
+		budget.Count(now)
+	case !budget.Repeat(now):
 		m.reply <- chooseReply{choice: ChoiceBudget}
 		return
 	}
-	p, choice := c.table.Choose(&m.query, time.Now())
-	p.Spare = budget.Tokens >= 1
+	p, choice := c.table.Choose(&m.query, now)
+	p.Spare = budget.Spare(now)
 	m.reply <- chooseReply{p, choice}
 }
 
-func (c *Controller) budget(service string) *endpoint.Budget {
+func (c *Controller) budget(service string) *Budget {
 	b, ok := c.budgets[service]
 	if !ok {
-		b = &endpoint.Budget{Share: c.opts.RepeatShare, Limit: c.opts.RepeatsSaved, Tokens: c.opts.RepeatsSaved}
+		b = NewBudget(c.opts.Repeats)
 		c.budgets[service] = b
 	}
 	return b
