Let one VM of a zone read the store, tell what others missed, and begin with a stale reading

Counted by kind in a trial: watches of two readers a zone, whole readings of 132 starts, 130 records and secrets written by all VMs at once and refused, leases made anew after each start, and VMs that the store refused asking again since they had missed one datagram.

Change: the first VM of a zone reads, the second only while it hears nothing, at a pace derived from the bounds of the settings; the first whole reading may be stale and is brought up to date by a watch before the VM is ready (a stale page names the revision of what it shows: trial with revisions logged); a VM that missed something asks the sender, out of a copy that every VM keeps; changes of a roll-out are proposed in turns; a VM that started again goes on with its lease.

TestRank and TestPace replace TestIsReader; TestEveryVMLearns has a new row, which failed before.

--- a/internal/cascade/confidence.go
+++ b/internal/cascade/confidence.go
@@ -4,7 +4,7 @@
 
 const (
 	// climbBelow is the confidence, 0 to 100, below which an answer is dropped for one of a stronger model.
-	climbBelow = 40
+	climbBelow = 45
 	// calmLoad is the load of endpoints up to which climbBelow holds; at fullLoad only hopeless answers climb.
 	calmLoad  = 0.35
 	fullLoad  = 0.9
--- a/internal/feed/controller.go
+++ b/internal/feed/controller.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -15,14 +16,7 @@
 const (
 	mailboxSize  = 4096
 	tickInterval = 50 * time.Millisecond
-	// watchWait is how long a watch waits; a connection that went silent shows soon after it.
-	watchWait = time.Second
-	// watchPause lies between two watches, so that changes come in batches.
-	watchPause = 500 * time.Millisecond
-	retryPause = 250 * time.Millisecond
-	// quietLimit is how long a VM that does not read waits for news before it reads for itself: longer than a reader is
-	// silent where nothing changes.
-	quietLimit = 1900 * time.Millisecond
+	retryPause   = 300 * time.Millisecond
 	// secretDelay bounds the wait of a VM that finds no secret, so that one makes it and the others hear of it.
 	secretDelay = 1500 * time.Millisecond
 )
@@ -36,6 +30,8 @@
 // Options say who the VM is.
 type Options struct {
 	Self Member
+	// Within is the time within which every VM has to learn of a change.
+	Within time.Duration
 }
 
 // Controller owns what the VM has read of the store and who else reads it.
@@ -46,23 +42,38 @@
 	transport Transport
 	receiver  Receiver
 	opts      Options
+	pace      Pace
 	log       logr.Logger
 
-	ends     chan task.End
-	running  int
-	synced   bool
+	ends    chan task.End
+	running int
+	// synced says that the store was read whole; whole holds the keys of that reading until the first watch brought it
+	// up to date.
+	synced bool
+	known  *Copy
+	whole  []string
+	// fresh says that the next whole reading must not be stale.
+	fresh    bool
 	revision uint64
 	reading  bool
 	nextRead time.Time
 	heardAt  time.Time
-	reader   bool
-	members  map[string]Member
-	secret   []byte
+	wantedAt time.Time
+	// place is the VM's rank among all, rank that in its zone.
+	place int
+	rank  int
+	// readAt is when the last watch began, failing says that the last reading failed.
+	readAt  time.Time
+	failing bool
+	members map[string]Member
+	secret  []byte
+	// leases takes the lease of the VM's member key once the store was read; 0 is none.
+	leases chan uint64
 	// secretAt is when the VM makes the secret if there is still none; making says that it does.
 	secretAt time.Time
 	making   bool
-	// told holds the essence of what this VM passed on last.
-	told    map[string]uint64
+	// marks are the revisions that the VM passed on lately.
+	marks   []mark
 	joiners map[string]*Joiner
 	number  uint64
 	refused int
@@ -91,7 +102,7 @@
 func New(source Source, registrar Registrar, transport Transport, receiver Receiver, o Options, log logr.Logger) *Controller {
 	return &Controller{
 		mailbox: make(chan message, mailboxSize), source: source, registrar: registrar, transport: transport, receiver: receiver,
-		opts: o, log: log, ends: make(chan task.End, 4), members: map[string]Member{}, told: map[string]uint64{},
+		opts: o, pace: NewPace(o.Within), log: log, rank: -1, leases: make(chan uint64, 1), ends: make(chan task.End, 4), members: map[string]Member{}, known: NewCopy(),
 		joiners: map[string]*Joiner{}, number: rand.Uint64(),
 	}
 }
@@ -109,7 +120,7 @@
 		return ctx.Err()
 	})
 	c.start(ctx, "registration", func(ctx context.Context) error {
-		return Register(ctx, c.registrar, c.opts.Self, c.log)
+		return Register(ctx, c.registrar, c.opts.Self, c.leases, c.log)
 	})
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -139,31 +150,37 @@
 	if c.reading || now.Before(c.nextRead) {
 		return
 	}
-	if c.synced && !c.reader && now.Sub(c.heardAt) < quietLimit {
+	if c.synced && c.whole == nil && now.Sub(c.heardAt) < c.pace.patience(c.rank, c.failing) {
 		return
 	}
 	c.reading = true
 	if !c.synced {
-		c.start(ctx, "whole reading", c.readWhole)
+		stale := !c.fresh
+		c.start(ctx, "whole reading", func(ctx context.Context) error { return c.readWhole(ctx, stale) })
 		return
 	}
-	from := c.revision
+	from, wait := c.revision, max(c.pace.Wait-now.Sub(c.heardAt), 0)
+	if c.whole != nil {
+		wait = 0
+	}
+	c.readAt = now
 	c.start(ctx, "watch", func(ctx context.Context) error {
-		items, revision, err := c.source.Watch(ctx, from, watchWait)
+		items, revision, err := c.source.Watch(ctx, from, wait)
 		return c.tell(ctx, changesMessage{items, from, revision, err})
 	})
 }
 
-// readWhole reads every key. The pages are no snapshot, so the changes since the first page are read again.
-func (c *Controller) readWhole(ctx context.Context) error {
+// readWhole reads every key. The pages are no snapshot, and stale ones may differ in age, so the changes since the oldest
+// of them are read again.
+func (c *Controller) readWhole(ctx context.Context, stale bool) error {
 	all := pageMessage{}
 	after := ""
 	for {
-		page, err := c.source.Range(ctx, after)
+		page, err := c.source.Range(ctx, after, stale)
 		if err != nil {
 			return c.tell(ctx, pageMessage{err: err})
 		}
-		if after == "" {
+		if after == "" || page.Revision < all.revision {
 			all.revision = page.Revision
 		}
 		all.items = append(all.items, page.Items...)
@@ -180,24 +197,44 @@
 
 func (m pageMessage) handle(ctx context.Context, c *Controller) {
 	now := time.Now()
-	c.reading = false
+	c.reading, c.failing = false, m.err != nil
 	c.receiver.Reach(ctx, m.err == nil, m.err)
 	if m.err != nil {
 		c.nextRead = now.Add(jitter(retryPause))
 		return
 	}
-	keys := make([]string, 0, len(m.items))
+	c.whole = make([]string, 0, len(m.items))
 	c.members = map[string]Member{}
+	lease := uint64(0)
 	for _, i := range m.items {
-		keys = append(keys, i.Key)
+		c.whole = append(c.whole, i.Key)
 		c.take(ctx, i)
+		if i.Key == memberPrefix+c.opts.Self.VM && c.members[c.opts.Self.VM] == c.opts.Self {
+			lease = i.Lease
+		}
 	}
+	_ = task.Tell(c.leases, lease) // only the first one counts
+	// A stale reading may be older than what the VM knew, so the changes since the reading are read in any case.
+	c.synced, c.revision, c.nextRead = true, m.revision, now
+	c.settle(ctx)
+	c.read(ctx, now)
+}
+
+// upToDate ends a whole reading once the changes since then are in.
+func (c *Controller) upToDate(ctx context.Context, items []Item) {
+	gone := map[string]bool{}
+	for _, i := range items {
+		gone[i.Key] = i.Deleted
+		if !i.Deleted {
+			c.whole = append(c.whole, i.Key)
+		}
+	}
+	keys := slices.DeleteFunc(c.whole, func(key string) bool { return gone[key] })
+	c.known.Keep(keys, c.revision)
 	c.receiver.Whole(ctx, keys)
-	c.synced, c.revision, c.heardAt = true, max(c.revision, m.revision), now
-	c.nextRead = now.Add(jitter(watchPause))
-	c.settle()
+	c.whole, c.fresh = nil, false
 	if len(c.secret) == 0 && c.secretAt.IsZero() {
-		c.secretAt = now.Add(rand.N(secretDelay))
+		c.secretAt = time.Now().Add(rand.N(secretDelay))
 	}
 }
 
@@ -206,16 +243,19 @@
 	if c.making || len(c.secret) > 0 || c.secretAt.IsZero() || now.Before(c.secretAt) {
 		return
 	}
+	if c.rank != rankReader && now.Before(c.secretAt.Add(secretDelay)) {
+		return
+	}
 	c.making = true
 	c.start(ctx, "secret", func(ctx context.Context) error { return createSecret(ctx, c.registrar, c.log) })
 }
 
 func (m changesMessage) handle(ctx context.Context, c *Controller) {
 	now := time.Now()
-	c.reading = false
+	c.reading, c.failing = false, m.err != nil
 	if errors.Is(m.err, ErrHistoryGone) {
 		c.log.Info("store history gone", "after", m.from)
-		c.synced = false
+		c.synced, c.whole, c.fresh = false, nil, true
 		return
 	}
 	c.receiver.Reach(ctx, m.err == nil, m.err)
@@ -223,44 +263,33 @@
 		c.nextRead = now.Add(jitter(retryPause))
 		return
 	}
-	c.nextRead = now.Add(watchPause)
+	c.nextRead = c.readAt.Add(c.pace.Pause)
+	if len(m.items) > 0 {
+		c.nextRead = now.Add(c.pace.Pause)
+	}
 	c.apply(ctx, m.items)
 	to := max(m.revision, m.from)
 	c.revision = max(c.revision, to)
-	if c.reader {
-		c.passOn(News{VM: c.opts.Self.VM, From: m.from, To: to, Items: c.news(m.items)})
+	if c.whole != nil {
+		c.upToDate(ctx, m.items)
 	}
+	c.heardAt = now
+	c.passOn(m.from, now)
 }
 
 // apply takes in changes that the VM doesn't have yet.
 func (c *Controller) apply(ctx context.Context, items []Item) {
 	for _, i := range items {
-		if i.Revision > c.revision {
-			c.take(ctx, i)
-		}
-	}
-	c.settle()
-}
-
-// news returns the changes that this VM hasn't passed on yet. What it heard of another reader counts for nothing, since
-// that one's datagrams may have been lost on the way to others.
-func (c *Controller) news(items []Item) []Item {
-	var out []Item
-	for _, i := range items {
-		essence := uint64(0)
-		if !i.Deleted {
-			essence = c.receiver.Essence(i)
-		}
-		if essence == 0 || c.told[i.Key] != essence {
-			out = append(out, i)
-		}
-		c.told[i.Key] = essence
+		c.take(ctx, i)
 	}
-	return out
+	c.settle(ctx)
 }
 
-// take passes one item on, and keeps what is the feed's own.
+// take passes one item on unless the VM has a newer one of its key, and keeps what is the feed's own.
 func (c *Controller) take(ctx context.Context, i Item) {
+	if !c.known.Put(i) {
+		return
+	}
 	name, isMember := memberName(i.Key)
 	switch {
 	case isMember && i.Deleted:
@@ -279,79 +308,16 @@
 	}
 }
 
-// settle decides whether the VM reads for its zone.
-func (c *Controller) settle() {
-	reader := IsReader(c.opts.Self.VM, c.opts.Self.Zone, c.members)
-	if reader != c.reader {
-		c.reader = reader
-		c.log.Info("reading of the store", "reader", reader, "members", len(c.members))
-		c.told = map[string]uint64{}
+// settle finds the VM's ranks anew.
+func (c *Controller) settle(ctx context.Context) {
+	if place := Rank(c.opts.Self.VM, "", c.members); place != c.place {
+		c.place = place
+		c.receiver.Ranked(ctx, place)
 	}
-}
-
-// passOn sends news to the zone's other VMs.
-func (c *Controller) passOn(n News) {
-	listeners := Listeners(c.opts.Self.VM, c.opts.Self.Zone, c.members)
-	if len(listeners) < Readers || len(c.secret) == 0 {
-		return
-	}
-	c.number++
-	packets, err := Encode(c.secret, c.number, n)
-	if err != nil {
-		c.log.Info("news not sent", "error", err.Error())
-		return
-	}
-	for _, address := range listeners {
-		for _, p := range packets {
-			if err := c.transport.Send(address, p); err != nil {
-				c.log.V(1).Info("news not sent", "to", address, "error", err.Error())
-			}
-		}
-	}
-}
-
-func (m packetMessage) handle(ctx context.Context, c *Controller) {
-	key := string(m.data[min(len(m.data), 1+macBytes):min(len(m.data), 9+macBytes)])
-	j, ok := c.joiners[key]
-	if !ok {
-		if len(c.joiners) >= maxJoiners {
-			c.joiners = map[string]*Joiner{}
-		}
-		j = &Joiner{}
-		c.joiners[key] = j
-	}
-	n, whole, err := j.Add(c.secret, m.data)
-	if err != nil {
-		c.refused++
-		c.log.V(1).Info("news refused", "error", err.Error(), "refused", c.refused)
-	}
-	if err != nil || whole {
-		delete(c.joiners, key)
-	}
-	if !whole || !c.synced || n.To <= c.revision {
-		if whole && c.synced && n.To == c.revision {
-			c.heard(ctx)
-		}
-		return
-	}
-	if n.From > c.revision {
-		// Something between is missing, so the VM reads for itself at once.
-		c.heardAt, c.nextRead = time.Time{}, time.Time{}
-		c.read(ctx, time.Now())
-		return
-	}
-	c.apply(ctx, n.Items)
-	c.revision = max(c.revision, n.To)
-	c.heard(ctx)
-}
-
-// maxJoiners bounds the messages that wait for parts.
-const maxJoiners = 64
-
-func (c *Controller) heard(ctx context.Context) {
-	c.heardAt = time.Now()
-	if !c.reader {
-		c.receiver.Reach(ctx, true, nil)
+	rank := Rank(c.opts.Self.VM, c.opts.Self.Zone, c.members)
+	if rank != c.rank {
+		c.rank = rank
+		c.log.Info("reading of the store", "rank", rank, "members", len(c.members))
 	}
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -25,6 +25,8 @@
 type Item struct {
 	Key   string `json:"key"`
 	Value []byte `json:"value,omitempty"`
+	// Lease is the lease that the key ends with; 0 is none.
+	Lease uint64 `json:"lease,omitempty"`
 	// Revision is that of the last change.
 	Revision uint64 `json:"revision"`
 	Deleted  bool   `json:"deleted,omitempty"`
@@ -39,8 +41,9 @@
 
 // Source reads the store.
 type Source interface {
-	// Range returns the items behind a key, in the order of their keys.
-	Range(ctx context.Context, after string) (Page, error)
+	// Range returns the items behind a key, in the order of their keys. A stale page is cheaper and may show the store as
+	// it stood some seconds ago, at the page's revision.
+	Range(ctx context.Context, after string, stale bool) (Page, error)
 	// Watch waits for changes after a revision; it fails with ErrHistoryGone where they are no longer known.
 	Watch(ctx context.Context, after uint64, wait time.Duration) ([]Item, uint64, error)
 }
@@ -52,8 +55,8 @@
 	Whole(ctx context.Context, keys []string)
 	// Reach says whether the store can be read, at the source or through a peer.
 	Reach(ctx context.Context, ok bool, err error)
-	// Essence is a hash of what matters in an item; an item whose essence stays the same is no news. 0 is always news.
-	Essence(i Item) uint64
+	// Ranked says which place the VM has among all of them, from 0.
+	Ranked(ctx context.Context, rank int)
 }
 
 // Keys of the feed's own.
@@ -62,9 +65,6 @@
 	secretKey    = "cornelmux/secret"
 )
 
-// Readers is how many VMs of a zone read the store for the others.
-const Readers = 2
-
 // Member is a VM that takes news.
 type Member struct {
 	VM   string `json:"vm"`
@@ -73,16 +73,63 @@
 	Address string `json:"address"`
 }
 
-// IsReader decides whether the VM reads the store for its zone: the first ones by the hash of their names do.
-func IsReader(vm, zone string, members map[string]Member) bool {
+// Roles of a VM in the reading of the store, by its rank in the zone.
+const (
+	// rankReader reads the store for its zone.
+	rankReader = 0
+	// rankBackup does so while it hears nothing of the reader.
+	rankBackup = 1
+)
+
+// Rank is the VM's place among those of its zone by the hash of their names, from 0; all zones count where zone is "".
+func Rank(vm, zone string, members map[string]Member) int {
 	before := 0
 	own := rankOf(vm)
 	for _, m := range members {
-		if m.Zone == zone && m.VM != vm && (rankOf(m.VM) < own || (rankOf(m.VM) == own && m.VM < vm)) {
+		other := rankOf(m.VM)
+		if (zone == "" || m.Zone == zone) && m.VM != vm && (other < own || (other == own && m.VM < vm)) {
 			before++
 		}
 	}
-	return before < Readers
+	return before
+}
+
+// Pace says how often the store is read, so that every VM learns of a change within a bound.
+type Pace struct {
+	// Pause lies between two watches of the reader, so that changes come in batches.
+	Pause time.Duration
+	// Wait is the longest time between the ends of two watches of the reader; a connection that went silent shows after it.
+	Wait time.Duration
+	// BackupQuiet and Quiet are how long the backup and every other VM wait for news before they read for themselves.
+	BackupQuiet time.Duration
+	Quiet       time.Duration
+}
+
+// Parts of the bound within which every VM has to learn of a change.
+const (
+	pausePart       = 0.2
+	waitPart        = 0.4
+	backupQuietPart = 0.55
+	quietPart       = 0.76
+)
+
+// NewPace derives the pace from the time within which every VM has to learn of a change.
+func NewPace(within time.Duration) Pace {
+	part := func(share float64) time.Duration { return time.Duration(share * float64(within)) }
+	return Pace{Pause: part(pausePart), Wait: part(waitPart), BackupQuiet: part(backupQuietPart), Quiet: part(quietPart)}
+}
+
+// patience is how long a VM of the rank hears nothing before it reads for itself. A reader whose own readings fail is
+// content with what it hears of the backup.
+func (p Pace) patience(rank int, failing bool) time.Duration {
+	switch {
+	case rank == rankReader && !failing:
+		return 0
+	case rank == rankBackup:
+		return p.BackupQuiet
+	default:
+		return p.Quiet
+	}
 }
 
 func rankOf(vm string) uint64 { return xxhash.Sum64String(vm) }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -17,23 +17,38 @@
 
 const hangLimit = 20 * time.Second
 
-func TestIsReader(t *testing.T) {
+func TestRank(t *testing.T) {
 	members := map[string]Member{}
 	for i := range 14 {
 		name := fmt.Sprint("vm", i)
 		members[name] = Member{VM: name, Zone: []string{"a", "b"}[i%2], Address: name}
 	}
 	for _, zone := range []string{"a", "b"} {
-		readers := 0
+		ranks := map[int]bool{}
 		for _, m := range members {
-			if m.Zone == zone && IsReader(m.VM, zone, members) {
-				readers++
+			if m.Zone == zone {
+				ranks[Rank(m.VM, zone, members)] = true
 			}
 		}
-		qt.Check(t, readers, qt.Equals, Readers)
+		for rank := range 7 {
+			qt.Check(t, ranks[rank], qt.IsTrue, qt.Commentf("zone %s, rank %d", zone, rank))
+		}
 		qt.Check(t, Listeners("vm0", zone, members), qt.HasLen, map[string]int{"a": 6, "b": 7}[zone])
 	}
-	qt.Check(t, IsReader("alone", "c", members), qt.IsTrue)
+	qt.Check(t, Rank("alone", "c", members), qt.Equals, rankReader)
+}
+
+func TestPace(t *testing.T) {
+	tests := []time.Duration{time.Second, 2500 * time.Millisecond, 4 * time.Second}
+	for _, within := range tests {
+		p := NewPace(within)
+		comment := qt.Commentf("%+v within %v", p, within)
+		qt.Check(t, p.patience(rankReader, false), qt.Equals, time.Duration(0), comment)
+		qt.Check(t, p.patience(rankReader, true), qt.Equals, p.Quiet, comment)
+		qt.Check(t, p.BackupQuiet > p.Wait && p.Wait > p.Pause, qt.IsTrue, comment)
+		qt.Check(t, p.BackupQuiet+p.Pause < p.Quiet, qt.IsTrue, comment)
+		qt.Check(t, p.Quiet+p.Pause < within, qt.IsTrue, comment)
+	}
 }
 
 func TestNewsArrive(tt *testing.T) {
@@ -87,6 +102,66 @@
 	}
 }
 
+func TestCopy(tt *testing.T) {
+	rapid.Check(tt, func(t *rapid.T) {
+		// A store and two copies: one sees every change, the other takes what the first one says since its own revision.
+		store, first, second := map[string]Item{}, NewCopy(), NewCopy()
+		revision, at := uint64(1), uint64(1)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				revision++
+				i := Item{Key: rapid.StringMatching("[abc]").Draw(t, "key"), Revision: revision, Deleted: rapid.Bool().Draw(t, "deleted")}
+				store[i.Key] = i
+				first.Put(i)
+			case 2:
+				items, whole := first.Since(at)
+				if !whole {
+					t.Fatal("deletions were forgotten")
+				}
+				for _, i := range items {
+					second.Put(i)
+				}
+				at = revision
+			case 3:
+				var keys []string
+				for k, i := range store {
+					if !i.Deleted {
+						keys = append(keys, k)
+					}
+				}
+				first.Keep(keys, revision)
+			}
+		}
+		items, _ := first.Since(at)
+		for _, i := range items {
+			second.Put(i)
+		}
+		for k, i := range store {
+			if got := second.items[k]; got.Deleted != i.Deleted || (!i.Deleted && got.Revision != i.Revision) {
+				t.Fatalf("key %s: %+v, want %+v", k, got, i)
+			}
+		}
+	})
+}
+
+func TestCopyKeepsSecretAndHorizon(t *testing.T) {
+	c := NewCopy()
+	c.Put(Item{Key: secretKey, Revision: 1})
+	c.Put(Item{Key: "a", Revision: 2})
+	items, whole := c.Since(0)
+	qt.Check(t, whole, qt.IsTrue)
+	qt.Check(t, items, qt.HasLen, 1)
+	for n := range maxTombstones + 1 {
+		c.Put(Item{Key: fmt.Sprint("gone ", n), Revision: uint64(n + 3), Deleted: true})
+	}
+	c.Keep([]string{secretKey, "a"}, maxTombstones+9)
+	_, whole = c.Since(2)
+	qt.Check(t, whole, qt.IsFalse)
+	_, whole = c.Since(3)
+	qt.Check(t, whole, qt.IsTrue)
+}
+
 // hub carries datagrams between the controllers of a test; drop says which are lost.
 type hub struct {
 	inboxes map[string]chan []byte
@@ -123,7 +198,9 @@
 	items    []Item
 	revision uint64
 	watches  map[string]int
-	waiting  []func()
+	// refused is the VM whose watches fail.
+	refused string
+	waiting []func()
 }
 
 func newStore(ctx context.Context) store {
@@ -166,13 +243,20 @@
 	vm string
 }
 
-func (r reader) Range(ctx context.Context, _ string) (p Page, err error) {
+var errRefused = errors.New("refused")
+
+func (r reader) Range(ctx context.Context, _ string, _ bool) (p Page, err error) {
 	err = r.do(ctx, func(st *state) { p = Page{Items: slices.Clone(st.items), Revision: st.revision} })
 	return p, err
 }
 
 func (r reader) Watch(ctx context.Context, after uint64, wait time.Duration) (items []Item, revision uint64, err error) {
 	deadline := time.Now().Add(wait)
+	refused := false
+	_ = r.do(ctx, func(st *state) { refused = st.refused == r.vm })
+	if refused {
+		return nil, 0, errRefused
+	}
 	for {
 		err = r.do(ctx, func(st *state) {
 			revision = st.revision
@@ -219,21 +303,37 @@
 
 func (r taken) Take(_ context.Context, i Item)   { r.got <- r.vm + " " + i.Key + "=" + string(i.Value) }
 func (taken) Whole(context.Context, []string)    {}
+func (taken) Ranked(context.Context, int)        {}
 func (taken) Reach(context.Context, bool, error) {}
-func (taken) Essence(i Item) uint64              { return uint64(len(i.Value)) }
+
+// everyThird drops every third datagram to a VM, once one arrived.
+func everyThird(vm string) func(from, to string) bool {
+	counts := make(chan int, 1)
+	counts <- 0
+	return func(_, to string) bool {
+		if to != vm {
+			return false
+		}
+		n := <-counts
+		counts <- n + 1
+		return n%3 == 1
+	}
+}
 
 // TestEveryVMLearns starts VMs of one zone, changes a key again and again while datagrams get lost, and waits until each
 // VM has learnt of each value that matters.
 func TestEveryVMLearns(t *testing.T) {
 	tests := []struct {
-		name string
-		drop func(from, to string) bool
+		name    string
+		drop    func(from, to string) bool
+		refused string
 	}{
-		{"every datagram arrives", nil},
-		{"none does", func(string, string) bool { return true }},
-		{"none from one of the readers", func(from, _ string) bool { return from == "vm1" || from == "vm3" }},
-		{"none to one VM", func(_, to string) bool { return to == "vm2" }},
-		{"none from one reader to one VM", func(from, to string) bool { return from < "vm2" && to == "vm4" }},
+		{"every datagram arrives", nil, ""},
+		{"none does", func(string, string) bool { return true }, ""},
+		{"none from one of the readers", func(from, _ string) bool { return from == "vm1" || from == "vm3" }, ""},
+		{"none to one VM", func(_, to string) bool { return to == "vm2" }, ""},
+		{"none from one reader to one VM", func(from, to string) bool { return from < "vm2" && to == "vm4" }, ""},
+		{"a VM that the store refuses later misses every third datagram", everyThird("vm2"), "vm2"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -241,6 +341,9 @@
 			ctx, cancel := context.WithTimeout(context.Background(), hangLimit)
 			h := &hub{inboxes: map[string]chan []byte{}, drop: test.drop}
 			s := newStore(ctx)
+			if test.refused != "" {
+				s.put(ctx, secretKey, "secret") // otherwise it might be made after the VM is refused
+			}
 			got := make(chan string, 4096)
 			ends := make(chan task.End, 5)
 			vms := []string{"vm0", "vm1", "vm2", "vm3", "vm4"}
@@ -249,7 +352,7 @@
 			}
 			for _, vm := range vms {
 				r := reader{s, vm}
-				c := New(r, r, port{h, vm}, taken{vm, got}, Options{Self: Member{VM: vm, Zone: "z", Address: vm}}, logr.Discard())
+				c := New(r, r, port{h, vm}, taken{vm, got}, Options{Self: Member{VM: vm, Zone: "z", Address: vm}, Within: 2500 * time.Millisecond}, logr.Discard())
 				task.Start(ctx, vm, ends, c.Run)
 			}
 			defer func() {
@@ -272,6 +375,7 @@
 						t.Fatalf("only %v learnt of value %q", learnt, value)
 					}
 				}
+				_ = s.do(ctx, func(st *state) { st.refused = test.refused })
 			}
 		})
 	}
--- a/internal/feed/news.go
+++ b/internal/feed/news.go
@@ -12,12 +12,16 @@
 	"io"
 )
 
-// News is what a reader passes on: everything that changed from one revision up to another.
+// News is what one VM tells another: everything that changed after one revision up to another, or, where Wants is set,
+// that it has everything up to From and wants what came after.
 type News struct {
-	VM    string `json:"vm"`
-	From  uint64 `json:"from"`
-	To    uint64 `json:"to"`
-	Items []Item `json:"items,omitempty"`
+	VM string `json:"vm"`
+	// Address is where the sender takes datagrams.
+	Address string `json:"address"`
+	From    uint64 `json:"from"`
+	To      uint64 `json:"to"`
+	Wants   bool   `json:"wants,omitempty"`
+	Items   []Item `json:"items,omitempty"`
 }
 
 // Layout of a datagram: version, MAC of all that follows, number of the message, part and parts, then the part itself.
--- a/internal/feed/register.go
+++ b/internal/feed/register.go
@@ -15,8 +15,8 @@
 
 const (
 	// memberLease is how long a VM that ended still counts as a member.
-	memberLease   = 9 * time.Second
-	renewInterval = 3500 * time.Millisecond
+	memberLease   = 20 * time.Second
+	renewInterval = 7 * time.Second
 	registerPause = time.Second
 	secretBytes   = 32
 )
@@ -31,12 +31,20 @@
 	Create(ctx context.Context, key string, value []byte) error
 }
 
-// Register keeps the VM's member key alive until ctx ends.
-func Register(ctx context.Context, r Registrar, self Member, log logr.Logger) error {
+// Register keeps the VM's member key alive until ctx ends. It begins with the lease that comes on leases: a VM that
+// started again goes on with the key that it had.
+func Register(ctx context.Context, r Registrar, self Member, leases <-chan uint64, log logr.Logger) error {
+	var lease uint64
+	select {
+	case lease = <-leases:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	for ctx.Err() == nil {
-		if err := keep(ctx, r, self); err != nil && ctx.Err() == nil {
+		if err := keep(ctx, r, self, lease); err != nil && ctx.Err() == nil {
 			log.Info("member key not kept", "error", err.Error())
 		}
+		lease = 0
 		task.Sleep(ctx, jitter(registerPause))
 	}
 	return ctx.Err()
@@ -57,18 +65,13 @@
 	return ctx.Err()
 }
 
-// keep writes the member key under a lease and renews it until that fails.
-func keep(ctx context.Context, r Registrar, self Member) error {
-	value, err := json.Marshal(self)
-	if err != nil {
-		return fmt.Errorf("encode a member: %w", err)
-	}
-	lease, err := r.Lease(ctx, memberLease)
-	if err != nil {
-		return err
-	}
-	if err := r.Put(ctx, memberPrefix+self.VM, value, lease); err != nil {
-		return err
+// keep writes the member key under a lease, unless it has one already, and renews it until that fails.
+func keep(ctx context.Context, r Registrar, self Member, lease uint64) error {
+	if lease == 0 || r.Renew(ctx, lease) != nil {
+		var err error
+		if lease, err = register(ctx, r, self); err != nil {
+			return err
+		}
 	}
 	renewed := time.Now()
 	for task.Sleep(ctx, jitter(renewInterval)) {
@@ -82,3 +85,16 @@
 	}
 	return ctx.Err()
 }
+
+// register writes the member key under a new lease.
+func register(ctx context.Context, r Registrar, self Member) (uint64, error) {
+	value, err := json.Marshal(self)
+	if err != nil {
+		return 0, fmt.Errorf("encode a member: %w", err)
+	}
+	lease, err := r.Lease(ctx, memberLease)
+	if err != nil {
+		return 0, err
+	}
+	return lease, r.Put(ctx, memberPrefix+self.VM, value, lease)
+}
--- a/internal/shift/controller.go
+++ b/internal/shift/controller.go
@@ -22,6 +22,9 @@
 	haltScore = 7
 	// maxPinned bounds the sessions that a VM tells the others of.
 	maxPinned = 2000
+	// turnPause lies between the turns in which VMs propose the same change, mostTurns bounds them.
+	turnPause = 500 * time.Millisecond
+	mostTurns = 6
 	// leastBadEndpoints keeps one bad endpoint from condemning its version.
 	leastBadEndpoints = 2
 )
@@ -58,8 +61,10 @@
 	services map[string]*service
 	sessions map[sessionKey]*session
 	// work is what the writer does next, one at a time.
-	work    chan func(context.Context)
-	swept   time.Time
+	work  chan func(context.Context)
+	swept time.Time
+	// turn is the VM's place among those that propose changes, from 0.
+	turn    int
 	writing map[string]bool
 }
 
@@ -70,6 +75,8 @@
 	// recorded is the order that the ledger's record is about; 0 is none.
 	recorded uint64
 	begun    time.Time
+	// dueAt is when the shift could first be completed.
+	dueAt    time.Time
 	detector rollout.Detector
 	version  rollout.Count
 	stable   rollout.Count
@@ -114,6 +121,7 @@
 }
 
 type (
+	turnMessage   struct{ turn int }
 	orderMessage  struct{ order Order }
 	recordMessage struct {
 		record   Record
@@ -190,6 +198,11 @@
 	return task.Tell(c.mailbox, message(orderMessage{o}))
 }
 
+// Turn takes in the VM's place among those that propose changes, from 0, so that not all of them write at once.
+func (c *Controller) Turn(_ context.Context, turn int) error {
+	return task.Tell(c.mailbox, message(turnMessage{turn}))
+}
+
 // Learn takes in a record under its revision.
 func (c *Controller) Learn(_ context.Context, r Record, revision uint64) error {
 	return task.Tell(c.mailbox, message(recordMessage{r, revision}))
@@ -224,6 +237,13 @@
 	return s
 }
 
+func (m turnMessage) handle(_ context.Context, c *Controller) { c.turn = m.turn }
+
+// myTurn reports whether the VM may propose a change that has been due since a time.
+func (c *Controller) myTurn(due, now time.Time) bool {
+	return now.Sub(due) >= time.Duration(min(c.turn, mostTurns))*turnPause
+}
+
 func (m orderMessage) handle(_ context.Context, c *Controller) {
 	s := c.service(m.order.Service)
 	if m.order.Revision <= s.order.Revision {
@@ -237,14 +257,13 @@
 	s.restart()
 	s.record = Record{Order: m.order, State: StateRunning, StartedAt: time.Now()}
 	s.begun = time.Now()
-	c.askVersions(m.order.Service)
 }
 
 // restart begins the evidence about a version anew; what is known of the old one stays.
 func (s *service) restart() {
 	s.detector = rollout.Detector{HaltScore: haltScore}
 	s.version, s.badAt = rollout.Count{}, nil
-	s.pinned, s.told, s.halted, s.reason = map[uint64]bool{}, false, false, ""
+	s.pinned, s.told, s.halted, s.reason, s.dueAt = map[uint64]bool{}, false, false, "", time.Time{}
 }
 
 // askVersions learns which versions serve now, and proposes the record.
@@ -353,14 +372,17 @@
 			continue
 		}
 		elapsed := now.Sub(s.begun)
+		if s.dueAt.IsZero() && c.due(name, s, elapsed) {
+			s.dueAt = now
+		}
 		switch {
 		case s.recorded != s.record.Order.Revision:
-			if !c.writing[name] {
+			if !c.writing[name] && c.myTurn(s.begun, now) {
 				c.askVersions(name)
 			}
 		case s.halted:
 			c.propose(name, s, StateRolledBack, s.reason)
-		case float64(elapsed) > fullFrom*float64(s.record.Duration) && (float64(elapsed) > completeBy*float64(s.record.Duration) || !c.oldRuns(name, s)):
+		case !s.dueAt.IsZero() && c.myTurn(s.dueAt, now):
 			c.propose(name, s, StateCompleted, "the version proved good")
 		}
 		if !s.told && elapsed > settleFor-2*tickInterval && !late(elapsed, s.record.Duration) {
@@ -377,3 +399,10 @@
 		}
 	}
 }
+
+// due reports whether the shift may be completed: all sessions get the version, and no run on the old one is in flight
+// here or the time is nearly up.
+func (c *Controller) due(name string, s *service, elapsed time.Duration) bool {
+	part := float64(elapsed) / float64(s.record.Duration)
+	return part > fullFrom && (part > completeBy || !c.oldRuns(name, s))
+}
