Share loads, failures and evidence between VMs, and judge a version by the pauses between its events

Two faults: each VM judged by its own answers alone (29 of them), and a pause between events counted as slow only from 150 ms over the usual, so that a version four times slower between events (80 ms in place of 20) never did; nor did answers given up for silence. TestSlowAnswers has a row for each, which failed before.

Placement counts the peers' runs and failures; the load that the cascade looks at is the endpoint's and no longer this VM's part of it.

--- a/internal/feed/controller.go
+++ b/internal/feed/controller.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"cornelmux/internal/peer"
 	"cornelmux/internal/task"
 )
 
@@ -43,7 +44,9 @@
 	receiver  Receiver
 	opts      Options
 	pace      Pace
-	log       logr.Logger
+	// sections are the controllers whose state is shared with other VMs.
+	sections []peer.Section
+	log      logr.Logger
 
 	ends    chan task.End
 	running int
@@ -75,8 +78,15 @@
 	// marks are the revisions that the VM passed on lately.
 	marks   []mark
 	joiners map[string]*Joiner
-	number  uint64
-	refused int
+	// states holds what came last of each VM; cursor, incarnation and sequence name this VM's own.
+	states      map[string]heardState
+	cursor      peer.Cursor
+	incarnation uint64
+	sequence    uint64
+	nextShare   time.Time
+	nextFar     int
+	number      uint64
+	refused     int
 }
 
 type message interface {
@@ -99,11 +109,12 @@
 )
 
 // New makes a Controller; Run starts it.
-func New(source Source, registrar Registrar, transport Transport, receiver Receiver, o Options, log logr.Logger) *Controller {
+func New(source Source, registrar Registrar, transport Transport, receiver Receiver, o Options, log logr.Logger, sections ...peer.Section) *Controller {
 	return &Controller{
 		mailbox: make(chan message, mailboxSize), source: source, registrar: registrar, transport: transport, receiver: receiver,
 		opts: o, pace: NewPace(o.Within), log: log, rank: -1, leases: make(chan uint64, 1), ends: make(chan task.End, 4), members: map[string]Member{}, known: NewCopy(),
-		joiners: map[string]*Joiner{}, number: rand.Uint64(),
+		joiners: map[string]*Joiner{}, sections: sections, states: map[string]heardState{},
+		incarnation: uint64(time.Now().UnixNano()), number: rand.Uint64(),
 	}
 }
 
@@ -134,6 +145,7 @@
 		case now := <-ticker.C:
 			c.read(ctx, now)
 			c.makeSecret(ctx, now)
+			c.share(ctx, now)
 		case <-ctx.Done():
 			return task.Stop(cancel, c.ends, c.running)
 		}
--- a/internal/feed/exchange.go
+++ b/internal/feed/exchange.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"cornelmux/internal/peer"
 )
 
 const (
@@ -78,6 +80,10 @@
 }
 
 func (m packetMessage) handle(ctx context.Context, c *Controller) {
+	if len(m.data) > 0 && m.data[0] == peer.FormatVersion {
+		c.hearState(ctx, m.data)
+		return
+	}
 	n, ok := c.join(m.data)
 	switch {
 	case !ok || !c.synced || c.whole != nil:
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -136,9 +136,18 @@
 
 // Listeners returns the addresses of the zone's other VMs, in a fixed order.
 func Listeners(vm, zone string, members map[string]Member) []string {
+	return addresses(members, func(m Member) bool { return m.Zone == zone && m.VM != vm })
+}
+
+// Others returns the addresses of the VMs of other zones, in a fixed order.
+func Others(zone string, members map[string]Member) []string {
+	return addresses(members, func(m Member) bool { return m.Zone != zone })
+}
+
+func addresses(members map[string]Member, wanted func(Member) bool) []string {
 	var out []string
 	for _, m := range members {
-		if m.Zone == zone && m.VM != vm && m.Address != "" {
+		if m.Address != "" && wanted(m) {
 			out = append(out, m.Address)
 		}
 	}
--- a/internal/feed/news.go
+++ b/internal/feed/news.go
@@ -26,7 +26,7 @@
 
 // Layout of a datagram: version, MAC of all that follows, number of the message, part and parts, then the part itself.
 const (
-	newsVersion  = 1
+	newsVersion  = 2
 	macBytes     = 16
 	headerBytes  = 1 + macBytes + 8 + 2 + 2
 	maxDatagram  = 1200
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -15,10 +15,11 @@
 const (
 	// MaxPacketBytes is the largest datagram that is sent; a larger one is refused unread.
 	MaxPacketBytes = 1200
-	formatVersion  = 1
-	versionBytes   = 1
-	macBytes       = sha256.Size
-	headerBytes    = versionBytes + macBytes
+	// FormatVersion is the first byte of each datagram.
+	FormatVersion = 1
+	versionBytes  = 1
+	macBytes      = sha256.Size
+	headerBytes   = versionBytes + macBytes
 	// fieldBytes is the most that protobuf adds to an embedded message: two bytes of tag and two of length.
 	fieldBytes = 4
 	// relayShare is the part of a datagram, in per cent, that news of other VMs may always take.
@@ -105,7 +106,7 @@
 
 func seal(key []byte, d *wire.Datagram) ([]byte, error) {
 	packet := make([]byte, headerBytes, MaxPacketBytes)
-	packet[0] = formatVersion
+	packet[0] = FormatVersion
 	packet, err := proto.MarshalOptions{}.MarshalAppend(packet, d)
 	if err != nil {
 		return nil, fmt.Errorf("datagram: %w", err)
@@ -129,7 +130,7 @@
 		return Packet{}, ErrTruncated
 	case len(data) > MaxPacketBytes:
 		return Packet{}, ErrOversize
-	case data[0] != formatVersion:
+	case data[0] != FormatVersion:
 		return Packet{}, ErrVersion
 	case !hmac.Equal(data[versionBytes:headerBytes], sum(key, data)):
 		return Packet{}, ErrMAC
@@ -180,11 +181,13 @@
 		d.Endpoints = append(d.Endpoints, &wire.EndpointReport{
 			Endpoint: e.Endpoint, Incarnation: e.Incarnation, Queued: uint32(max(e.Queued, 0)), Running: uint32(max(e.Running, 0)),
 			AgeMs: uint32(max(e.Age.Milliseconds(), 0)), Leaving: e.Leaving, Suspect: e.Suspect, Versions: e.Versions,
+			WorkPercent: uint32(max(e.Work, 0)*100 + 0.5), FailedPermille: uint32(max(e.Failed, 0)*1000 + 0.5),
 		})
 	}
 	for _, e := range s.Evidence {
 		d.Evidence = append(d.Evidence, &wire.VersionEvidence{
 			Model: e.Model, Version: e.Version, Answers: e.Answers, Failures: e.Failures, Rated: e.Rated, RatedBad: e.RatedBad, StartedAt: e.StartedAt,
+			BadEndpoints: e.BadEndpoints,
 		})
 	}
 	for _, a := range s.Demand {
@@ -211,11 +214,13 @@
 		s.Endpoints = append(s.Endpoints, EndpointReport{
 			Endpoint: e.Endpoint, Incarnation: e.Incarnation, Queued: int(e.Queued), Running: int(e.Running),
 			Age: time.Duration(e.AgeMs) * time.Millisecond, Leaving: e.Leaving, Suspect: e.Suspect, Versions: e.Versions,
+			Work: float64(e.WorkPercent) / 100, Failed: float64(e.FailedPermille) / 1000,
 		})
 	}
 	for _, e := range d.Evidence {
 		s.Evidence = append(s.Evidence, VersionEvidence{
 			Model: e.Model, Version: e.Version, Answers: e.Answers, Failures: e.Failures, Rated: e.Rated, RatedBad: e.RatedBad, StartedAt: e.StartedAt,
+			BadEndpoints: e.BadEndpoints,
 		})
 	}
 	for _, a := range d.Demand {
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -63,7 +63,7 @@
 		{"header cut off", testKey, good[:headerBytes-1], ErrTruncated},
 		{"payload cut off", testKey, good[:len(good)-1], ErrMAC},
 		{"too long", testKey, append(bytes.Clone(good), make([]byte, MaxPacketBytes)...), ErrOversize},
-		{"unknown version", testKey, change(0, formatVersion+1), ErrVersion},
+		{"unknown version", testKey, change(0, FormatVersion+1), ErrVersion},
 		{"changed MAC", testKey, change(versionBytes, good[versionBytes]^1), ErrMAC},
 		{"changed payload", testKey, change(len(good)-1, good[len(good)-1]^1), ErrMAC},
 		{"another fleet's key", []byte("other"), good, ErrMAC},
@@ -106,11 +106,11 @@
 		f.Fatal(err)
 	}
 	f.Add(data)
-	f.Add([]byte{formatVersion})
+	f.Add([]byte{FormatVersion})
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		_, _ = Decode(testKey, data) // must not panic
 		packet := append(make([]byte, headerBytes), data...)
-		packet[0] = formatVersion
+		packet[0] = FormatVersion
 		copy(packet[versionBytes:], sum(testKey, packet))
 		_, _ = Decode(testKey, packet) // nor on a payload whose MAC is right
 	})
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -37,6 +37,9 @@
 	Leaving     bool
 	Suspect     bool
 	Versions    []string
+	// Work is the sender's own runs there, by how much of an engine they take; Failed is the share of its runs that fail.
+	Work   float64
+	Failed float64
 }
 
 // VersionEvidence counts a version's answers at the sender during the run of a roll-out that began at StartedAt.
@@ -49,6 +52,8 @@
 	Failures  uint64
 	Rated     uint64
 	RatedBad  uint64
+	// BadEndpoints has a bit, by the hash of its name, for each endpoint whose answers were bad.
+	BadEndpoints uint64
 }
 
 // AccountDemand asks for a part of the receivers' shares of a client account's limit, or lends one.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -57,7 +57,7 @@
 // Placement is an endpoint and how loaded it is.
 type Placement struct {
 	Entry
-	// Load is the runs of this VM at the endpoint by its slots.
+	// Load is the runs at the endpoint by its slots, as far as this VM and its peers know them.
 	Load float64
 	// Spare says that the budget allows another send of the request.
 	Spare bool
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -35,8 +35,13 @@
 	// replaced says that another endpoint answers at the address.
 	replaced bool
 
-	pauses       int
-	pausedUntil  time.Time
+	pauses      int
+	pausedUntil time.Time
+	// unreached says that the last pause began since the endpoint couldn't be reached or was silent.
+	unreached bool
+	// doubtedUntil is until when a peer's doubt holds, views what peers told of the endpoint.
+	doubtedUntil time.Time
+	views        map[string]view
 	refusedUntil time.Time
 	// failures is the moving share of runs that failed by the endpoint's own word.
 	failures float64
@@ -57,7 +62,7 @@
 }
 
 func newRecord(e Entry) *Record {
-	return &Record{Entry: e, hash: hashOf(e.ID), pace: 1, parts: map[partKey]time.Time{}}
+	return &Record{Entry: e, hash: hashOf(e.ID), pace: 1, parts: map[partKey]time.Time{}, views: map[string]view{}}
 }
 
 // update takes in what the directory says, and starts anew for another incarnation.
@@ -69,7 +74,7 @@
 	r.missing = false
 	if restarted {
 		r.replaced, r.pauses, r.pausedUntil, r.failures, r.pace = false, 0, time.Time{}, 0, 1
-		r.parts = map[partKey]time.Time{}
+		r.parts, r.views, r.doubtedUntil, r.unreached = map[partKey]time.Time{}, map[string]view{}, time.Time{}, false
 	}
 	return restarted
 }
@@ -94,7 +99,7 @@
 // trusted reports whether the endpoint may get a run; after a pause it gets one at a time until one is answered.
 func (r *Record) trusted(now time.Time) bool {
 	if r.pauses == 0 {
-		return true
+		return !now.Before(r.doubtedUntil)
 	}
 	return !now.Before(r.pausedUntil) && r.InFlight == 0
 }
@@ -144,7 +149,7 @@
 func (r *Record) learn(o *Outcome, usual time.Duration, now time.Time) {
 	switch o.End {
 	case EndAnswered:
-		r.pauses = 0
+		r.pauses, r.doubtedUntil = 0, time.Time{}
 		r.failures -= r.failures * failureWeight
 	case EndFailed:
 		r.pauses = 0
@@ -155,6 +160,7 @@
 		r.replaced = true
 	case EndLost, EndSilent, EndUnreached:
 		r.failures += (1 - r.failures) * failureWeight
+		r.unreached = o.End != EndLost
 		r.pause(now)
 	}
 	if o.First > 0 && usual > 0 {
--- a/internal/pool/score.go
+++ b/internal/pool/score.go
@@ -27,32 +27,24 @@
 	mostRanked  = 4
 )
 
-// Score is the time that a run of q would add at the endpoint, by what this VM knows; less is better.
+// Score is the time that a run of q would add at the endpoint, by what this VM and its peers know; less is better.
 func (r *Record) Score(q *Query, at endpoint.Location, rank int, now time.Time) time.Duration {
-	cost := distanceCost(at, &r.Entry) + r.failureCost() + r.slowness()
+	inFlight, work, failed := r.peers(now)
+	cost := distanceCost(at, &r.Entry) + r.slowness() + time.Duration(failed*float64(failureCost))
 	if now.Before(r.refusedUntil) {
 		cost += refusedCost
 	}
 	if q.Model == "" {
-		return cost + r.waiting()
+		return cost + time.Duration(loadOf(r.InFlight+inFlight, r.Slots)*float64(slotCost))
 	}
 	cost += time.Duration(r.unread(q)) * time.Millisecond / prefillTokensPerMs
-	cost += time.Duration(r.work * float64(runCost))
+	cost += time.Duration((r.work + work) * float64(runCost))
 	if q.Affinity != 0 {
 		cost += time.Duration(min(rank, mostRanked)) * rankCost
 	}
 	return cost
 }
 
-// waiting estimates the wait for a slot of a plain service.
-func (r *Record) waiting() time.Duration {
-	return time.Duration(float64(r.InFlight) / float64(max(r.Slots, 1)) * float64(slotCost))
-}
-
-func (r *Record) failureCost() time.Duration {
-	return time.Duration(r.failures * float64(failureCost))
-}
-
 // slowness is the cost of an endpoint whose answers begin later than those of the others.
 func (r *Record) slowness() time.Duration {
 	if r.pace <= slowFrom {
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -155,10 +155,11 @@
 	if best == nil {
 		return Placement{}, ChoiceNone
 	}
+	inFlight, _, _ := best.peers(now)
 	best.InFlight++
 	best.work += q.weight()
 	return Placement{
-		Entry: best.Entry, Load: float64(best.InFlight) / float64(max(best.Slots, 1)),
+		Entry: best.Entry, Load: loadOf(best.InFlight+inFlight, best.Slots),
 		Usual: t.usual[usualKey{q.Service, q.Model}], Stronger: t.usual[usualKey{q.Service, q.Stronger}],
 	}, ChoicePlaced
 }
--- a/internal/shift/controller.go
+++ b/internal/shift/controller.go
@@ -60,6 +60,8 @@
 	log      logr.Logger
 	services map[string]*service
 	sessions map[sessionKey]*session
+	// tally sums the evidence of this VM and its peers.
+	tally *rollout.Tally
 	// work is what the writer does next, one at a time.
 	work  chan func(context.Context)
 	swept time.Time
@@ -78,12 +80,12 @@
 	// dueAt is when the shift could first be completed.
 	dueAt    time.Time
 	detector rollout.Detector
-	version  rollout.Count
 	stable   rollout.Count
-	badAt    []string
-	paces    map[string]*Pace
-	pinned   map[uint64]bool
-	told     bool
+	// badAt has a bit, by the hash of its name, for each endpoint whose answers of the new version were bad, here or at a peer.
+	badAt  uint64
+	paces  map[string]*Pace
+	pinned map[uint64]bool
+	told   bool
 	// halted stops the version here before the record says so.
 	halted bool
 	reason string
@@ -109,6 +111,8 @@
 	// Kind names what kind of request it was; only like requests are compared.
 	Kind   string
 	Failed bool
+	// Silent says that the answer was given up since nothing came of it for long.
+	Silent bool
 	// Counts says that the outcome tells something of the version.
 	Counts bool
 	First  time.Duration
@@ -156,7 +160,7 @@
 func New(ledger Ledger, versions Versions, o Options, log logr.Logger) *Controller {
 	return &Controller{
 		mailbox: make(chan message, mailboxSize), ledger: ledger, versions: versions, opts: o, log: log,
-		services: map[string]*service{}, sessions: map[sessionKey]*session{},
+		services: map[string]*service{}, sessions: map[sessionKey]*session{}, tally: rollout.NewTally(),
 		work: make(chan func(context.Context), mailboxSize), writing: map[string]bool{},
 	}
 }
@@ -262,7 +266,7 @@
 // restart begins the evidence about a version anew; what is known of the old one stays.
 func (s *service) restart() {
 	s.detector = rollout.Detector{HaltScore: haltScore}
-	s.version, s.badAt = rollout.Count{}, nil
+	s.badAt = 0
 	s.pinned, s.told, s.halted, s.reason, s.dueAt = map[uint64]bool{}, false, false, "", time.Time{}
 }
 
--- a/internal/shift/controller_test.go
+++ b/internal/shift/controller_test.go
@@ -93,24 +93,30 @@
 
 // TestSlowAnswers: a version is as good as the old one while no more of its answers are slow, whatever slows both.
 func TestSlowAnswers(t *testing.T) {
-	const usual, late = 100 * time.Millisecond, 900 * time.Millisecond
+	const usual, usualGap = 100 * time.Millisecond, 20 * time.Millisecond
+	begun := func(a *Answer) { a.First = 9 * usual }
 	tests := []struct {
 		name string
 		// oldSlow and newSlow say that every n-th answer is slow.
 		oldSlow, newSlow int
-		want             bool
+		// late makes an answer slow.
+		late func(a *Answer)
+		want bool
 	}{
-		{"both as often", 20, 20, false},
-		{"the new one no more than one in 20, the old one never", 1000, 20, false},
-		{"every second of the new one", 20, 2, true},
+		{"both as often", 20, 20, begun, false},
+		{"the new one no more than one in 20, the old one never", 1000, 20, begun, false},
+		{"every second of the new one", 20, 2, begun, true},
+		{"every second of the new one, between events", 20, 2, func(a *Answer) { a.Gap = 4 * usualGap }, true},
+		{"both as often, between events", 10, 10, func(a *Answer) { a.Gap = 4 * usualGap }, false},
+		{"every second of the new one falls silent", 20, 2, func(a *Answer) { a.Silent = true }, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c, _, ctx := startController(t, true)
 			answer := func(version string, i, every int) {
-				a := Answer{Service: "s", Version: version, Endpoint: fmt.Sprint("e", i%3), Kind: "k", Counts: true, First: usual}
+				a := Answer{Service: "s", Version: version, Endpoint: fmt.Sprint("e", i%3), Kind: "k", Counts: true, First: usual, Gap: usualGap}
 				if i%every == every-1 {
-					a.First = late
+					test.late(&a)
 				}
 				qt.Assert(t, c.Ended(ctx, a), qt.IsNil)
 			}
--- a/internal/shift/evidence.go
+++ b/internal/shift/evidence.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
-	"slices"
+	"math/bits"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"cornelmux/internal/peer"
 	"cornelmux/internal/rollout"
+	"cornelmux/internal/task"
 )
 
 func (m answerMessage) handle(_ context.Context, c *Controller) {
@@ -26,17 +30,17 @@
 		pace = &Pace{}
 		s.paces[a.Kind] = pace
 	}
-	slow := !a.Failed && pace.Slow(a.First, a.Gap)
+	slow := a.Silent || (!a.Failed && pace.Slow(a.First, a.Gap))
 	if s.record.State != StateRunning || a.Version != s.record.Target {
 		s.stable = counted(s.stable, a.Failed, slow)
-		if !a.Failed && a.First > 0 {
+		if !a.Failed && !a.Silent && a.First > 0 {
 			pace.Learn(a.First, a.Gap)
 		}
 		return
 	}
-	s.version = counted(s.version, a.Failed, slow)
-	if bad := a.Failed || slow; bad && !slices.Contains(s.badAt, a.Endpoint) {
-		s.badAt = append(s.badAt, a.Endpoint)
+	c.tally.Add(s.run(), counted(rollout.Count{}, a.Failed, slow))
+	if a.Failed || slow {
+		s.badAt |= endpointBit(a.Endpoint)
 	}
 	c.judge(a.Service, s)
 }
@@ -54,15 +58,75 @@
 	return n
 }
 
-// judge halts the version here as soon as the evidence says that it is bad.
+// run names the evidence about the shift: another order begins anew.
+func (s *service) run() rollout.Run {
+	return rollout.Run{Model: s.record.Service, Version: s.record.Target, StartedAt: int64(s.record.Order.Revision)}
+}
+
+func endpointBit(id string) uint64 { return 1 << (xxhash.Sum64String(id) % 64) }
+
+// judge halts the version here as soon as the evidence of this VM and its peers says that it is bad.
 func (c *Controller) judge(name string, s *service) {
 	var reason string
-	s.detector, reason = s.detector.Next(s.version, s.stable)
-	if reason == "" || s.halted || len(s.badAt) < leastBadEndpoints {
+	version := c.tally.Sum(s.run())
+	s.detector, reason = s.detector.Next(version, s.stable)
+	if reason == "" || s.halted || bits.OnesCount64(s.badAt) < leastBadEndpoints {
 		return
 	}
 	s.halted, s.reason = true, reason
 	c.log.Info("version found bad", "service", name, "target", s.record.Target, "reason", reason,
-		"answers", s.version.Answers, "bad", s.version.Failures, "endpoints", len(s.badAt))
+		"answers", version.Answers, "failed", version.Failures, "slow", version.RatedBad, "endpoints", bits.OnesCount64(s.badAt))
 	c.propose(name, s, StateRolledBack, reason)
 }
+
+type (
+	collectMessage struct {
+		reply chan<- []peer.VersionEvidence
+	}
+	heardMessage struct{ state peer.State }
+)
+
+// Collect implements peer.Section.
+func (c *Controller) Collect(ctx context.Context, s *peer.State) error {
+	list, err := task.Ask(ctx, c.mailbox, func(reply chan<- []peer.VersionEvidence) message { return collectMessage{reply} })
+	s.Evidence = append(s.Evidence, list...)
+	return err
+}
+
+// Receive implements peer.Section.
+func (c *Controller) Receive(_ context.Context, s peer.State) error {
+	if len(s.Evidence) == 0 {
+		return nil
+	}
+	return task.Tell(c.mailbox, message(heardMessage{s}))
+}
+
+func (m collectMessage) handle(_ context.Context, c *Controller) {
+	var list []peer.VersionEvidence
+	for _, s := range c.services {
+		n := c.tally.Own()[s.run()]
+		if s.record.State != StateRunning || n.Answers == 0 {
+			continue
+		}
+		list = append(list, peer.VersionEvidence{
+			Model: s.record.Service, Version: s.record.Target, StartedAt: s.run().StartedAt,
+			Answers: n.Answers, Failures: n.Failures, Rated: n.Rated, RatedBad: n.RatedBad, BadEndpoints: s.badAt,
+		})
+	}
+	m.reply <- list
+}
+
+func (m heardMessage) handle(_ context.Context, c *Controller) {
+	for _, e := range m.state.Evidence {
+		s, ok := c.services[e.Model]
+		run := rollout.Run{Model: e.Model, Version: e.Version, StartedAt: e.StartedAt}
+		if !ok || s.record.State != StateRunning || s.run() != run {
+			continue
+		}
+		c.tally.Receive(m.state.VM, m.state.Incarnation, run, rollout.Count{
+			Answers: e.Answers, Failures: e.Failures, Rated: e.Rated, RatedBad: e.RatedBad,
+		})
+		s.badAt |= e.BadEndpoints
+		c.judge(e.Model, s)
+	}
+}
--- a/internal/shift/pace.go
+++ b/internal/shift/pace.go
@@ -5,9 +5,12 @@
 const (
 	// slowFactor is how many times the old version's mean an answer of the new one takes before it counts as bad.
 	slowFactor = 3.5
-	// slowLeast keeps short answers from counting as slow for a few milliseconds.
-	slowLeast  = 150 * time.Millisecond
-	paceWeight = 0.05
+	// slowLeast and slowGapLeast keep answers from counting as slow for a few milliseconds.
+	slowLeast    = 150 * time.Millisecond
+	slowGapLeast = 20 * time.Millisecond
+	// slowGapFactor is slowFactor for the time between two events, which varies less.
+	slowGapFactor = 2.5
+	paceWeight    = 0.05
 	// paceProof is how many answers of the old version the mean needs.
 	paceProof = 20
 )
@@ -37,9 +40,8 @@
 	if p.Count < paceProof {
 		return false
 	}
-	return slow(first, p.First) || (p.Gap > 0 && gap > 0 && slow(gap, p.Gap))
-}
-
-func slow(took, usual time.Duration) bool {
-	return took > time.Duration(slowFactor*float64(usual)) && took-usual > slowLeast
+	if first > time.Duration(slowFactor*float64(p.First)) && first-p.First > slowLeast {
+		return true
+	}
+	return p.Gap > 0 && gap > time.Duration(slowGapFactor*float64(p.Gap)) && gap-p.Gap > slowGapLeast
 }
--- a/internal/shift/sessions.go
+++ b/internal/shift/sessions.go
@@ -13,7 +13,7 @@
 		return
 	}
 	now := time.Now()
-	k := Case{Record: s.record, Share: s.share(now), Late: late(now.Sub(s.begun), s.record.Duration)}
+	k := Case{Record: s.record, Share: c.share(s, now), Late: late(now.Sub(s.begun), s.record.Duration)}
 	if s.halted {
 		k.Record.State = StateRolledBack
 	}
@@ -31,9 +31,9 @@
 }
 
 // share is the planned share, held at probeShare while the version has too few answers.
-func (s *service) share(now time.Time) float64 {
+func (c *Controller) share(s *service, now time.Time) float64 {
 	share := Share(now.Sub(s.begun), s.record.Duration)
-	if s.version.Answers < leastProof {
+	if c.tally.Sum(s.run()).Answers < leastProof {
 		return min(share, probeShare)
 	}
 	return share
