--- a/internal/feed/controller.go
+++ b/internal/feed/controller.go
@@ -61,7 +61,9 @@
 	reading  bool
 	nextRead time.Time
 	heardAt  time.Time
-	wantedAt time.Time
+	// missingSince is when news first told of changes that the VM lacks, wantedAt when it last asked for them.
+	missingSince time.Time
+	wantedAt     time.Time
 	// place is the VM's rank among all, rank that in its zone.
 	place int
 	rank  int
@@ -285,7 +287,7 @@
 	if c.whole != nil {
 		c.upToDate(ctx, m.items)
 	}
-	c.heardAt = now
+	c.heardAt, c.missingSince = now, time.Time{}
 	c.passOn(m.from, now)
 }
 
--- a/internal/feed/exchange.go
+++ b/internal/feed/exchange.go
@@ -12,6 +12,8 @@
 	passAgainFor = 6 * time.Second
 	// passAgainBytes bounds what is passed on again.
 	passAgainBytes = 6 << 10
+	// answerBytes bounds what a VM answers; more is left to the store.
+	answerBytes = 64 << 10
 	// wantPause lies between two questions of a VM for what it missed.
 	wantPause = 200 * time.Millisecond
 	// maxJoiners bounds the messages that wait for parts.
@@ -128,8 +130,11 @@
 		c.send(News{From: c.revision, Wants: true}, n.Address)
 	}
 	c.heardAt = time.Time{}
-	if !c.reading {
-		c.nextRead = now.Add(wantPause)
+	if c.missingSince.IsZero() {
+		c.missingSince = now
+		if !c.reading && !c.failing {
+			c.nextRead = now.Add(wantPause)
+		}
 	}
 	c.read(ctx, now)
 }
@@ -137,15 +142,15 @@
 // answer sends a VM what it missed.
 func (c *Controller) answer(n News) {
 	items, whole := c.known.Since(n.From)
-	if !whole {
-		c.log.Info("news wanted and not sent", "vm", n.VM, "from", n.From, "why", "deletions since then are forgotten")
+	if !whole || size(items) > answerBytes {
+		c.log.Info("news wanted and not sent", "vm", n.VM, "from", n.From, "bytes", size(items), "whole", whole)
 		return
 	}
 	c.send(News{From: n.From, To: c.revision, Items: items}, n.Address)
 }
 
 func (c *Controller) heard(ctx context.Context) {
-	c.heardAt = time.Now()
+	c.heardAt, c.missingSince = time.Now(), time.Time{}
 	if c.rank != rankReader || c.failing {
 		c.receiver.Reach(ctx, true, nil)
 	}
--- a/internal/pool/score.go
+++ b/internal/pool/score.go
@@ -10,14 +10,15 @@
 
 // Weights of a placement, each as the time that it adds to an answer.
 const (
-	// prefillTokensPerMs is how fast an engine reads a prompt that it doesn't hold.
-	prefillTokensPerMs = 80
+	// prefillTokensPerMs is how fast the strongest model of an engine reads a prompt that it doesn't hold.
+	prefillTokensPerMs = 27
 	// runCost is what each further run of the strongest model at an engine costs the others.
 	runCost = 16 * time.Millisecond
 	// slotCost is what a run at a plain service waits for where every slot is taken.
 	slotCost = 30 * time.Millisecond
-	// rankCost keeps requests that share parts of a prompt at the endpoints that rank first for them.
-	rankCost    = 12 * time.Millisecond
+	// rankShare is the part of the time to read the shared parts of a prompt that each rank costs: requests that share
+	// them meet at the endpoints that rank first.
+	rankShare   = 0.25
 	otherZone   = 120 * time.Millisecond
 	otherRegion = 260 * time.Millisecond
 	refusedCost = 500 * time.Millisecond
@@ -37,14 +38,19 @@
 	if q.Model == "" {
 		return cost + time.Duration(loadOf(r.InFlight+inFlight, r.Slots)*float64(slotCost))
 	}
-	cost += time.Duration(r.unread(q)) * time.Millisecond / prefillTokensPerMs
+	cost += q.reading(r.unread(q))
 	cost += time.Duration((r.work + work) * float64(runCost))
 	if q.Affinity != 0 {
-		cost += time.Duration(min(rank, mostRanked)) * rankCost
+		cost += time.Duration(float64(min(rank, mostRanked)) * rankShare * float64(q.reading(q.Prompt.SharedTokens())))
 	}
 	return cost
 }
 
+// reading is how long the query's model takes to read the tokens.
+func (q *Query) reading(tokens int) time.Duration {
+	return time.Duration(q.weight() * float64(tokens) / prefillTokensPerMs * float64(time.Millisecond))
+}
+
 // slowness is the cost of an endpoint whose answers begin later than those of the others.
 func (r *Record) slowness() time.Duration {
 	if r.pace <= slowFrom {
--- a/internal/pool/share.go
+++ b/internal/pool/share.go
@@ -90,7 +90,9 @@
 	return task.Tell(c.mailbox, message(heardMessage{s}))
 }
 
-func (m collectMessage) handle(_ context.Context, c *Controller) { m.reply <- c.table.Reports(time.Now()) }
+func (m collectMessage) handle(_ context.Context, c *Controller) {
+	m.reply <- c.table.Reports(time.Now())
+}
 
 func (m heardMessage) handle(_ context.Context, c *Controller) {
 	c.table.Hear(m.state.VM, m.state.Endpoints, time.Now())
--- a/pkg/routing/prompt.go
+++ b/pkg/routing/prompt.go
@@ -22,3 +22,14 @@
 	}
 	return p.Parts[len(p.Parts)-2].ID
 }
+
+// SharedTokens counts the tokens that other requests may share.
+func (p Prompt) SharedTokens() int {
+	n := 0
+	for i, part := range p.Parts {
+		if i < len(p.Parts)-1 {
+			n += part.Tokens
+		}
+	}
+	return n
+}
