--- a/internal/cascade/confidence.go
+++ b/internal/cascade/confidence.go
@@ -7,7 +7,7 @@
 	climbBelow = 48
 	// calmLoad is the load of endpoints up to which climbBelow holds; at fullLoad only hopeless answers climb.
 	calmLoad  = 0.5
-	fullLoad  = 1.2
+	fullLoad  = 1.0
 	hopeless  = 15
 	spareTime = 3
 )
