Ask for more slow answers before a version is halted while its share grows, and weigh reading alike for every model

Slow answers now need a score of 10, and of 25 while the share is above that of the second half's start; failures stay at 7. TestClusterOfSlowAnswers failed before.

Tokens read again cost the same whatever model reads them, so placement weighs them alike.

--- a/internal/pool/score.go
+++ b/internal/pool/score.go
@@ -38,17 +38,18 @@
 	if q.Model == "" {
 		return cost + time.Duration(loadOf(r.InFlight+inFlight, r.Slots)*float64(slotCost))
 	}
-	cost += q.reading(r.unread(q))
+	cost += reading(r.unread(q))
 	cost += time.Duration((r.work + work) * float64(runCost))
 	if q.Affinity != 0 {
-		cost += time.Duration(float64(min(rank, mostRanked)) * rankShare * float64(q.reading(q.Prompt.SharedTokens())))
+		cost += time.Duration(float64(min(rank, mostRanked)) * rankShare * float64(reading(q.Prompt.SharedTokens())))
 	}
 	return cost
 }
 
-// reading is how long the query's model takes to read the tokens.
-func (q *Query) reading(tokens int) time.Duration {
-	return time.Duration(q.weight() * float64(tokens) / prefillTokensPerMs * float64(time.Millisecond))
+// reading is how long the strongest model takes to read the tokens. It counts for every model, since what is read again
+// has the same price for all of them.
+func reading(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / prefillTokensPerMs * float64(time.Millisecond))
 }
 
 // slowness is the cost of an endpoint whose answers begin later than those of the others.
--- a/internal/rollout/detect.go
+++ b/internal/rollout/detect.go
@@ -40,8 +40,10 @@
 type Detector struct {
 	// HaltScore is the score that halts the roll-out; 0 stands for the default.
 	HaltScore float64
-	Failures  Test
-	Ratings   Test
+	// RatingScore is the score of ratings that halts it; 0 stands for HaltScore.
+	RatingScore float64
+	Failures    Test
+	Ratings     Test
 }
 
 // Next takes the evidence about the version and the stable version since the run began,
@@ -54,10 +56,11 @@
 		d.Ratings.learn(version.Rated, version.RatedBad, d.Ratings.expected(ratingFloor, badMost))
 	}
 	halt := cmp.Or(d.HaltScore, haltScore)
+	ratingHalt := cmp.Or(d.RatingScore, halt)
 	switch {
 	case d.Failures.Score >= halt:
 		return d, fmt.Sprintf("%d of %d requests failed", version.Failures, version.Answers)
-	case d.Ratings.Score >= halt:
+	case d.Ratings.Score >= ratingHalt:
 		return d, fmt.Sprintf("%d of %d ratings were below the quality target", version.RatedBad, version.Rated)
 	default:
 		return d, ""
--- a/internal/shift/controller.go
+++ b/internal/shift/controller.go
@@ -20,6 +20,10 @@
 	writePause   = 300 * time.Millisecond
 	// haltScore ends a shift at some five failures of a VM's own in short order.
 	haltScore = 7
+	// slowScore ends a shift for slow answers, which come in clusters; rampSlowScore does while the share grows, as the
+	// load that moves makes some answers slow.
+	slowScore     = 10
+	rampSlowScore = 25
 	// maxPinned bounds the sessions that a VM tells the others of.
 	maxPinned = 2000
 	// turnPause lies between the turns in which VMs propose the same change, mostTurns bounds them.
--- a/internal/shift/evidence_test.go
+++ b/internal/shift/evidence_test.go
@@ -47,6 +47,48 @@
 	}
 }
 
+// TestClusterOfSlowAnswers: while the share grows, the load itself makes some answers slow, so that more of them are needed.
+func TestClusterOfSlowAnswers(t *testing.T) {
+	tests := []struct {
+		name string
+		// part is how much of the shift's time has passed.
+		part float64
+		slow int
+		want bool
+	}{
+		{"a few of the canary", 0.3, 4, false},
+		{"a cluster of the canary", 0.3, 10, true},
+		{"a cluster while the share grows", 0.8, 10, false},
+		{"very many while the share grows", 0.8, 40, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c, _, ctx := startController(t, true)
+			answer := func(version string, i int, first time.Duration) {
+				a := Answer{Service: "s", Version: version, Endpoint: fmt.Sprint("e", i%3), Kind: "k", Counts: true, First: first}
+				qt.Assert(t, c.Ended(ctx, a), qt.IsNil)
+			}
+			for i := range 200 {
+				answer("v1", i, 100*time.Millisecond)
+			}
+			order := Order{Service: "s", Target: "v2", Duration: time.Minute, Revision: 9}
+			began := time.Now().Add(-time.Duration(test.part * float64(order.Duration)))
+			qt.Assert(t, c.Learn(ctx, Record{Order: order, State: StateRunning, From: []string{"v1"}, StartedAt: began}, 10), qt.IsNil)
+			for i := range 100 {
+				answer("v2", i, 100*time.Millisecond)
+			}
+			for i := range test.slow {
+				answer("v2", i, 900*time.Millisecond)
+				answer("v2", i, 100*time.Millisecond)
+			}
+			qt.Assert(t, c.Began(ctx, "s", "on the new version", "v2"), qt.IsNil)
+			b, err := c.Bind(ctx, "s", "on the new version")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, b.Version == "", qt.Equals, test.want)
+		})
+	}
+}
+
 func TestCollect(t *testing.T) {
 	c, _, ctx := startController(t, true)
 	qt.Assert(t, c.Order(ctx, Order{Service: "s", Target: "v2", Duration: time.Minute, Revision: 9}), qt.IsNil)
