Rate a version by whole answers, and look for a nearer change

Half of the evidence was answers that the cascade had dropped at their head, which say nothing of the pauses between events. They are rated no more, unless slow until then, and the test looks for three times as many slow answers in place of five. TestDroppedHeads failed before.

--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -143,7 +143,8 @@
 	a := shift.Answer{
 		Service: x.Routed.Service, Version: place.Version, Session: x.Request.Session, Endpoint: place.ID,
 		Kind: x.Routed.Route.Name + " " + x.Attempt.Model, Failed: s.end == pool.EndFailed, Silent: s.end == pool.EndSilent,
-		Counts: s.end == pool.EndAnswered || s.end == pool.EndFailed || s.end == pool.EndSilent, First: s.first,
+		Partial: errors.Is(s.err, errUnsure),
+		Counts:  s.end == pool.EndAnswered || s.end == pool.EndFailed || s.end == pool.EndSilent, First: s.first,
 	}
 	if x.Routed.Route.Kind == routing.KindStream {
 		o.Model, o.Prompt, o.Weight = x.Attempt.Model, x.Routed.Prompt, f.weight()
--- a/internal/rollout/detect.go
+++ b/internal/rollout/detect.go
@@ -42,8 +42,10 @@
 	HaltScore float64
 	// RatingScore is the score of ratings that halts it; 0 stands for HaltScore.
 	RatingScore float64
-	Failures    Test
-	Ratings     Test
+	// RatingRise is how many times as often a version that got worse is rated poorly; 0 stands for the default.
+	RatingRise float64
+	Failures   Test
+	Ratings    Test
 }
 
 // Next takes the evidence about the version and the stable version since the run began,
@@ -51,9 +53,9 @@
 func (d Detector) Next(version, stable Count) (Detector, string) {
 	d.Failures.learnStable(stable.Answers, stable.Failures)
 	d.Ratings.learnStable(stable.Rated, stable.RatedBad)
-	d.Failures.learn(version.Answers, version.Failures, d.Failures.expected(failureFloor, failureUnproven))
+	d.Failures.learn(version.Answers, version.Failures, d.Failures.expected(failureFloor, failureUnproven), riseFactor)
 	if d.Ratings.StableTrials >= leastAnswers {
-		d.Ratings.learn(version.Rated, version.RatedBad, d.Ratings.expected(ratingFloor, badMost))
+		d.Ratings.learn(version.Rated, version.RatedBad, d.Ratings.expected(ratingFloor, badMost), cmp.Or(d.RatingRise, riseFactor))
 	}
 	halt := cmp.Or(d.HaltScore, haltScore)
 	ratingHalt := cmp.Or(d.RatingScore, halt)
@@ -87,11 +89,11 @@
 	return max(floor, rate+confidence*math.Sqrt(rate*(1-rate)/t.StableTrials))
 }
 
-// learn moves the score by the version's new evidence.
-func (t *Test) learn(trials, bad uint64, good float64) {
+// learn moves the score by the version's new evidence; a version that got worse is bad rise times as often as a good one.
+func (t *Test) learn(trials, bad uint64, good, rise float64) {
 	newTrials, newBad := float64(since(trials, t.Trials)), float64(since(bad, t.Bad))
 	t.Trials, t.Bad = max(trials, t.Trials), max(bad, t.Bad)
-	worse := min(max(good*riseFactor, good+riseLeast), badMost)
+	worse := min(max(good*rise, good+riseLeast), badMost)
 	if worse <= good || newTrials == 0 {
 		return
 	}
--- a/internal/shift/controller.go
+++ b/internal/shift/controller.go
@@ -22,8 +22,10 @@
 	haltScore = 7
 	// slowScore ends a shift for slow answers, which come in clusters; rampSlowScore does while the share grows, as the
 	// load that moves makes some answers slow.
-	slowScore     = 10
+	slowScore     = 8
 	rampSlowScore = 25
+	// slowRise is how many times as often the answers of a bad version are slow at least.
+	slowRise = 3
 	// maxPinned bounds the sessions that a VM tells the others of.
 	maxPinned = 2000
 	// turnPause lies between the turns in which VMs propose the same change, mostTurns bounds them.
@@ -117,6 +119,8 @@
 	Failed bool
 	// Silent says that the answer was given up since nothing came of it for long.
 	Silent bool
+	// Partial says that the answer was dropped at its head.
+	Partial bool
 	// Counts says that the outcome tells something of the version.
 	Counts bool
 	First  time.Duration
--- a/internal/shift/evidence.go
+++ b/internal/shift/evidence.go
@@ -32,13 +32,13 @@
 	}
 	slow := a.Silent || (!a.Failed && pace.Slow(a.First, a.Gap))
 	if s.record.State != StateRunning || a.Version != s.record.Target {
-		s.stable = counted(s.stable, a.Failed, slow)
+		s.stable = counted(s.stable, &a, slow)
 		if !a.Failed && !a.Silent && a.First > 0 {
 			pace.Learn(a.First, a.Gap)
 		}
 		return
 	}
-	c.tally.Add(s.run(), counted(rollout.Count{}, a.Failed, slow))
+	c.tally.Add(s.run(), counted(rollout.Count{}, &a, slow))
 	if a.Failed || slow {
 		s.badAt |= endpointBit(a.Endpoint)
 	}
@@ -46,12 +46,15 @@
 }
 
 // counted adds an answer; a slow one counts as poorly rated, so that it is compared with the old version's slow ones.
-func counted(n rollout.Count, failed, slow bool) rollout.Count {
+// One that was dropped at its head is rated only if it was slow until then.
+func counted(n rollout.Count, a *Answer, slow bool) rollout.Count {
 	n.Answers++
-	n.Rated++
-	if failed {
+	if a.Failed {
 		n.Failures++
 	}
+	if slow || !a.Partial {
+		n.Rated++
+	}
 	if slow {
 		n.RatedBad++
 	}
@@ -69,7 +72,7 @@
 func (c *Controller) judge(name string, s *service) {
 	var reason string
 	version := c.tally.Sum(s.run())
-	s.detector.RatingScore = slowScore
+	s.detector.RatingScore, s.detector.RatingRise = slowScore, slowRise
 	if Share(time.Since(s.begun), s.record.Duration) > probeShare {
 		s.detector.RatingScore = rampSlowScore
 	}
--- a/internal/shift/evidence_test.go
+++ b/internal/shift/evidence_test.go
@@ -89,6 +89,40 @@
 	}
 }
 
+// TestDroppedHeads: answers that were dropped at their head say nothing of the pauses between events.
+func TestDroppedHeads(t *testing.T) {
+	tests := []struct {
+		name  string
+		heads int
+	}{
+		{"none", 0},
+		{"four to each whole answer", 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c, _, ctx := startController(t, true)
+			answer := func(version string, i int, a Answer) {
+				a.Service, a.Version, a.Endpoint, a.Kind, a.Counts, a.First = "s", version, fmt.Sprint("e", i%3), "k", true, 100*time.Millisecond
+				qt.Assert(t, c.Ended(ctx, a), qt.IsNil)
+			}
+			for i := range 200 {
+				answer("v1", i, Answer{Gap: 20 * time.Millisecond})
+			}
+			qt.Assert(t, c.Order(ctx, Order{Service: "s", Target: "v2", Duration: time.Minute, Revision: 9}), qt.IsNil)
+			for i := range 40 {
+				answer("v2", i, Answer{Gap: time.Duration(20+60*(i%2)) * time.Millisecond})
+				for range test.heads {
+					answer("v2", i, Answer{Partial: true})
+				}
+			}
+			qt.Assert(t, c.Began(ctx, "s", "on the new version", "v2"), qt.IsNil)
+			b, err := c.Bind(ctx, "s", "on the new version")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, b.Version, qt.Equals, "")
+		})
+	}
+}
+
 func TestCollect(t *testing.T) {
 	c, _, ctx := startController(t, true)
 	qt.Assert(t, c.Order(ctx, Order{Service: "s", Target: "v2", Duration: time.Minute, Revision: 9}), qt.IsNil)
