--- a/internal/shift/controller.go
+++ b/internal/shift/controller.go
@@ -28,9 +28,6 @@
 	slowRise = 3
 	// maxPinned bounds the sessions that a VM tells the others of.
 	maxPinned = 2000
-	// turnPause lies between the turns in which VMs propose the same change, mostTurns bounds them.
-	turnPause = 500 * time.Millisecond
-	mostTurns = 6
 	// leastBadEndpoints keeps one bad endpoint from condemning its version.
 	leastBadEndpoints = 2
 )
@@ -108,26 +105,6 @@
 	endedAt time.Time
 }
 
-// Answer is evidence about a version.
-type Answer struct {
-	Service  string
-	Version  string
-	Session  string
-	Endpoint string
-	// Kind names what kind of request it was; only like requests are compared.
-	Kind   string
-	Failed bool
-	// Silent says that the answer was given up since nothing came of it for long.
-	Silent bool
-	// Partial says that the answer was dropped at its head.
-	Partial bool
-	// Counts says that the outcome tells something of the version.
-	Counts bool
-	First  time.Duration
-	// Gap is the mean time between two events.
-	Gap time.Duration
-}
-
 type message interface {
 	handle(ctx context.Context, c *Controller)
 }
@@ -210,11 +187,6 @@
 	return task.Tell(c.mailbox, message(orderMessage{o}))
 }
 
-// Turn takes in the VM's place among those that propose changes, from 0, so that not all of them write at once.
-func (c *Controller) Turn(_ context.Context, turn int) error {
-	return task.Tell(c.mailbox, message(turnMessage{turn}))
-}
-
 // Learn takes in a record under its revision.
 func (c *Controller) Learn(_ context.Context, r Record, revision uint64) error {
 	return task.Tell(c.mailbox, message(recordMessage{r, revision}))
@@ -249,13 +221,6 @@
 	return s
 }
 
-func (m turnMessage) handle(_ context.Context, c *Controller) { c.turn = m.turn }
-
-// myTurn reports whether the VM may propose a change that has been due since a time.
-func (c *Controller) myTurn(due, now time.Time) bool {
-	return now.Sub(due) >= time.Duration(min(c.turn, mostTurns))*turnPause
-}
-
 func (m orderMessage) handle(_ context.Context, c *Controller) {
 	s := c.service(m.order.Service)
 	if m.order.Revision <= s.order.Revision {
@@ -411,10 +376,3 @@
 		}
 	}
 }
-
-// due reports whether the shift may be completed: all sessions get the version, and no run on the old one is in flight
-// here or the time is nearly up.
-func (c *Controller) due(name string, s *service, elapsed time.Duration) bool {
-	part := float64(elapsed) / float64(s.record.Duration)
-	return part > fullFrom && (part > completeBy || !c.oldRuns(name, s))
-}
--- a/internal/shift/evidence.go
+++ b/internal/shift/evidence.go
@@ -12,6 +12,26 @@
 	"cornelmux/internal/task"
 )
 
+// Answer is evidence about a version.
+type Answer struct {
+	Service  string
+	Version  string
+	Session  string
+	Endpoint string
+	// Kind names what kind of request it was; only like requests are compared.
+	Kind   string
+	Failed bool
+	// Silent says that the answer was given up since nothing came of it for long.
+	Silent bool
+	// Partial says that the answer was dropped at its head.
+	Partial bool
+	// Counts says that the outcome tells something of the version.
+	Counts bool
+	First  time.Duration
+	// Gap is the mean time between two events.
+	Gap time.Duration
+}
+
 func (m answerMessage) handle(_ context.Context, c *Controller) {
 	a := m.answer
 	now := time.Now()
