--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -25,10 +25,12 @@
 // Shifts decides which version a session gets during a traffic shift.
 type Shifts interface {
 	Bind(ctx context.Context, service, session string) (shift.Binding, error)
-	// AttemptStarted records that a request of the session is being sent to the version.
-	AttemptStarted(ctx context.Context, service, session, version string) error
-	// AttemptEnded records how a send ended.
-	AttemptEnded(ctx context.Context, a shift.Outcome) error
+	// AttemptStarted records that an attempt is being sent.
+	AttemptStarted(ctx context.Context, a shift.Attempt) error
+	// AttemptProgressed records the progress of an attempt whose binding says Trial.
+	AttemptProgressed(ctx context.Context, p shift.Progress) error
+	// AttemptEnded records how an attempt ended.
+	AttemptEnded(ctx context.Context, o shift.Outcome) error
 }
 
 const (
@@ -75,8 +77,10 @@
 	Forward
 	x *Exchange
 	// tried lists the IDs of the endpoints that this run has used.
-	tried   []string
-	binding shift.Binding
+	tried []string
+	// present is the present attempt; trial says that its progress is to be told.
+	present shift.Attempt
+	trial   bool
 	// lastEventID is the ID of the last whole event that the caller has.
 	lastEventID string
 	// errorAnswer is the endpoint's answer with an error status, held back while another endpoint may answer better.
@@ -109,7 +113,12 @@
 	x.Routed.Attempts++
 	x.Attempt.Endpoint = endpoint.Endpoint{ID: place.ID, Address: place.Address, Region: place.Region, Zone: place.Zone}
 	x.Attempt.Version, x.Attempt.Load, x.Attempt.RetryAllowed, x.Attempt.StrongerLatency = place.Version, place.Load, place.RetryAllowed, place.StrongerLatency
-	_ = f.Shifts.AttemptStarted(ctx, x.Routed.Service, x.Request.Session, place.Version) // a full mailbox loses the binding of the session
+	f.present, f.trial = shift.Attempt{
+		ID: shift.AttemptID{Request: x.Request.ID, Number: x.Routed.Attempts}, Service: x.Routed.Service, Version: place.Version,
+		Session: x.Request.Session, Endpoint: place.ID, Kind: x.Routed.Route.Name + " " + x.Attempt.Model,
+		Model: x.Attempt.Model, Running: place.Running,
+	}, binding.Trial
+	_ = f.Shifts.AttemptStarted(ctx, f.present) // a full mailbox loses the binding of the session
 	s := f.send(ctx, place)
 	f.report(ctx, place, s)
 	return s.err
@@ -154,23 +163,19 @@
 		Fingerprint: Fingerprint(x),
 	}
 	a := shift.Outcome{
-		Service: x.Routed.Service, Version: place.Version, Session: x.Request.Session, Endpoint: place.ID,
-		Kind: x.Routed.Route.Name + " " + x.Attempt.Model, Failed: s.end == pool.EndFailed, TimedOut: s.end == pool.EndTimeout,
-		Partial:    errors.Is(s.err, errEscalate),
-		Conclusive: s.end == pool.EndAnswered || s.end == pool.EndFailed || s.end == pool.EndTimeout, TTFB: s.ttfb,
+		Attempt: f.present, Failed: s.end == pool.EndFailed, TimedOut: s.end == pool.EndTimeout,
+		Conclusive: s.end == pool.EndAnswered || s.end == pool.EndFailed || s.end == pool.EndTimeout, TTFB: s.ttfb, Duration: s.duration,
+		Pace: s.gaps.pace(),
 	}
 	if x.Routed.Route.Kind == routing.KindStream {
 		o.Model, o.Prompt, o.Weight = x.Attempt.Model, x.Routed.Prompt, f.weight()
 	}
-	if s.events > 2 {
-		a.MeanGap = s.gapSum / time.Duration(s.events-1)
-		o.MeanGap = a.MeanGap
-	}
+	o.MeanGap = s.gaps.mean()
 	_ = f.Pool.Done(ctx, o)           // Done waits for room; if it fails even so, the run stays counted as in flight
 	_ = f.Shifts.AttemptEnded(ctx, a) // a full mailbox loses one answer's evidence
 	step := Step{
 		Endpoint: place.ID, Model: x.Attempt.Model, Version: place.Version, End: s.end.String(), Load: place.Load,
-		TTFB: s.ttfb, Duration: s.duration, Events: s.events, MeanGap: a.MeanGap, Confidence: -1,
+		TTFB: s.ttfb, Duration: s.duration, Events: s.events, MeanGap: o.MeanGap, Confidence: -1,
 		Verdict: x.Attempt.Verdict.String(),
 	}
 	if s.head.HasConfidence {
--- a/internal/filter/forward_test.go
+++ b/internal/filter/forward_test.go
@@ -94,8 +94,9 @@
 func (noShift) Bind(context.Context, string, string) (shift.Binding, error) {
 	return shift.Binding{}, nil
 }
-func (noShift) AttemptStarted(context.Context, string, string, string) error { return nil }
-func (noShift) AttemptEnded(context.Context, shift.Outcome) error            { return nil }
+func (noShift) AttemptStarted(context.Context, shift.Attempt) error     { return nil }
+func (noShift) AttemptProgressed(context.Context, shift.Progress) error { return nil }
+func (noShift) AttemptEnded(context.Context, shift.Outcome) error       { return nil }
 
 // textSink is a Sink that records the text of the answer.
 type textSink struct {
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/pool"
+	"cornelmux/internal/shift"
 	"cornelmux/pkg/result"
 	"cornelmux/pkg/routing"
 )
@@ -21,9 +23,9 @@
 	// ttfb and duration are the times from the start of the send to the head of the answer and to its end.
 	ttfb     time.Duration
 	duration time.Duration
-	// gapSum is the time between the first and the last event; events counts the events that were read.
-	gapSum time.Duration
+	// events counts the events that were read, gaps holds the times between them.
 	events int
+	gaps   gaps
 }
 
 // send sends the request to the placed endpoint and relays the answer. It cancels the send after the silence timeout.
@@ -40,6 +42,7 @@
 	stream, err := f.Sender.Open(run, x.Attempt.Endpoint, f.call(), f.sendCheck(ctx))
 	if err == nil {
 		s.head, s.ttfb = stream.Head(), time.Since(began)
+		f.reportProgress(ctx, &s)
 		s.err = f.relay(run, stream, silenceTimer, &s)
 		stream.Close()
 	} else {
@@ -140,7 +143,7 @@
 		}
 	}
 	gap := f.eventGapLimit()
-	lastEventAt := time.Now()
+	lastEventAt, reportAt := time.Now(), firstProgress
 	for {
 		fragment, err := stream.Next()
 		if errors.Is(err, io.EOF) {
@@ -156,10 +159,14 @@
 		if p.Event != "" {
 			now := time.Now()
 			if s.events > 0 {
-				s.gapSum += now.Sub(lastEventAt)
+				s.gaps.add(now.Sub(lastEventAt))
 			}
 			lastEventAt = now
 			s.events++
+			if s.events == reportAt {
+				reportAt *= progressFactor
+				f.reportProgress(ctx, s)
+			}
 		}
 		if err := x.Sink.Chunk(ctx, p); err != nil {
 			return fmt.Errorf("%w: %w", errCallerGone, err)
@@ -174,6 +181,22 @@
 	}
 }
 
+const (
+	// firstProgress is the number of events after which the pace of a stream is reported first, since fewer tell too little
+	// of the rest. progressFactor is that by which it grows until the next report.
+	firstProgress  = keptGaps + 1
+	progressFactor = 4
+)
+
+// reportProgress tells the traffic shift how an attempt at its target goes on, before its end.
+func (f *forwardRun) reportProgress(ctx context.Context, s *sendResult) {
+	if !f.trial || s.head.Status >= http.StatusInternalServerError {
+		return
+	}
+	p := shift.Progress{ID: f.present.ID, TTFB: s.ttfb, Pace: s.gaps.pace()}
+	_ = f.Shifts.AttemptProgressed(ctx, p) // a full mailbox leaves the evidence to the end of the attempt
+}
+
 // errCallerGone ends a send whose answer could not be passed on.
 var errCallerGone = errors.New("the caller disconnected")
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -54,6 +54,7 @@
 	listEvidence
 	listDemand
 	listEndpoints
+	listLatencies
 	listRelayed
 	listCount
 )
@@ -74,7 +75,7 @@
 	}
 	sizes := [][]int{
 		sizesOf(all.Halts), sizesOf(all.Crashes), sizesOf(all.Sessions), sizesOf(all.Evidence),
-		sizesOf(all.Demand), sizesOf(all.Endpoints), sizesOf(relayed),
+		sizesOf(all.Demand), sizesOf(all.Endpoints), sizesOf(all.Latencies), sizesOf(relayed),
 	}
 	for i, list := range sizes {
 		c.start[i] %= max(len(list), 1)
@@ -87,6 +88,7 @@
 	d.Evidence = rotate(all.Evidence, c.start[listEvidence], n[listEvidence])
 	d.Demand = rotate(all.Demand, c.start[listDemand], n[listDemand])
 	d.Endpoints = rotate(all.Endpoints, c.start[listEndpoints], n[listEndpoints])
+	d.Latencies = rotate(all.Latencies, c.start[listLatencies], n[listLatencies])
 	d.Relayed = relayed[:n[listRelayed]]
 	for i := range c.start {
 		c.start[i] += n[i]
@@ -196,7 +198,7 @@
 	for _, e := range s.Evidence {
 		d.Evidence = append(d.Evidence, &wire.VersionEvidence{
 			Model: e.Model, Version: e.Version, Answers: e.Answers, Failures: e.Failures, Rated: e.Rated, RatedBad: e.RatedBad, StartedAt: e.StartedAt,
-			BadEndpoints: e.BadEndpoints,
+			BadEndpoints: e.BadEndpoints, Paced: e.Paced, PacedSlow: e.PacedSlow,
 		})
 	}
 	for _, a := range s.Demand {
@@ -211,6 +213,11 @@
 	for _, h := range s.Halts {
 		d.Halts = append(d.Halts, &wire.Halt{Model: h.Model, Version: h.Version, Reason: h.Reason, StartedAt: h.StartedAt})
 	}
+	for _, l := range s.Latencies {
+		d.Latencies = append(d.Latencies, &wire.LatencyBaseline{
+			Service: l.Service, Kind: l.Kind, Load: uint32(max(l.Load, 0)), Count: uint32(max(l.Count, 0)), MeanUs: uint64(max(l.Mean, 0).Microseconds()),
+		})
+	}
 	return d
 }
 
@@ -230,7 +237,7 @@
 	for _, e := range d.Evidence {
 		s.Evidence = append(s.Evidence, VersionEvidence{
 			Model: e.Model, Version: e.Version, Answers: e.Answers, Failures: e.Failures, Rated: e.Rated, RatedBad: e.RatedBad, StartedAt: e.StartedAt,
-			BadEndpoints: e.BadEndpoints,
+			BadEndpoints: e.BadEndpoints, Paced: e.Paced, PacedSlow: e.PacedSlow,
 		})
 	}
 	for _, a := range d.Demand {
@@ -245,6 +252,11 @@
 	for _, h := range d.Halts {
 		s.Halts = append(s.Halts, Halt{Model: h.Model, Version: h.Version, Reason: h.Reason, StartedAt: h.StartedAt})
 	}
+	for _, l := range d.Latencies {
+		s.Latencies = append(s.Latencies, LatencyBaseline{
+			Service: l.Service, Kind: l.Kind, Load: int(l.Load), Count: int(l.Count), Mean: time.Duration(l.MeanUs) * time.Microsecond,
+		})
+	}
 	return s
 }
 
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -30,6 +30,7 @@
 	Crashes   []CrashReport
 	Sessions  []SessionSet
 	Halts     []Halt
+	Latencies []LatencyBaseline
 }
 
 // EndpointReport is the load of an endpoint as the sender saw it.
@@ -69,6 +70,20 @@
 	RatedBad uint64
 	// BadEndpoints has one bit, chosen by the hash of its ID, for each endpoint with bad answers in a traffic shift.
 	BadEndpoints uint64
+	// Paced counts the streams whose time between events was judged in a traffic shift, PacedSlow those that were slow.
+	Paced     uint64
+	PacedSlow uint64
+}
+
+// LatencyBaseline is a usual latency of a service's old version at the sender, while a traffic shift runs.
+type LatencyBaseline struct {
+	Service string
+	// Kind is the hash of the name of what was timed, Load the class of the endpoints' load.
+	Kind uint64
+	Load int
+	// Count is the number of answers behind Mean.
+	Count int
+	Mean  time.Duration
 }
 
 // AccountDemand asks the receivers to lend a part of their shares of a client account's limit, or lends one.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -59,8 +59,10 @@
 // Placement is the endpoint chosen for a run and its load.
 type Placement struct {
 	Entry
-	// Load is the number of runs at the endpoint, as far as this VM and its peers know them, divided by its slots.
-	Load float64
+	// Running is the number of runs at the endpoint, this one included, as far as this VM and its peers know them; Load is
+	// that number divided by the endpoint's slots.
+	Running int
+	Load    float64
 	// RetryAllowed says that the retry budget has room for an escalation or another send of the request.
 	RetryAllowed bool
 	// TypicalLatency is that of such runs, StrongerLatency that of runs of the stronger model.
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -183,7 +183,7 @@
 	for _, e := range m.state.Evidence {
 		run := Run{e.Model, e.Version, e.StartedAt}
 		if c.isCurrent(run) {
-			c.tally.Receive(m.state.VM, m.state.Incarnation, run, Evidence{e.Answers, e.Failures, e.Rated, e.RatedBad})
+			c.tally.Receive(m.state.VM, m.state.Incarnation, run, Evidence{Answers: e.Answers, Failures: e.Failures, Rated: e.Rated, RatedBad: e.RatedBad})
 		}
 	}
 	for _, h := range m.state.Halts {
--- a/internal/rollout/detect.go
+++ b/internal/rollout/detect.go
@@ -22,6 +22,8 @@
 	defaultFailureRate = 0.05
 	// minBadRatingRate is the rate of bad ratings that any good version is allowed.
 	minBadRatingRate = 0.05
+	// defaultSlowRate is the rate of bad ratings and of slow streams allowed while there are too few stable trials.
+	defaultSlowRate = 0.15
 	// boundStdErrors is the distance of the bound from the stable version's rate, in standard errors.
 	boundStdErrors = 2.0
 	// A bad version is assumed to have a rate of bad trials of at least badRateFactor times that of a good one
@@ -29,6 +31,8 @@
 	badRateFactor = 5.0
 	badRateMargin = 0.1
 	maxBadRate    = 0.95
+	// paceMargin is badRateMargin for the pace of streams, which varies little among the answers of a good version.
+	paceMargin = 0.35
 )
 
 // SequentialTest is a CUSUM test on one kind of evidence: a trial is an answer that may be a failure, or a rating that
@@ -47,16 +51,19 @@
 	prevStableBad    uint64
 }
 
-// Detector tests the version of one run of a rollout for failures and for bad ratings.
+// Detector tests the version of one run of a rollout for failures, for bad ratings and for streams with a slow pace.
 type Detector struct {
 	// HaltThreshold is the score that halts the rollout; 0 means haltScore.
 	HaltThreshold float64
 	// RatingHaltThreshold is the score of the ratings that halts it; 0 means HaltThreshold.
 	RatingHaltThreshold float64
+	// PaceHaltThreshold is the score of the pace that halts it; 0 means HaltThreshold.
+	PaceHaltThreshold float64
 	// RatingFactor is how many times as often as a good version a bad one is rated badly; 0 means badRateFactor.
 	RatingFactor float64
 	Failures     SequentialTest
 	Ratings      SequentialTest
+	Pace         SequentialTest
 }
 
 // Update adds the evidence about the version and the stable version, as totals since the run began.
@@ -65,22 +72,58 @@
 func (d Detector) Update(version, stable Evidence) (Detector, string) {
 	d.Failures.addStable(stable.Answers, stable.Failures)
 	d.Ratings.addStable(stable.Rated, stable.RatedBad)
-	d.Failures.add(version.Answers, version.Failures, d.Failures.goodRateBound(minFailureRate, defaultFailureRate), badRateFactor)
+	d.Pace.addStable(stable.Paced, stable.PacedSlow)
+	limits := d.GoodRates()
+	d.Failures.add(version.Answers, version.Failures, limits.Failures, max(limits.Failures*badRateFactor, limits.Failures+badRateMargin))
 	if d.Ratings.StableTrials >= minStableTrials {
-		d.Ratings.add(version.Rated, version.RatedBad, d.Ratings.goodRateBound(minBadRatingRate, maxBadRate), cmp.Or(d.RatingFactor, badRateFactor))
+		factor := cmp.Or(d.RatingFactor, badRateFactor)
+		d.Ratings.add(version.Rated, version.RatedBad, limits.BadRatings, max(limits.BadRatings*factor, limits.BadRatings+badRateMargin))
 	}
-	halt := cmp.Or(d.HaltThreshold, haltScore)
-	ratingHalt := cmp.Or(d.RatingHaltThreshold, halt)
+	if d.Pace.StableTrials >= minStableTrials {
+		d.Pace.add(version.Paced, version.PacedSlow, limits.SlowPace, limits.SlowPace+paceMargin)
+	}
+	halts := d.thresholds()
 	switch {
-	case d.Failures.Score >= halt:
+	case d.Failures.Score >= halts[0]:
 		return d, fmt.Sprintf("%d of %d requests failed", version.Failures, version.Answers)
-	case d.Ratings.Score >= ratingHalt:
+	case d.Ratings.Score >= halts[1]:
 		return d, fmt.Sprintf("%d of %d ratings were below the quality target", version.RatedBad, version.Rated)
+	case d.Pace.Score >= halts[2]:
+		return d, fmt.Sprintf("%d of %d streams were slow", version.PacedSlow, version.Paced)
 	default:
 		return d, ""
 	}
 }
 
+// thresholds returns the scores of failures, ratings and pace that halt the rollout.
+func (d Detector) thresholds() [3]float64 {
+	halt := cmp.Or(d.HaltThreshold, haltScore)
+	return [3]float64{halt, cmp.Or(d.RatingHaltThreshold, halt), cmp.Or(d.PaceHaltThreshold, halt)}
+}
+
+// Suspicion returns how near the evidence is to a halt, from 0 to 1: the greatest score as a share of its threshold.
+// The Controller of package shift calls it before it raises the version's share.
+func (d Detector) Suspicion() float64 {
+	halts := d.thresholds()
+	return min(max(d.Failures.Score/halts[0], d.Ratings.Score/halts[1], d.Pace.Score/halts[2]), 1)
+}
+
+// Rates are shares, 0 to 1, of an answer's kinds of evidence that are bad.
+type Rates struct {
+	Failures   float64
+	BadRatings float64
+	SlowPace   float64
+}
+
+// GoodRates returns the rates that a good version may have: an upper bound of the stable version's.
+func (d Detector) GoodRates() Rates {
+	return Rates{
+		Failures:   d.Failures.goodRateBound(minFailureRate, defaultFailureRate),
+		BadRatings: d.Ratings.goodRateBound(minBadRatingRate, defaultSlowRate),
+		SlowPace:   d.Pace.goodRateBound(minBadRatingRate, defaultSlowRate),
+	}
+}
+
 // addStable adds the stable version's new trials and halves the counts while they exceed maxStableTrials.
 func (t *SequentialTest) addStable(trials, bad uint64) {
 	t.StableTrials += float64(increase(trials, t.prevStableTrials))
@@ -102,12 +145,12 @@
 	return max(floor, rate+boundStdErrors*math.Sqrt(rate*(1-rate)/t.StableTrials))
 }
 
-// add updates the score with the version's new trials, given the rate of bad trials of a good version
-// and how many times as often a trial of a bad version is bad. Update calls it.
-func (t *SequentialTest) add(trials, bad uint64, goodRate, factor float64) {
+// add updates the score with the version's new trials, given the rates of bad trials of a good version and of a bad one.
+// Update calls it.
+func (t *SequentialTest) add(trials, bad uint64, goodRate, badRate float64) {
 	newTrials, newBad := float64(increase(trials, t.Trials)), float64(increase(bad, t.Bad))
 	t.Trials, t.Bad = max(trials, t.Trials), max(bad, t.Bad)
-	badRate := min(max(goodRate*factor, goodRate+badRateMargin), maxBadRate)
+	badRate = min(badRate, maxBadRate)
 	if badRate <= goodRate || newTrials == 0 {
 		return
 	}
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -12,22 +12,39 @@
 }
 
 // Evidence counts a version's answers, how many of them failed, and how many were rated and rated badly.
-// Package shift counts a slow answer as rated badly.
+// Package shift counts an answer whose first byte came late as rated badly, and the streams whose time between events is
+// known as Paced.
 type Evidence struct {
-	Answers  uint64 `json:"answers"`
-	Failures uint64 `json:"failures"`
-	Rated    uint64 `json:"rated"`
-	RatedBad uint64 `json:"rated_bad"`
+	Answers   uint64 `json:"answers"`
+	Failures  uint64 `json:"failures"`
+	Rated     uint64 `json:"rated"`
+	RatedBad  uint64 `json:"rated_bad"`
+	Paced     uint64 `json:"paced,omitempty"`
+	PacedSlow uint64 `json:"paced_slow,omitempty"`
 }
 
-// plus returns the sum of both counts.
-func (e Evidence) plus(o Evidence) Evidence {
-	return Evidence{e.Answers + o.Answers, e.Failures + o.Failures, e.Rated + o.Rated, e.RatedBad + o.RatedBad}
+// Plus returns the sum of both counts.
+func (e Evidence) Plus(o Evidence) Evidence {
+	return Evidence{
+		e.Answers + o.Answers, e.Failures + o.Failures, e.Rated + o.Rated, e.RatedBad + o.RatedBad,
+		e.Paced + o.Paced, e.PacedSlow + o.PacedSlow,
+	}
+}
+
+// Since returns how much each count grew since an earlier one; a count that fell grew by 0.
+func (e Evidence) Since(o Evidence) Evidence {
+	return Evidence{
+		increase(e.Answers, o.Answers), increase(e.Failures, o.Failures), increase(e.Rated, o.Rated), increase(e.RatedBad, o.RatedBad),
+		increase(e.Paced, o.Paced), increase(e.PacedSlow, o.PacedSlow),
+	}
 }
 
 // elementwiseMax returns the greater value of each count.
 func (e Evidence) elementwiseMax(o Evidence) Evidence {
-	return Evidence{max(e.Answers, o.Answers), max(e.Failures, o.Failures), max(e.Rated, o.Rated), max(e.RatedBad, o.RatedBad)}
+	return Evidence{
+		max(e.Answers, o.Answers), max(e.Failures, o.Failures), max(e.Rated, o.Rated), max(e.RatedBad, o.RatedBad),
+		max(e.Paced, o.Paced), max(e.PacedSlow, o.PacedSlow),
+	}
 }
 
 // Tally sums the evidence of this VM and its peers. A peer's counts only grow within its incarnation,
@@ -51,7 +68,7 @@
 }
 
 // Add adds evidence that this VM observed.
-func (t *Tally) Add(r Run, e Evidence) { t.local[r] = t.local[r].plus(e) }
+func (t *Tally) Add(r Run, e Evidence) { t.local[r] = t.local[r].Plus(e) }
 
 // Receive merges a peer's counts for a run, as totals of its incarnation. Counts of the peer's earlier incarnations
 // stay in the sum; counts that arrive late from one are ignored. The Controllers of this package and of package shift
@@ -63,7 +80,7 @@
 	}
 	if incarnation > p.incarnation || p.counts == nil {
 		for run, n := range p.counts {
-			t.earlier[run] = t.earlier[run].plus(n)
+			t.earlier[run] = t.earlier[run].Plus(n)
 		}
 		p = peerCounts{incarnation, map[Run]Evidence{}}
 	}
@@ -76,9 +93,9 @@
 
 // Sum returns the evidence about a run from all VMs.
 func (t *Tally) Sum(r Run) Evidence {
-	sum := t.local[r].plus(t.earlier[r])
+	sum := t.local[r].Plus(t.earlier[r])
 	for _, p := range t.peers {
-		sum = sum.plus(p.counts[r])
+		sum = sum.Plus(p.counts[r])
 	}
 	return sum
 }
--- a/internal/shift/controller_test.go
+++ b/internal/shift/controller_test.go
@@ -83,12 +83,12 @@
 			qt.Assert(t, c.ApplyOrder(ctx, Order{Service: "s", Target: "v2", Duration: time.Minute, Revision: 9}), qt.IsNil)
 			for i := range 40 {
 				qt.Assert(t, c.AttemptEnded(ctx, Outcome{
-					Service: "s", Version: "v2", Endpoint: fmt.Sprint("e", i%test.endpoints), Kind: "k",
+					Attempt:    Attempt{Service: "s", Version: "v2", Endpoint: fmt.Sprint("e", i%test.endpoints), Kind: "k"},
 					Conclusive: true, Failed: test.failed(i / test.endpoints), TTFB: time.Millisecond,
 				}), qt.IsNil)
 			}
 			// A session that is on the new version stays there unless the version is halted.
-			qt.Assert(t, c.AttemptStarted(ctx, "s", "on the new version", "v2"), qt.IsNil)
+			qt.Assert(t, c.AttemptStarted(ctx, Attempt{Service: "s", Session: "on the new version", Version: "v2"}), qt.IsNil)
 			b, err := c.Bind(ctx, "s", "on the new version")
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, b.Version == "", qt.Equals, test.want)
@@ -112,15 +112,15 @@
 		{"slow TTFB, both equally often", 20, 20, slowStart, false},
 		{"slow TTFB, one in 20 of the new version, none of the old", 1000, 20, slowStart, false},
 		{"slow TTFB, every second of the new version", 20, 2, slowStart, true},
-		{"slow between events, every second of the new version", 20, 2, func(a *Outcome) { a.MeanGap = 4 * usualGap }, true},
-		{"slow between events, both equally often", 10, 10, func(a *Outcome) { a.MeanGap = 4 * usualGap }, false},
+		{"slow between events, every second of the new version", 20, 2, func(a *Outcome) { a.Pace = 4 * usualGap }, true},
+		{"slow between events, both equally often", 10, 10, func(a *Outcome) { a.Pace = 4 * usualGap }, false},
 		{"timeout, every second of the new version", 20, 2, func(a *Outcome) { a.TimedOut = true }, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c, _, ctx := startController(t, true)
 			answer := func(version string, i, every int) {
-				a := Outcome{Service: "s", Version: version, Endpoint: fmt.Sprint("e", i%3), Kind: "k", Conclusive: true, TTFB: usual, MeanGap: usualGap}
+				a := Outcome{Attempt: Attempt{Service: "s", Version: version, Endpoint: fmt.Sprint("e", i%3), Kind: "k"}, Conclusive: true, TTFB: usual, Pace: usualGap}
 				if i%every == every-1 {
 					test.makeSlow(&a)
 				}
@@ -133,7 +133,7 @@
 			for i := range 200 {
 				answer("v2", i, test.newSlow)
 			}
-			qt.Assert(t, c.AttemptStarted(ctx, "s", "on the new version", "v2"), qt.IsNil)
+			qt.Assert(t, c.AttemptStarted(ctx, Attempt{Service: "s", Session: "on the new version", Version: "v2"}), qt.IsNil)
 			b, err := c.Bind(ctx, "s", "on the new version")
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, b.Version == "", qt.Equals, test.want)
@@ -148,7 +148,7 @@
 	order := Order{Service: "s", Target: "v2", Duration: time.Minute, Revision: 9}
 	qt.Assert(t, c.ApplyOrder(ctx, order), qt.IsNil)
 	for i := range 40 {
-		a := Outcome{Service: "s", Version: "v2", Endpoint: fmt.Sprint("e", i%3), Kind: "k", Conclusive: true, Failed: true}
+		a := Outcome{Attempt: Attempt{Service: "s", Version: "v2", Endpoint: fmt.Sprint("e", i%3), Kind: "k"}, Conclusive: true, Failed: true}
 		qt.Assert(t, c.AttemptEnded(ctx, a), qt.IsNil)
 	}
 	completed := Record{Order: order, State: StateCompleted, OldVersions: []string{"v1"}, StartedAt: time.Now()}
--- a/internal/shift/evidence.go
+++ b/internal/shift/evidence.go
@@ -7,91 +7,112 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"cornelmux/internal/peer"
 	"cornelmux/internal/rollout"
 	"cornelmux/internal/task"
 )
 
-// Outcome is how one attempt at an endpoint ended.
+// Outcome is how one attempt ended.
 type Outcome struct {
-	Service  string
-	Version  string
-	Session  string
-	Endpoint string
-	// Kind names the kind of request; latencies are compared within one kind only.
-	Kind string
+	Attempt
 	// Failed says that the endpoint answered with a failure.
 	Failed bool
 	// TimedOut says that the attempt was given up after a silence timeout.
 	TimedOut bool
-	// Partial says that the answer was dropped after its head, as on an escalation, so that MeanGap is unknown.
-	Partial bool
-	// Conclusive says that the outcome says something about the version.
+	// Conclusive says that the endpoint answered or failed to.
 	Conclusive bool
-	// TTFB is the time to first byte.
-	TTFB time.Duration
-	// MeanGap is the mean time between two events of a stream; 0 is unknown.
-	MeanGap time.Duration
+	// TTFB is the time to first byte; 0 if none came. Duration is the time until the end.
+	TTFB     time.Duration
+	Duration time.Duration
+	// Pace is the usual time between two events of a stream; 0 is unknown, as for an answer dropped after its head.
+	Pace time.Duration
+}
+
+// evidence returns what the outcome says of its version, compared with the old version's latencies. An attempt that ended
+// before its first byte, by a timeout, the caller or the deadline, was late if it had waited long enough for that. Without a
+// baseline, only a timeout says something about the latency.
+func (o *Outcome) evidence(ttfb, pace Baseline) rollout.Evidence {
+	var e rollout.Evidence
+	if o.Conclusive {
+		e.Answers, e.Failures = 1, count(o.Failed)
+	}
+	began := o.TTFB > 0
+	switch {
+	case o.Failed:
+	case !began && (o.TimedOut || ttfb.IsLate(o.Duration)):
+		e = e.Plus(rating(true))
+	case began && ttfb.Known():
+		e = e.Plus(rating(ttfb.IsLate(o.TTFB)))
+	}
+	switch {
+	case o.TimedOut && began:
+		e = e.Plus(pacing(true))
+	case o.Pace > 0 && pace.Known():
+		e = e.Plus(pacing(pace.IsSlow(o.Pace)))
+	}
+	return e
+}
+
+type outcomeMessage struct{ outcome Outcome }
+
+// AttemptEnded records the outcome of an attempt reported to AttemptStarted.
+func (c *Controller) AttemptEnded(_ context.Context, o Outcome) error {
+	return task.Tell(c.mailbox, message(outcomeMessage{o}))
 }
 
 // handle ends the attempt in its session and counts the outcome as evidence: about the new version while a traffic
-// shift is running and the attempt went to it, else about the old version. An outcome that isn't conclusive counts for
-// neither. AttemptEnded sends the message.
+// shift is running and the attempt went to it, else about the old version. AttemptEnded sends the message.
 func (m outcomeMessage) handle(_ context.Context, c *Controller) {
 	o := m.outcome
-	now := time.Now()
-	if o.Session != "" {
-		if s, ok := c.sessions[sessionKey{o.Service, SessionHash(o.Session)}]; ok {
-			s.inFlight = max(s.inFlight-1, 0)
-			s.endedAt = now
-		}
+	if known, ok := c.sessions[sessionKey{o.Service, SessionHash(o.Session)}]; ok && o.Session != "" {
+		known.inFlight = max(known.inFlight-1, 0)
+		known.endedAt = time.Now()
 	}
 	s := c.service(o.Service)
-	if !o.Conclusive {
+	e := o.evidence(s.usualTTFB(&o.Attempt), s.usualPace(&o.Attempt))
+	if s.isTarget(o.Version) {
+		t, ok := c.trials[o.ID]
+		if !ok || t.run != s.run() {
+			t = &trial{Attempt: o.Attempt, run: s.run()}
+		}
+		delete(c.trials, o.ID)
+		c.addTrial(t, s, t.uncounted(e))
 		return
 	}
-	baseline, ok := s.baselines[o.Kind]
-	if !ok {
-		baseline = &Baseline{}
-		s.baselines[o.Kind] = baseline
+	s.stable = s.stable.Plus(e)
+	if s.record.State == StateRunning {
+		c.tally.Add(s.oldRun(), e)
 	}
-	slow := o.TimedOut || (!o.Failed && baseline.IsSlow(o.TTFB, o.MeanGap))
-	if s.record.State != StateRunning || o.Version != s.record.Target {
-		s.stable = addOutcome(s.stable, &o, slow)
-		if !o.Failed && !o.TimedOut && o.TTFB > 0 {
-			baseline.Add(o.TTFB, o.MeanGap)
+	if o.Conclusive && !o.Failed && !o.TimedOut && o.TTFB > 0 {
+		s.baselines.Add(o.Kind, o.Running, o.TTFB)
+		if o.Pace > 0 {
+			s.baselines.Add(paceKind(o.Model), o.Running, o.Pace)
 		}
-		return
 	}
-	c.tally.Add(s.run(), addOutcome(rollout.Evidence{}, &o, slow))
-	if o.Failed || slow {
-		s.badEndpoints |= endpointBit(o.Endpoint)
-	}
-	c.evaluate(o.Service, s)
 }
 
-// addOutcome returns n with the outcome added. A slow answer counts as badly rated, so that the detector compares
-// the rates of slow answers. An answer dropped after its head counts as rated only if it was slow until then.
-// It is called for each conclusive outcome.
-func addOutcome(n rollout.Evidence, o *Outcome, slow bool) rollout.Evidence {
-	n.Answers++
-	if o.Failed {
-		n.Failures++
-	}
-	if slow || !o.Partial {
-		n.Rated++
+// uncounted returns the part of the outcome's evidence that was not counted while the attempt was in flight.
+func (t *trial) uncounted(e rollout.Evidence) rollout.Evidence {
+	if t.rated {
+		e.Rated, e.RatedBad = 0, 0
 	}
-	if slow {
-		n.RatedBad++
+	if t.paced {
+		e.Paced, e.PacedSlow = 0, 0
 	}
-	return n
+	return e
 }
 
-// run returns the key of the evidence about the new version. Each order has its own, with its revision as StartedAt.
+// run returns the key of the evidence about the new version, oldRun that about the old versions since the order. Each
+// order has its own, with its revision as StartedAt.
 func (s *service) run() rollout.Run {
 	return rollout.Run{Model: s.record.Service, Version: s.record.Target, StartedAt: int64(s.record.Order.Revision)}
 }
 
+func (s *service) oldRun() rollout.Run {
+	r := s.run()
+	r.Version = ""
+	return r
+}
+
 // endpointBit returns the endpoint's bit in a set of bad endpoints. Two endpoints may share a bit.
 func endpointBit(id string) uint64 { return 1 << (xxhash.Sum64String(id) % 64) }
 
@@ -100,71 +121,47 @@
 // way, tick proposes the rollback later.
 func (c *Controller) evaluate(name string, s *service) {
 	var reason string
-	version := c.tally.Sum(s.run())
-	s.detector.RatingHaltThreshold, s.detector.RatingFactor = slowHaltThreshold, slowRateFactor
+	version, stable := c.tally.Sum(s.run()), s.before.Plus(c.tally.Sum(s.oldRun()))
+	s.detector.RatingHaltThreshold, s.detector.RatingFactor, s.detector.PaceHaltThreshold = slowHaltThreshold, slowRateFactor, paceHaltThreshold
 	if Share(time.Since(s.startedAt), s.record.Duration) > probeShare {
-		s.detector.RatingHaltThreshold = rampSlowHaltThreshold
+		s.detector.RatingHaltThreshold, s.detector.PaceHaltThreshold = rampSlowHaltThreshold, rampPaceHaltThreshold
 	}
-	s.detector, reason = s.detector.Update(version, s.stable)
+	s.detector, reason = s.detector.Update(version, stable)
 	if reason == "" || s.halted || bits.OnesCount64(s.badEndpoints) < minBadEndpoints {
 		return
 	}
 	s.halted, s.reason = true, reason
-	c.log.Info("version found bad", "service", name, "target", s.record.Target, "reason", reason,
-		"answers", version.Answers, "failed", version.Failures, "slow", version.RatedBad, "endpoints", bits.OnesCount64(s.badEndpoints))
+	c.log.Info("version found bad", "service", name, "target", s.record.Target, "reason", reason, "share", s.share,
+		"answers", version.Answers, "failed", version.Failures, "rated", version.Rated, "late", version.RatedBad,
+		"paced", version.Paced, "slow", version.PacedSlow, "endpoints", bits.OnesCount64(s.badEndpoints))
 	c.propose(name, s, StateRolledBack, reason)
 }
 
-type (
-	collectMessage struct {
-		reply chan<- []peer.VersionEvidence
+// standing returns what is known of the target, for Decide and Allowed. tick calls it.
+func (c *Controller) standing(name string, s *service, now time.Time) Standing {
+	elapsed, total := now.Sub(s.startedAt), c.tally.Sum(s.run())
+	all := total.Plus(c.tally.Sum(s.oldRun()))
+	return Standing{
+		Elapsed: elapsed, Duration: s.record.Duration, Share: s.share, Total: total, Recent: total.Since(s.history.oldest(total)),
+		Rate: judged(all) / max(elapsed.Seconds(), 1), GoodRates: s.detector.GoodRates(), Suspicion: s.detector.Suspicion(),
+		OldInFlight: c.oldInFlight(name, s),
 	}
-	stateMessage struct{ state peer.State }
-)
-
-// Collect implements peer.Section. It adds this VM's evidence about new versions to the gossiped state.
-func (c *Controller) Collect(ctx context.Context, s *peer.State) error {
-	list, err := task.Ask(ctx, c.mailbox, func(reply chan<- []peer.VersionEvidence) message { return collectMessage{reply} })
-	s.Evidence = append(s.Evidence, list...)
-	return err
 }
 
-// Receive implements peer.Section. It takes the evidence of another VM.
-func (c *Controller) Receive(_ context.Context, s peer.State) error {
-	if len(s.Evidence) == 0 {
-		return nil
-	}
-	return task.Tell(c.mailbox, message(stateMessage{s}))
-}
+// history holds the evidence of the last proofWindow, one total a tick, the newest last.
+type history []rollout.Evidence
 
-// handle replies with this VM's evidence about the versions of running traffic shifts. Collect sends the message.
-func (m collectMessage) handle(_ context.Context, c *Controller) {
-	var list []peer.VersionEvidence
-	for _, s := range c.services {
-		total := c.tally.Local()[s.run()]
-		if s.record.State != StateRunning || total.Answers == 0 {
-			continue
-		}
-		list = append(list, peer.VersionEvidence{
-			Model: s.record.Service, Version: s.record.Target, StartedAt: s.run().StartedAt,
-			Answers: total.Answers, Failures: total.Failures, Rated: total.Rated, RatedBad: total.RatedBad, BadEndpoints: s.badEndpoints,
-		})
-	}
-	m.reply <- list
+// add adds the total of a tick and drops those that are older than proofWindow.
+func (h history) add(e rollout.Evidence) history {
+	const size = int(proofWindow / tickInterval)
+	h = append(h, e)
+	return h[max(len(h)-size, 0):]
 }
 
-// handle merges the evidence of another VM about running traffic shifts and evaluates it. Receive sends the message.
-func (m stateMessage) handle(_ context.Context, c *Controller) {
-	for _, e := range m.state.Evidence {
-		s, ok := c.services[e.Model]
-		run := rollout.Run{Model: e.Model, Version: e.Version, StartedAt: e.StartedAt}
-		if !ok || s.record.State != StateRunning || s.run() != run {
-			continue
-		}
-		c.tally.Receive(m.state.VM, m.state.Incarnation, run, rollout.Evidence{
-			Answers: e.Answers, Failures: e.Failures, Rated: e.Rated, RatedBad: e.RatedBad,
-		})
-		s.badEndpoints |= e.BadEndpoints
-		c.evaluate(e.Model, s)
+// oldest returns the oldest total, or the present one if there is none.
+func (h history) oldest(present rollout.Evidence) rollout.Evidence {
+	if len(h) == 0 {
+		return present
 	}
+	return h[0]
 }
--- a/internal/shift/evidence_test.go
+++ b/internal/shift/evidence_test.go
@@ -39,7 +39,7 @@
 					qt.Assert(t, c.Receive(ctx, s), qt.IsNil)
 				}
 			}
-			qt.Assert(t, c.AttemptStarted(ctx, "s", "on the new version", "v2"), qt.IsNil)
+			qt.Assert(t, c.AttemptStarted(ctx, Attempt{Service: "s", Session: "on the new version", Version: "v2"}), qt.IsNil)
 			b, err := c.Bind(ctx, "s", "on the new version")
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, b.Version == "", qt.Equals, test.want)
@@ -66,7 +66,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			c, _, ctx := startController(t, true)
 			answer := func(version string, i int, first time.Duration) {
-				a := Outcome{Service: "s", Version: version, Endpoint: fmt.Sprint("e", i%3), Kind: "k", Conclusive: true, TTFB: first}
+				a := Outcome{Attempt: Attempt{Service: "s", Version: version, Endpoint: fmt.Sprint("e", i%3), Kind: "k"}, Conclusive: true, TTFB: first}
 				qt.Assert(t, c.AttemptEnded(ctx, a), qt.IsNil)
 			}
 			for i := range 200 {
@@ -82,7 +82,7 @@
 				answer("v2", i, 900*time.Millisecond)
 				answer("v2", i, 100*time.Millisecond)
 			}
-			qt.Assert(t, c.AttemptStarted(ctx, "s", "on the new version", "v2"), qt.IsNil)
+			qt.Assert(t, c.AttemptStarted(ctx, Attempt{Service: "s", Session: "on the new version", Version: "v2"}), qt.IsNil)
 			b, err := c.Bind(ctx, "s", "on the new version")
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, b.Version == "", qt.Equals, test.want)
@@ -103,20 +103,21 @@
 		t.Run(test.name, func(t *testing.T) {
 			c, _, ctx := startController(t, true)
 			answer := func(version string, i int, a Outcome) {
-				a.Service, a.Version, a.Endpoint, a.Kind, a.Conclusive, a.TTFB = "s", version, fmt.Sprint("e", i%3), "k", true, 100*time.Millisecond
+				a.Attempt = Attempt{Service: "s", Version: version, Endpoint: fmt.Sprint("e", i%3), Kind: "k"}
+				a.Conclusive, a.TTFB = true, 100*time.Millisecond
 				qt.Assert(t, c.AttemptEnded(ctx, a), qt.IsNil)
 			}
 			for i := range 200 {
-				answer("v1", i, Outcome{MeanGap: 20 * time.Millisecond})
+				answer("v1", i, Outcome{Pace: 20 * time.Millisecond})
 			}
 			qt.Assert(t, c.ApplyOrder(ctx, Order{Service: "s", Target: "v2", Duration: time.Minute, Revision: 9}), qt.IsNil)
 			for i := range 40 {
-				answer("v2", i, Outcome{MeanGap: time.Duration(20+60*(i%2)) * time.Millisecond})
+				answer("v2", i, Outcome{Pace: time.Duration(20+60*(i%2)) * time.Millisecond})
 				for range test.heads {
-					answer("v2", i, Outcome{Partial: true})
+					answer("v2", i, Outcome{})
 				}
 			}
-			qt.Assert(t, c.AttemptStarted(ctx, "s", "on the new version", "v2"), qt.IsNil)
+			qt.Assert(t, c.AttemptStarted(ctx, Attempt{Service: "s", Session: "on the new version", Version: "v2"}), qt.IsNil)
 			b, err := c.Bind(ctx, "s", "on the new version")
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, b.Version, qt.Equals, "")
@@ -124,16 +125,23 @@
 	}
 }
 
-// TestCollect checks that only evidence about the new version is gossiped.
+// TestCollect checks that evidence about the new version and about the old versions since the order is gossiped apart, with
+// the old version's latency.
 func TestCollect(t *testing.T) {
 	c, _, ctx := startController(t, true)
-	qt.Assert(t, c.ApplyOrder(ctx, Order{Service: "s", Target: "v2", Duration: time.Minute, Revision: 9}), qt.IsNil)
-	for _, version := range []string{"v1", "v2"} {
-		qt.Assert(t, c.AttemptEnded(ctx, Outcome{Service: "s", Version: version, Endpoint: "e", Kind: "k", Conclusive: true, Failed: true}), qt.IsNil)
+	answer := func(version string, failed bool) {
+		a := Attempt{Service: "s", Version: version, Endpoint: "e", Kind: "k"}
+		qt.Assert(t, c.AttemptEnded(ctx, Outcome{Attempt: a, Conclusive: true, Failed: failed, TTFB: time.Second}), qt.IsNil)
 	}
+	answer("v1", false)
+	qt.Assert(t, c.ApplyOrder(ctx, Order{Service: "s", Target: "v2", Duration: time.Minute, Revision: 9}), qt.IsNil)
+	answer("v1", false)
+	answer("v2", true)
 	var s peer.State
 	qt.Assert(t, c.Collect(ctx, &s), qt.IsNil)
-	qt.Assert(t, s.Evidence, qt.DeepEquals, []peer.VersionEvidence{{
-		Model: "s", Version: "v2", StartedAt: 9, Answers: 1, Failures: 1, Rated: 1, BadEndpoints: endpointBit("e"),
-	}})
+	qt.Assert(t, s.Evidence, qt.DeepEquals, []peer.VersionEvidence{
+		{Model: "s", Version: "v2", StartedAt: 9, Answers: 1, Failures: 1, BadEndpoints: endpointBit("e")},
+		{Model: "s", Version: "", StartedAt: 9, Answers: 1},
+	})
+	qt.Assert(t, s.Latencies, qt.DeepEquals, []peer.LatencyBaseline{{Service: "s", Kind: kindHash("k"), Count: 2, Mean: time.Second}})
 }
--- a/internal/shift/plan.go
+++ b/internal/shift/plan.go
@@ -19,13 +19,13 @@
 	probeShare = 0.3
 	// canaryEnd and rampStart are when the share starts to grow from CanaryShare to probeShare, and from there to 1.
 	canaryEnd = 0.5
-	rampStart = 0.68
+	rampStart = 0.62
 	// fullStart is when all sessions move.
-	fullStart = 0.82
+	fullStart = 0.76
+	// completionStart is when the traffic shift may be completed, after some time at the full share.
+	completionStart = 0.88
 	// completionDeadline is when the traffic shift is completed even if requests on the old version are in flight.
 	completionDeadline = 0.93
-	// minAnswers is the number of answers of the new version that a VM needs to know of before the share exceeds probeShare.
-	minAnswers = 3
 )
 
 // Order is an operator's order to move a service to the version Target.
@@ -76,7 +76,7 @@
 }
 
 // Share returns the share of sessions, 0 to 1, that get the new version after the elapsed time. It never decreases.
-// The Controller calls it for each attempt and each evaluation of evidence.
+// Standing.Allowed may keep the share lower.
 func Share(elapsed, duration time.Duration) float64 {
 	fraction := float64(elapsed) / float64(duration)
 	switch {
@@ -113,6 +113,8 @@
 type Binding struct {
 	Version          string
 	ExcludedVersions []string
+	// Trial says that Version is the target of a running traffic shift, so that the attempt's progress is to be told.
+	Trial bool
 }
 
 // BindInput holds what Bind needs to know about the traffic shift and the session.
@@ -143,7 +145,7 @@
 	onTarget := in.ActiveHere && in.Version == target
 	pinned := !in.PinningOver && ((in.ActiveHere && !onTarget) || in.PinnedElsewhere)
 	if onTarget || (!pinned && in.Bucket < in.Share) {
-		return Binding{Version: target}
+		return Binding{Version: target, Trial: true}
 	}
 	return Binding{ExcludedVersions: []string{target}}
 }
--- a/internal/shift/plan_test.go
+++ b/internal/shift/plan_test.go
@@ -27,7 +27,7 @@
 	running := Record{Order: Order{Target: "v2"}, State: StateRunning, OldVersions: []string{"v1"}}
 	completed, rolledBack := running, running
 	completed.State, rolledBack.State = StateCompleted, StateRolledBack
-	old, fresh := Binding{ExcludedVersions: []string{"v2"}}, Binding{Version: "v2"}
+	old, fresh := Binding{ExcludedVersions: []string{"v2"}}, Binding{Version: "v2", Trial: true}
 	tests := []struct {
 		name string
 		in   BindInput
@@ -80,23 +80,25 @@
 	})
 }
 
+// TestSlow checks which latencies are too long, beside a baseline of 100 ms.
 func TestSlow(t *testing.T) {
-	baseline := &Baseline{}
+	baseline := Baseline{}
 	for range minBaselineSamples {
-		baseline.Add(100*time.Millisecond, 20*time.Millisecond)
+		baseline.Add(100 * time.Millisecond)
 	}
 	tests := []struct {
-		name      string
-		baseline  *Baseline
-		ttfb, gap time.Duration
-		want      bool
+		name       string
+		baseline   Baseline
+		latency    time.Duration
+		late, slow bool
 	}{
-		{"as fast as the baseline", baseline, 110 * time.Millisecond, 20 * time.Millisecond, false},
-		{"eight times the TTFB", baseline, 800 * time.Millisecond, 0, true},
-		{"ten times the gap", baseline, 100 * time.Millisecond, 200 * time.Millisecond, true},
-		{"no baseline yet", &Baseline{}, time.Hour, time.Hour, false},
+		{"as fast as the baseline", baseline, 110 * time.Millisecond, false, false},
+		{"three times the baseline", baseline, 300 * time.Millisecond, false, true},
+		{"eight times the baseline", baseline, 800 * time.Millisecond, true, true},
+		{"no baseline yet", Baseline{}, time.Hour, false, false},
 	}
 	for _, test := range tests {
-		qt.Check(t, test.baseline.IsSlow(test.ttfb, test.gap), qt.Equals, test.want, qt.Commentf(test.name))
+		qt.Check(t, test.baseline.IsLate(test.latency), qt.Equals, test.late, qt.Commentf(test.name))
+		qt.Check(t, test.baseline.IsSlow(test.latency), qt.Equals, test.slow, qt.Commentf(test.name))
 	}
 }
--- a/internal/shift/sessions.go
+++ b/internal/shift/sessions.go
@@ -4,8 +4,78 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"cornelmux/internal/task"
+)
+
+// maxPinnedSessions is the maximum number of sessions that a VM publishes for a service.
+const maxPinnedSessions = 2000
+
+// pinsState says whether this VM has published its pinned sessions for a traffic shift.
+type pinsState int
+
+const (
+	pinsUnpublished pinsState = iota
+	pinsInFlight
+	pinsPublished
+)
+
+// sessionKey identifies a session of a service by the hash of its ID.
+type sessionKey struct {
+	service string
+	hash    uint64
+}
+
+// session is a session that was active on this VM.
+type session struct {
+	version string
+	// inFlight is the number of attempts in flight.
+	inFlight int
+	// endedAt is when the last attempt ended.
+	endedAt time.Time
+}
+
+type (
+	pinnedMessage struct {
+		service  string
+		sessions []uint64
+	}
+	publishedMessage struct {
+		service string
+		// order is the revision of the order for which they were published.
+		order uint64
+		err   error
+	}
+	bindMessage struct {
+		service string
+		session string
+		reply   chan<- Binding
+	}
 )
 
+// PinSessions pins sessions that were active on the old version on another VM, given by hash. It is called when the VM
+// learns that VM's list from the store.
+func (c *Controller) PinSessions(_ context.Context, service string, sessions []uint64) error {
+	return task.Tell(c.mailbox, message(pinnedMessage{service, sessions}))
+}
+
+// Bind returns the versions that the next attempt of a session may go to. An empty session stands for a request without one.
+// The filter that forwards requests calls it before each attempt.
+func (c *Controller) Bind(ctx context.Context, service, session string) (Binding, error) {
+	return task.Ask(ctx, c.mailbox, func(reply chan<- Binding) message { return bindMessage{service, session, reply} })
+}
+
+// handle pins the sessions that another VM published.
+func (m pinnedMessage) handle(_ context.Context, c *Controller) {
+	s := c.service(m.service)
+	if s.pinned == nil {
+		s.pinned = map[uint64]bool{}
+	}
+	for _, h := range m.sessions {
+		s.pinned[h] = true
+	}
+}
+
 // handle replies with the versions that the session's next attempt may go to; any if the service has no traffic shift.
 // A request without a session gets a random bucket. Controller.Bind sends the message.
 func (m bindMessage) handle(_ context.Context, c *Controller) {
@@ -15,7 +85,7 @@
 		return
 	}
 	now := time.Now()
-	in := BindInput{Record: s.record, Share: c.currentShare(s, now), PinningOver: pinningOver(now.Sub(s.startedAt), s.record.Duration)}
+	in := BindInput{Record: s.record, Share: s.currentShare(now), PinningOver: pinningOver(now.Sub(s.startedAt), s.record.Duration)}
 	if s.halted {
 		in.Record.State = StateRolledBack
 	}
@@ -32,14 +102,10 @@
 	m.reply <- Bind(in)
 }
 
-// currentShare returns the scheduled share of the new version, capped at probeShare while the version has too few
-// answers. It is called for each attempt.
-func (c *Controller) currentShare(s *service, now time.Time) float64 {
-	share := Share(now.Sub(s.startedAt), s.record.Duration)
-	if c.tally.Sum(s.run()).Answers < minAnswers {
-		return min(share, probeShare)
-	}
-	return share
+// currentShare returns the share of sessions that get the new version now. Within the canary's time it follows the
+// schedule; later it is what tick allowed. It is called for each attempt.
+func (s *service) currentShare(now time.Time) float64 {
+	return max(s.share, min(Share(now.Sub(s.startedAt), s.record.Duration), CanaryShare))
 }
 
 // isActive reports whether the session has an attempt in flight or had one within SessionIdle.
@@ -47,23 +113,8 @@
 	return s.inFlight > 0 || now.Sub(s.endedAt) < c.opts.SessionIdle
 }
 
-// handle records the session's version and counts the attempt as in flight. AttemptStarted sends the message.
-func (m startMessage) handle(_ context.Context, c *Controller) {
-	if m.session == "" {
-		return
-	}
-	key := sessionKey{m.service, SessionHash(m.session)}
-	s, ok := c.sessions[key]
-	if !ok {
-		s = &session{}
-		c.sessions[key] = s
-	}
-	s.version = m.version
-	s.inFlight++
-}
-
 // oldInFlight reports whether a session on this VM has an attempt in flight on another version than the target.
-// isCompletable calls it.
+// standing calls it.
 func (c *Controller) oldInFlight(name string, s *service) bool {
 	for k, v := range c.sessions {
 		if k.service == name && v.inFlight > 0 && v.version != s.record.Target {
@@ -75,9 +126,7 @@
 
 // publishPinned publishes the sessions that are active on the old version on this VM, for other VMs to keep them there.
 // Only sessions within CanaryShare are listed, since no others would move while sessions are pinned.
-// tick calls it once per order: two ticks before pinExchangeTime ends, or, if the VM learns the start later than that, at
-// its next tick, unless pinning is over or the traffic shift has ended by then. If the job queue is full or the write fails,
-// it isn't repeated, and other VMs may move these sessions.
+// tick calls it from two ticks before pinExchangeTime ends until a write succeeds, or pinning or the traffic shift is over.
 func (c *Controller) publishPinned(name string, s *service, now time.Time) {
 	var list []uint64
 	for k, v := range c.sessions {
@@ -87,13 +136,31 @@
 		}
 	}
 	if len(list) == 0 {
+		s.pins = pinsPublished
 		return
 	}
-	c.enqueue(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-		defer cancel()
-		if err := c.records.PublishPinned(ctx, name, c.opts.VM, list); err != nil {
-			c.log.Info("pinned sessions not published", "service", name, "sessions", len(list), "error", err.Error())
-		}
+	order := s.record.Order.Revision
+	queued := c.enqueue(func(ctx context.Context) {
+		limited, cancel := context.WithTimeout(ctx, writeTimeout)
+		err := c.records.PublishPinned(limited, name, c.opts.VM, list)
+		cancel()
+		_ = c.send(ctx, publishedMessage{name, order, err}) // fails only when ctx ends
 	})
+	if queued {
+		s.pins = pinsInFlight
+	}
+}
+
+// handle notes that the pinned sessions were published, or that they have to be published again. The job of publishPinned
+// sends the message.
+func (m publishedMessage) handle(_ context.Context, c *Controller) {
+	s := c.service(m.service)
+	if m.order != s.record.Order.Revision {
+		return
+	}
+	s.pins = pinsPublished
+	if m.err != nil {
+		s.pins = pinsUnpublished
+		c.log.Info("pinned sessions not published", "service", m.service, "error", m.err.Error())
+	}
 }
