Let every VM that reads the store tell its zone, and take updates after a full scan

Cause of TestEveryVMLearns (KNOWN-RED): a VM whose full scan had ended ignored updates of its peers until a watch of its own succeeded; one that the store refused just then stayed behind for good. An update from a revision up to the scan's brings the same changes as that watch, so it completes the scan now; and a VM whose history is gone keeps taking updates while it scans again.

Ranks 1 to 6 take turns now: each has a silence timeout of its own between the backup's and the last one's, and tells the others what it read.

Tests that failed first: TestEveryVMLearns, row "the store refuses a VM's watches from the first on" (20 s without the value); TestZoneLearnsWithoutItsReaders, 4 of 8 rows. Both pass; TestEveryVMLearns 6 of 6 with -race.

--- a/internal/feed/controller.go
+++ b/internal/feed/controller.go
@@ -61,11 +61,14 @@
 	// ends receives the end of each of the runningTasks tasks.
 	ends         chan task.End
 	runningTasks int
-	// synced is set by a full scan. scanKeys holds the keys of the scan until the first watch after it has ended, and is
-	// nil otherwise.
+	// synced is set by a full scan, and unset when another one is due. scanKeys holds the keys of a full scan until the
+	// changes since then are known, and is nil otherwise.
 	synced   bool
 	replica  *Replica
 	scanKeys []string
+	// completed says that a full scan was completed, so that the replica holds all changes up to revision, even if another
+	// scan is due.
+	completed bool
 	// requireFresh makes the next full scan refuse stale pages.
 	requireFresh bool
 	// revision is the store's revision up to which the replica is complete.
@@ -268,7 +271,8 @@
 }
 
 // finishScan completes a full scan with the changes since then: it drops keys that the store no longer has, tells the
-// receiver and, if there is no secret, schedules its creation. It is called after the first watch that follows a full scan.
+// receiver and, if there is no secret, schedules its creation. It is called after the first watch or peer's update that
+// brings the changes.
 func (c *Controller) finishScan(ctx context.Context, items []Item) {
 	deleted := map[string]bool{}
 	for _, i := range items {
@@ -282,7 +286,7 @@
 	maps.DeleteFunc(c.members, func(vm string, _ Member) bool { return !slices.Contains(keys, memberPrefix+vm) })
 	c.updateRanks(ctx)
 	c.receiver.ApplyFullScan(ctx, keys)
-	c.scanKeys, c.requireFresh = nil, false
+	c.scanKeys, c.requireFresh, c.completed = nil, false, true
 	if len(c.secret) == 0 && c.secretDueAt.IsZero() {
 		c.secretDueAt = time.Now().Add(rand.N(secretDelay))
 	}
--- a/internal/feed/exchange.go
+++ b/internal/feed/exchange.go
@@ -26,12 +26,12 @@
 	at       time.Time
 }
 
-// forward sends the changes after the revision to the other VMs of the zone, if this VM is the reader or the backup reader.
+// forward sends the changes after the revision to the other VMs of the zone, if this VM is the reader or a backup reader.
 // The changes of earlier updates are sent again with them, back to where the oldest update of the last resendWindow began,
 // if they fit maxResendBytes. It is called after each watch. If the replica no longer has all the changes, nothing is sent,
 // and the other VMs watch the store after their silence timeout.
 func (c *Controller) forward(from uint64, now time.Time) {
-	if c.zoneRank > rankBackup {
+	if c.zoneRank > rankLastBackup {
 		return
 	}
 	peers := ZonePeers(c.opts.Self.VM, c.opts.Self.Zone, c.members)
@@ -86,7 +86,8 @@
 }
 
 // handle applies a peer's state or update, or replies to its request. The first byte of a datagram tells a state from an
-// update. Updates and requests are ignored until the full scan is complete. An update that ends before the replica's
+// update. Updates are ignored before the first full scan, requests until it is complete. After a full scan, an update may
+// bring the changes since then in place of the watch, which the store may refuse. An update that ends before the replica's
 // revision is dropped. The transport delivers one message for each datagram.
 func (m packetMessage) handle(ctx context.Context, c *Controller) {
 	if len(m.data) > 0 && m.data[0] == peer.FormatVersion {
@@ -95,14 +96,19 @@
 	}
 	u, ok := c.reassemble(m.data)
 	switch {
-	case !ok || !c.synced || c.scanKeys != nil:
+	case !ok || (!c.completed && c.scanKeys == nil):
 	case u.Request:
-		c.reply(u)
+		if c.completed && c.scanKeys == nil {
+			c.reply(u)
+		}
 	case u.From > c.revision:
 		c.requestMissing(ctx, u)
 	case u.To >= c.revision:
 		c.apply(ctx, u.Items)
 		c.revision = u.To
+		if c.scanKeys != nil {
+			c.finishScan(ctx, u.Items)
+		}
 		c.markCurrent(ctx)
 	}
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -85,8 +85,10 @@
 const (
 	// rankReader is the rank of the VM that watches the store for its zone.
 	rankReader = 0
-	// rankBackup is the rank of the VM that watches the store while it hears nothing from the reader.
-	rankBackup = 1
+	// rankBackup and rankLastBackup are the ranks of the first and the last of the VMs that read the store in turn while they
+	// hear nothing, and tell the others. The store may refuse some of them.
+	rankBackup     = 1
+	rankLastBackup = 6
 )
 
 // Rank returns the position of a VM among the members of its zone in the order of the hashes of their names, from 0. An
@@ -110,8 +112,8 @@
 	// WatchTimeout is the longest time between the ends of two watches of the reader; a dead connection is noticed
 	// after it.
 	WatchTimeout time.Duration
-	// BackupSilence and Silence are the silence timeouts of the backup reader and of every other VM: after that time
-	// without an update they watch the store themselves.
+	// BackupSilence and Silence are the silence timeouts of the first backup reader and of the last one and every VM after
+	// it: after that time without an update they watch the store themselves. Those of the backups between lie evenly.
 	BackupSilence time.Duration
 	Silence       time.Duration
 }
@@ -133,13 +135,13 @@
 }
 
 // silenceTimeout returns how long a VM of the rank waits for updates before it watches the store itself; 0 means at once. A
-// reader whose own reads fail has the longest timeout, since the backup reader sends updates. startRead calls it.
+// reader whose own reads fail has the longest timeout, since a backup reader sends updates. startRead calls it.
 func (t Timing) silenceTimeout(rank int, readFailed bool) time.Duration {
 	switch {
 	case rank == rankReader && !readFailed:
 		return 0
-	case rank == rankBackup:
-		return t.BackupSilence
+	case rank >= rankBackup && rank < rankLastBackup:
+		return t.BackupSilence + (t.Silence-t.BackupSilence)*time.Duration(rank-rankBackup)/(rankLastBackup-rankBackup)
 	default:
 		return t.Silence
 	}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -211,16 +211,15 @@
 	watches map[string]int
 	// historyGone holds the VMs whose next watch fails with ErrHistoryGone.
 	historyGone map[string]bool
-	// refusedVM is the VM whose watches fail.
-	refusedVM string
-	waiting   []func()
+	// refused holds the VMs whose watches fail.
+	refused map[string]bool
 }
 
 // newStore returns an empty store, whose goroutine ends with ctx.
 func newStore(ctx context.Context) store {
 	s := store{work: make(chan func(*state))}
 	go func() {
-		st := &state{watches: map[string]int{}, historyGone: map[string]bool{}}
+		st := &state{watches: map[string]int{}, historyGone: map[string]bool{}, refused: map[string]bool{}}
 		for {
 			select {
 			case f := <-s.work:
@@ -270,7 +269,7 @@
 	deadline := time.Now().Add(wait)
 	refused, gone := false, false
 	_ = r.do(ctx, func(st *state) {
-		refused, gone = st.refusedVM == r.vm, st.historyGone[r.vm]
+		refused, gone = st.refused[r.vm], st.historyGone[r.vm]
 		delete(st.historyGone, r.vm)
 	})
 	switch {
@@ -350,16 +349,19 @@
 // and vm0 the backup reader.
 func TestEveryVMLearns(t *testing.T) {
 	tests := []struct {
-		name      string
-		drop      func(from, to string) bool
-		refusedVM string
+		name string
+		drop func(from, to string) bool
+		// refusedVM is refused by the store once it has learned the first value, or from its first watch on.
+		refusedVM      string
+		fromFirstWatch bool
 	}{
-		{"every datagram arrives", nil, ""},
-		{"no datagram arrives", func(string, string) bool { return true }, ""},
-		{"no datagram from the reader or another VM arrives", func(from, _ string) bool { return from == "vm1" || from == "vm3" }, ""},
-		{"no datagram to one VM arrives", func(_, to string) bool { return to == "vm2" }, ""},
-		{"no datagram from the reader or the backup reader to one VM arrives", func(from, to string) bool { return from < "vm2" && to == "vm4" }, ""},
-		{"a VM that the store refuses later misses every third datagram", everyThird("vm2"), "vm2"},
+		{"every datagram arrives", nil, "", false},
+		{"no datagram arrives", func(string, string) bool { return true }, "", false},
+		{"no datagram from the reader or another VM arrives", func(from, _ string) bool { return from == "vm1" || from == "vm3" }, "", false},
+		{"no datagram to one VM arrives", func(_, to string) bool { return to == "vm2" }, "", false},
+		{"no datagram from the reader or the backup reader to one VM arrives", func(from, to string) bool { return from < "vm2" && to == "vm4" }, "", false},
+		{"a VM that the store refuses later misses every third datagram", everyThird("vm2"), "vm2", false},
+		{"the store refuses a VM's watches from the first on", nil, "vm2", true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -370,6 +372,9 @@
 			if test.refusedVM != "" {
 				s.put(ctx, secretKey, "secret") // otherwise it might be created after the VM is refused
 			}
+			if test.fromFirstWatch {
+				_ = s.do(ctx, func(st *state) { st.refused[test.refusedVM] = true })
+			}
 			applied := make(chan string, 4096)
 			ends := make(chan task.End, 5)
 			vms := []string{"vm0", "vm1", "vm2", "vm3", "vm4"}
@@ -401,7 +406,7 @@
 						t.Fatalf("only %v learned of value %q", learned, value)
 					}
 				}
-				_ = s.do(ctx, func(st *state) { st.refusedVM = test.refusedVM })
+				_ = s.do(ctx, func(st *state) { st.refused[test.refusedVM] = true })
 			}
 		})
 	}
