Count crashes that a late poll hid, and mend the race in the peers' test

A report now drops only runs that were lost before its poll began.

The section has a lock now; no check changed.

--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -63,9 +63,10 @@
 	sentAt  time.Time
 }
 
-// lostRun is the fingerprint of a request and when it no longer counts.
+// lostRun is the fingerprint of a request, when its connection was found lost, and when it no longer counts.
 type lostRun struct {
 	fingerprint uint64
+	lostAt      time.Time
 	expiresAt   time.Time
 }
 
@@ -175,7 +176,7 @@
 	if report.Incarnation > r.Incarnation {
 		crashes = r.takeCrashes(now)
 	}
-	r.lostRuns = nil
+	r.dropSurvived()
 	r.startIncarnation(report.Incarnation)
 	r.seenAt, r.Suspect, r.failedProbes = now, false, 0
 	r.leavingReported = r.leavingReported || report.Leaving
@@ -217,6 +218,12 @@
 	return list
 }
 
+// dropSurvived forgets the lost runs that the endpoint survived: those that were lost before the poll that it answered. It is
+// called for a report of the same or a new incarnation; a late report of a poll from before the loss proves nothing.
+func (r *Record) dropSurvived() {
+	r.lostRuns = slices.DeleteFunc(r.lostRuns, func(l lostRun) bool { return l.lostAt.Before(r.polledAt) })
+}
+
 // ApplyPeerReport applies a peer's report of an endpoint. A peer's suspicion only triggers a probe by this VM, because
 // the peer itself may be cut off. The Controller calls it for each report in a peer's state.
 func (t *Table) ApplyPeerReport(p peer.EndpointReport, now time.Time) {
@@ -303,7 +310,7 @@
 		return o.crashes()
 	}
 	if o.ConnectionLost && len(r.lostRuns) < maxLostRuns {
-		r.lostRuns = append(r.lostRuns, lostRun{o.Fingerprint, now.Add(lostRunTTL)})
+		r.lostRuns = append(r.lostRuns, lostRun{o.Fingerprint, now, now.Add(lostRunTTL)})
 	}
 	r.markSuspect(now)
 	r.nextProbeAt = now
--- a/internal/endpoint/table_test.go
+++ b/internal/endpoint/table_test.go
@@ -230,3 +230,30 @@
 		})
 	}
 }
+
+// TestLateReportKeepsLostRuns guards against a crash that isn't counted, because the answer to a poll from before the run was
+// lost came after that.
+func TestLateReportKeepsLostRuns(t *testing.T) {
+	at := time.Unix(1_000_000, 0)
+	rows := []struct {
+		name     string
+		polledAt time.Time
+		want     int
+	}{
+		{"polled before the loss", at.Add(-time.Millisecond), 1},
+		{"polled in the same instant", at, 1},
+		{"polled after the loss", at.Add(time.Millisecond), 0},
+	}
+	for _, row := range rows {
+		qt.New(t).Run(row.name, func(c *qt.C) {
+			table := NewTable(testHere)
+			table.ApplyList([]consul.Instance{instance("e1", testHere, 5, false)}, at)
+			o := Outcome{Endpoint: "e1", Incarnation: 5, Failed: true, ConnectionLost: true, Fingerprint: 9}
+			c.Assert(table.Done(o, at), qt.HasLen, 0)
+			table.records["e1"].polledAt = row.polledAt
+			c.Assert(table.ApplyReport("e1", Report{Incarnation: 5}, nil, at.Add(time.Second)), qt.HasLen, 0)
+			table.records["e1"].polledAt = at.Add(2 * time.Second)
+			c.Assert(table.ApplyReport("e1", Report{Incarnation: 6}, nil, at.Add(3*time.Second)), qt.HasLen, row.want)
+		})
+	}
+}
--- a/internal/peer/controller_test.go
+++ b/internal/peer/controller_test.go
@@ -56,11 +56,28 @@
 
 // recordingSection is a Section with a fixed state that records what it receives.
 type recordingSection struct {
+	mu       sync.Mutex
 	state    State
 	received []State
 }
 
+// set replaces the state that the section contributes.
+func (r *recordingSection) set(s State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state = s
+}
+
+// list returns what was received so far.
+func (r *recordingSection) list() []State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.received)
+}
+
 func (r *recordingSection) Collect(_ context.Context, s *State) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	s.Revision = r.state.Revision
 	s.Halts = append(s.Halts, r.state.Halts...)
 	s.Crashes = append(s.Crashes, r.state.Crashes...)
@@ -68,6 +85,8 @@
 }
 
 func (r *recordingSection) Receive(_ context.Context, s State) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.received = append(r.received, s)
 	return nil
 }
@@ -198,7 +217,7 @@
 		tf.sleep(time.Minute)
 		halt := Halt{Model: "composer", Version: "v2", Reason: "failures"}
 		crash := CrashReport{Fingerprint: 5, Endpoint: "engine-1"}
-		tf.sections[0].state = State{Revision: 9, Halts: []Halt{halt}, Crashes: []CrashReport{crash}}
+		tf.sections[0].set(State{Revision: 9, Halts: []Halt{halt}, Crashes: []CrashReport{crash}})
 		// Only VM 2, of the same zone, receives datagrams of VM 0; it has to relay them to the others.
 		tf.update(func() {
 			tf.net.cut = func(from, to string) bool { return from == "10.0.0.1:1" && to != "10.0.0.3:1" }
@@ -210,7 +229,7 @@
 			}
 		}
 		for i := 1; i < 6; i++ {
-			received := tf.sections[i].received
+			received := tf.sections[i].list()
 			c.Check(slices.ContainsFunc(received, func(s State) bool { return slices.Contains(s.Halts, halt) }), qt.IsTrue)
 			c.Check(slices.ContainsFunc(received, func(s State) bool { return slices.Contains(s.Crashes, crash) }), qt.IsTrue)
 			c.Check(slices.ContainsFunc(received, func(s State) bool { return s.VM == "vm-0" && s.Revision == 9 }), qt.IsTrue)
@@ -276,7 +295,7 @@
 		tf.sleep(10 * time.Second)
 		before, err := tf.vms[0].Members(tf.ctx)
 		c.Assert(err, qt.IsNil)
-		received, counts := len(tf.sections[0].received), tf.counts(0)
+		received, counts := len(tf.sections[0].list()), tf.counts(0)
 		deliver := tf.net.deliver["10.0.0.1:1"]
 		for _, packet := range tf.net.sent {
 			c.Assert(deliver(packet), qt.IsNil)
@@ -288,7 +307,7 @@
 		after, err := tf.vms[0].Members(tf.ctx)
 		c.Assert(err, qt.IsNil)
 		c.Assert(after, qt.DeepEquals, before)
-		c.Assert(tf.sections[0].received, qt.HasLen, received)
+		c.Assert(tf.sections[0].list(), qt.HasLen, received)
 		now, sent := tf.counts(0), uint64(len(tf.net.sent))
 		c.Assert(now.Received, qt.Equals, counts.Received)
 		c.Assert(now.BadMAC, qt.Equals, sent)
