Bound answers that never end, and resume streams that only keep their connection open

Only events count as progress now; a slow but sound stream still runs to its end. An endless sequence of blank lines now counts against an event's bound in `serve`, too.

--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -150,7 +150,7 @@
 		if err != nil {
 			return Fragment{}, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
-		remaining -= len(line)
+		remaining -= len(line) + 1
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch {
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -1,6 +1,7 @@
 package filter
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -152,10 +153,10 @@
 		if err != nil {
 			return err
 		}
-		if gap > 0 {
+		p := fragment.Chunk
+		if gap > 0 && isProgress(p) {
 			silenceTimer.Reset(gap)
 		}
-		p := fragment.Chunk
 		if p.Event != "" {
 			now := time.Now()
 			if s.events > 0 {
@@ -200,6 +201,11 @@
 // errCallerGone ends a send whose answer could not be passed on.
 var errCallerGone = errors.New("the caller disconnected")
 
+// isProgress reports whether a chunk of a stream brings the answer on. Comments, which keep a connection open, don't.
+func isProgress(p endpoint.Chunk) bool {
+	return p.Last || p.Event != "" || bytes.Contains(p.Data, []byte("data:"))
+}
+
 // eventGapLimit returns the silence timeout between the events of a stream; 0 means none.
 func (f *forwardRun) eventGapLimit() time.Duration {
 	if f.x.Routed.Route.Kind != routing.KindStream || !f.retryPossible() {
--- /dev/null
+++ b/internal/filter/stall_test.go
@@ -0,0 +1,90 @@
+package filter
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cornelmux/internal/endpoint"
+	"cornelmux/pkg/routing"
+)
+
+// pacedSender is a Sender whose streams send one chunk after each pause, the first sends as in streams, in order.
+type pacedSender struct {
+	streams []pacedStream
+	sends   int
+}
+
+// pacedStream sends chunks until there are none left; an endless one repeats the last.
+type pacedStream struct {
+	ctx     context.Context
+	pause   time.Duration
+	chunks  []endpoint.Chunk
+	endless bool
+}
+
+func (s *pacedSender) Open(ctx context.Context, _ endpoint.Endpoint, _ endpoint.Call, _ endpoint.SendCheck) (endpoint.Stream, error) {
+	stream := s.streams[s.sends]
+	stream.ctx = ctx
+	s.sends++
+	return &stream, nil
+}
+
+func (s *pacedStream) Head() endpoint.Head { return head(200, "s") }
+
+func (s *pacedStream) Next() (endpoint.Fragment, error) {
+	select {
+	case <-time.After(s.pause):
+	case <-s.ctx.Done():
+		return endpoint.Fragment{}, fmt.Errorf("%w: %w", endpoint.ErrBroken, s.ctx.Err())
+	}
+	if len(s.chunks) == 0 {
+		return endpoint.Fragment{}, io.EOF
+	}
+	c := s.chunks[0]
+	if len(s.chunks) > 1 || !s.endless {
+		s.chunks = s.chunks[1:]
+	}
+	return endpoint.Fragment{Chunk: c}, nil
+}
+
+func (s *pacedStream) Close() {}
+
+// TestStalledStreamIsResumed checks that a slow but sound stream runs to its end, and that one that sends only what keeps its
+// connection open is resumed at another endpoint.
+func TestStalledStreamIsResumed(t *testing.T) {
+	events := []endpoint.Chunk{event("1", "id: 1\ndata: a\n\n"), event("2", "id: 2\ndata: b\n\n"), end}
+	comment := endpoint.Chunk{Data: []byte(": still here\n\n")}
+	tests := []struct {
+		name  string
+		first pacedStream
+		sends int
+	}{
+		{"slow but sound", pacedStream{pause: 700 * time.Millisecond, chunks: events}, 1},
+		{"stalled without a byte", pacedStream{pause: time.Hour, chunks: events}, 2},
+		{"a comment now and then, before the first event", pacedStream{pause: 300 * time.Millisecond, chunks: []endpoint.Chunk{comment}, endless: true}, 2},
+		{"a comment now and then, after an event", pacedStream{pause: 300 * time.Millisecond, chunks: []endpoint.Chunk{events[0], comment}, endless: true}, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x, sink := routedExchange(routing.KindStream)
+				rest := pacedStream{pause: 10 * time.Millisecond, chunks: events}
+				sender := &pacedSender{streams: []pacedStream{test.first, rest, rest}}
+				started := time.Now()
+				ctx, cancel := context.WithDeadline(t.Context(), x.Request.Deadline)
+				defer cancel()
+				err := Forward{&fakePool{}, noShift{}, sender}.Handle(ctx, x, nil)
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, sink.whole, qt.IsTrue)
+				qt.Check(t, sender.sends, qt.Equals, test.sends)
+				qt.Check(t, time.Since(started) < 5*x.Routed.Route.MaxGap, qt.IsTrue, qt.Commentf("%v", time.Since(started)))
+			})
+		})
+	}
+}
