--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -100,10 +100,15 @@
 
 // Handle implements filter.Filter. A request in flight is one that Handle let pass and that hasn't returned.
 func (d *drain) Handle(ctx context.Context, x *filter.Exchange, next filter.Next) error {
-	entered, err := task.Ask(ctx, d.mailbox, func(reply chan<- bool) drainMessage { return enterMessage{reply} })
-	if err != nil {
+	reply := make(chan bool, 1)
+	if err := task.Tell(d.mailbox, drainMessage(enterMessage{reply})); err != nil {
 		return result.Errorf(result.QueueFull, "count request in flight: %v", err)
 	}
+	entered := false
+	select { // also if ctx has ended, since a request that was counted has to be uncounted
+	case entered = <-reply:
+	case <-d.stopped:
+	}
 	if !entered {
 		return result.Errorf(result.Leaving, "this VM is shutting down")
 	}
