--- a/internal/shift/controller.go
+++ b/internal/shift/controller.go
@@ -115,7 +115,9 @@
 	baselines *Baselines
 	// pinned has the hashes of sessions that were active on the old version on another VM when the traffic shift began.
 	pinned map[uint64]bool
-	pins   pinsState
+	// pins says whether this VM has published its own; it does so at nextPins at the earliest.
+	pins     pinsState
+	nextPins time.Time
 	// halted says that this VM sends nothing to the new version, even before the record says so.
 	halted bool
 	// reason says why the version was halted.
@@ -204,7 +206,7 @@
 		standing := c.standing(name, s, now)
 		s.raise(standing.Allowed(), standing.Total)
 		c.proposeDue(name, s, standing, now)
-		if s.pins == pinsUnpublished && standing.Elapsed > pinExchangeTime-2*tickInterval && !pinningOver(standing.Elapsed, s.record.Duration) {
+		if s.pinsDue(standing.Elapsed, now) {
 			c.publishPinned(name, s, now)
 		}
 	}
--- a/internal/shift/controller_test.go
+++ b/internal/shift/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -32,6 +33,9 @@
 
 func (s *fakeStore) PublishPinned(_ context.Context, _, _ string, sessions []uint64) error {
 	s.pins <- sessions
+	if s.failWrites {
+		return ErrOutdated
+	}
 	return nil
 }
 
@@ -172,3 +176,38 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, b, qt.DeepEquals, Binding{ExcludedVersions: []string{"v2"}})
 }
+
+// TestPinnedSessionsArePublished checks that pinned sessions are published once, and again after a pause where the write
+// failed, until sessions are no longer pinned.
+func TestPinnedSessionsArePublished(t *testing.T) {
+	tests := []struct {
+		name       string
+		failWrites bool
+		least      int
+		most       int
+	}{
+		{"the store accepts the write", false, 1, 1},
+		{"the store refuses every write", true, 4, 9},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				store := &fakeStore{records: make(chan Record, 256), pins: make(chan []uint64, 256), failWrites: test.failWrites}
+				c := New(store, fakeVersions{"v1": 3}, Options{VM: "vm", SessionIdle: time.Hour}, logr.Discard())
+				ends := make(chan task.End, 1)
+				task.Start(ctx, "shift", ends, c.Run)
+				for i := range 100 {
+					a := Attempt{ID: AttemptID{Number: i}, Service: "s", Session: fmt.Sprint(i), Version: "v1"}
+					qt.Assert(t, c.AttemptStarted(ctx, a), qt.IsNil)
+				}
+				qt.Assert(t, c.ApplyOrder(ctx, Order{Service: "s", Target: "v2", Duration: 20 * time.Second, Revision: 9}), qt.IsNil)
+				time.Sleep(20 * time.Second)
+				n := len(store.pins)
+				qt.Check(t, n >= test.least && n <= test.most, qt.IsTrue, qt.Commentf("%d writes", n))
+				cancel()
+				<-ends
+			})
+		})
+	}
+}
--- a/internal/shift/sessions.go
+++ b/internal/shift/sessions.go
@@ -8,8 +8,12 @@
 	"cornelmux/internal/task"
 )
 
-// maxPinnedSessions is the maximum number of sessions that a VM publishes for a service.
-const maxPinnedSessions = 2000
+const (
+	// maxPinnedSessions is the maximum number of sessions that a VM publishes for a service.
+	maxPinnedSessions = 2000
+	// pinsRetryPause is the time after a failed write of the pinned sessions until the next one.
+	pinsRetryPause = time.Second
+)
 
 // pinsState says whether this VM has published its pinned sessions for a traffic shift.
 type pinsState int
@@ -124,6 +128,12 @@
 	return false
 }
 
+// pinsDue reports whether this VM has to publish its pinned sessions now. tick calls it.
+func (s *service) pinsDue(elapsed time.Duration, now time.Time) bool {
+	return s.pins == pinsUnpublished && !now.Before(s.nextPins) &&
+		elapsed > pinExchangeTime-2*tickInterval && !pinningOver(elapsed, s.record.Duration)
+}
+
 // publishPinned publishes the sessions that are active on the old version on this VM, for other VMs to keep them there.
 // Only sessions within CanaryShare are listed, since no others would move while sessions are pinned.
 // tick calls it from two ticks before pinExchangeTime ends until a write succeeds, or pinning or the traffic shift is over.
@@ -160,7 +170,7 @@
 	}
 	s.pins = pinsPublished
 	if m.err != nil {
-		s.pins = pinsUnpublished
+		s.pins, s.nextPins = pinsUnpublished, time.Now().Add(pinsRetryPause)
 		c.log.Info("pinned sessions not published", "service", m.service, "error", m.err.Error())
 	}
 }
