--- a/internal/shift/verdict.go
+++ b/internal/shift/verdict.go
@@ -9,14 +9,15 @@
 const (
 	// proofWindow is the age up to which evidence proves a version at its present share.
 	proofWindow = 2 * time.Second
-	// A version is proved by the answers of proofShare of a proofWindow, at least minProof and at most maxProof of them.
+	// proofShare is the share, 0 to 1, of the service's answers in a proofWindow that the new version has to give to be
+	// proved, but never fewer than minProof answers.
 	proofShare = 0.5
 	minProof   = 2
-	maxProof   = 20
-	// rampProof is maxProof for the step beyond probeShare.
-	rampProof = 8
-	// lateProof is maxProof after completionDeadline.
+	// No more answers than these are needed, so that a busy service isn't held up: maxProof to complete the traffic shift,
+	// lateProof after completionDeadline, and rampProof for the share to rise beyond probeShare.
+	maxProof  = 20
 	lateProof = 10
+	rampProof = 8
 	// proofDeadline is the fraction of the duration at which a version that isn't proved is rolled back, so that the
 	// record is stored within the duration.
 	proofDeadline = 0.95
@@ -81,8 +82,8 @@
 }
 
 // Allowed returns the share of sessions, 0 to 1, that may get the target from now on. It never decreases: it follows the
-// schedule, stays at probeShare until the version of a busy service is proved there, and stops while the version isn't proved or
-// is suspected.
+// schedule, stays at probeShare until the version of a busy service is proved there, and stops while that version isn't proved
+// or is suspected.
 func (s Standing) Allowed() float64 {
 	scheduled := Share(s.Elapsed, s.Duration)
 	switch {
