--- /dev/null
+++ b/internal/feed/fakes_test.go
@@ -0,0 +1,184 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"cornelmux/internal/task"
+)
+
+// network carries datagrams between the controllers of a test; drop reports which are lost.
+type network struct {
+	inboxes map[string]chan []byte
+	drop    func(from, to string) bool
+}
+
+// networkPort is the Transport of one controller.
+type networkPort struct {
+	network *network
+	name    string
+}
+
+func (p networkPort) Run(ctx context.Context, deliver func([]byte) error) error {
+	for {
+		select {
+		case d := <-p.network.inboxes[p.name]:
+			_ = deliver(d) // a full mailbox drops it
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (p networkPort) Send(address string, packet []byte) error {
+	if p.network.drop != nil && p.network.drop(p.name, address) {
+		return nil
+	}
+	return task.Tell(p.network.inboxes[address], packet)
+}
+
+// store is a Source and Registrar whose state one goroutine owns.
+type store struct{ work chan func(*state) }
+
+// state is the content of a store, and the faults that it simulates.
+type state struct {
+	items    []Item
+	revision uint64
+	// watches counts the completed watches of each VM.
+	watches map[string]int
+	// historyGone holds the VMs whose next watch fails with ErrHistoryGone.
+	historyGone map[string]bool
+	// refused holds the VMs whose watches fail.
+	refused map[string]bool
+}
+
+// newStore returns an empty store, whose goroutine ends with ctx.
+func newStore(ctx context.Context) store {
+	s := store{work: make(chan func(*state))}
+	go func() {
+		st := &state{watches: map[string]int{}, historyGone: map[string]bool{}, refused: map[string]bool{}}
+		for {
+			select {
+			case f := <-s.work:
+				f(st)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return s
+}
+
+// do runs f in the goroutine that owns the state.
+func (s store) do(ctx context.Context, f func(*state)) error {
+	done := make(chan struct{})
+	select {
+	case s.work <- func(st *state) { f(st); close(done) }:
+		<-done
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s store) put(ctx context.Context, key, value string) {
+	_ = s.do(ctx, func(st *state) {
+		st.revision++
+		st.items = append(st.items, Item{Key: key, Value: []byte(value), Revision: st.revision})
+	})
+}
+
+// vmStore is the store as one VM uses it.
+type vmStore struct {
+	store
+	vm string
+}
+
+var errRefused = errors.New("refused")
+
+func (r vmStore) Range(ctx context.Context, _ string, _ bool) (p Page, err error) {
+	err = r.do(ctx, func(st *state) { p = Page{Items: slices.Clone(st.items), Revision: st.revision} })
+	return p, err
+}
+
+// Watch implements Source: it polls the store until there are changes or wait is over.
+func (r vmStore) Watch(ctx context.Context, after uint64, wait time.Duration) (items []Item, revision uint64, err error) {
+	deadline := time.Now().Add(wait)
+	refused, gone := false, false
+	_ = r.do(ctx, func(st *state) {
+		refused, gone = st.refused[r.vm], st.historyGone[r.vm]
+		delete(st.historyGone, r.vm)
+	})
+	switch {
+	case refused:
+		return nil, 0, errRefused
+	case gone:
+		return nil, 0, ErrHistoryGone
+	}
+	for {
+		err = r.do(ctx, func(st *state) {
+			revision = st.revision
+			for _, i := range st.items {
+				if i.Revision > after {
+					items = append(items, i)
+				}
+			}
+		})
+		if err != nil || len(items) > 0 || time.Now().After(deadline) || !task.Sleep(ctx, 10*time.Millisecond) {
+			_ = r.do(ctx, func(st *state) { st.watches[r.vm]++ })
+			return items, revision, err
+		}
+	}
+}
+
+func (r vmStore) Lease(context.Context, time.Duration) (uint64, error) { return 1, nil }
+func (r vmStore) Renew(context.Context, uint64) error                  { return nil }
+func (r vmStore) Put(ctx context.Context, key string, value []byte, _ uint64) error {
+	r.put(ctx, key, string(value))
+	return nil
+}
+
+// Create implements Registrar.
+func (r vmStore) Create(ctx context.Context, key string, value []byte) error {
+	exists := false
+	_ = r.do(ctx, func(st *state) {
+		exists = slices.ContainsFunc(st.items, func(i Item) bool { return i.Key == key })
+		if !exists {
+			st.revision++
+			st.items = append(st.items, Item{Key: key, Value: value, Revision: st.revision})
+		}
+	})
+	if exists {
+		return ErrExists
+	}
+	return nil
+}
+
+// recorder is a Receiver that passes on what it receives, as "VM key=value".
+type recorder struct {
+	vm      string
+	applied chan<- string
+}
+
+func (r recorder) Apply(_ context.Context, i Item) {
+	r.applied <- r.vm + " " + i.Key + "=" + string(i.Value)
+}
+func (recorder) ApplyFullScan(context.Context, []string)   {}
+func (recorder) SetFleetRank(context.Context, int)         {}
+func (recorder) SetReachable(context.Context, bool, error) {}
+
+// everyThird drops every third datagram to a VM, from the second on.
+func everyThird(vm string) func(from, to string) bool {
+	counts := make(chan int, 1)
+	counts <- 0
+	return func(_, to string) bool {
+		if to != vm {
+			return false
+		}
+		n := <-counts
+		counts <- n + 1
+		return n%3 == 1
+	}
+}
