--- a/internal/feed/restart_test.go
+++ b/internal/feed/restart_test.go
@@ -90,13 +90,13 @@
 // and a key was withdrawn.
 func TestRestartForgetsWhatIsGone(t *testing.T) {
 	changes := []Item{
-		{Key: "op/config", Value: []byte("with the key"), Revision: 1},
-		{Key: "servers/e1", Value: []byte("ready"), Revision: 2},
-		{Key: "servers/e2", Value: []byte("ready"), Revision: 3},
-		{Key: "servers/e1", Revision: 4, Deleted: true},
-		{Key: "op/config", Value: []byte("without the key"), Revision: 5},
+		{Key: "routes", Value: []byte("with the key"), Revision: 1},
+		{Key: "endpoints/e1", Value: []byte("ready"), Revision: 2},
+		{Key: "endpoints/e2", Value: []byte("ready"), Revision: 3},
+		{Key: "endpoints/e1", Revision: 4, Deleted: true},
+		{Key: "routes", Value: []byte("without the key"), Revision: 5},
 	}
-	want := map[string]string{"op/config": "without the key", "servers/e2": "ready"}
+	want := map[string]string{"routes": "without the key", "endpoints/e2": "ready"}
 	tests := []struct {
 		name          string
 		pageRevisions []uint64
