--- a/internal/session/controller.go
+++ b/internal/session/controller.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -87,19 +86,6 @@
 	activationTimer *time.Timer
 }
 
-// ruleState is the rule in force for a model and the one that follows at activateAt or later.
-type ruleState struct {
-	current    rollout.Rule
-	next       rollout.Rule
-	activateAt time.Time
-}
-
-// halt identifies a halted run of a model's rollout. startedAt is in Unix seconds.
-type halt struct {
-	version   string
-	startedAt int64
-}
-
 // member is another VM as its last datagram described it.
 type member struct {
 	address string
@@ -134,10 +120,6 @@
 		sets []Set
 		err  error
 	}
-	haltMessage struct {
-		model string
-		halt  halt
-	}
 	memberMessage struct{ state peer.State }
 	pulledMessage struct {
 		startedAt time.Time
@@ -250,19 +232,6 @@
 	return version, err
 }
 
-// effectiveRule returns the model's rule in force, halted if this VM has halted its rollout. For a model that no snapshot
-// has brought yet, it is the rule in the query's snapshot. resolveVersion calls it.
-func (c *Controller) effectiveRule(q Query) rollout.Rule {
-	s, ok := c.rules[q.Model.Name]
-	if !ok {
-		s.current = rollout.RuleOf(&q.Snapshot.Catalog, q.Model)
-	}
-	if h, halted := c.halts[q.Model.Name]; halted && h == (halt{s.current.Version, s.current.StartedAt}) {
-		return s.current.Halted()
-	}
-	return s.current
-}
-
 // handle replies with the known sets and rebuilds those of this VM if a binding changed.
 func (m setsMessage) handle(c *Controller) {
 	now := time.Now()
@@ -277,8 +246,6 @@
 	m.reply <- setsReply{append(c.remote.withAge(now), c.ownSets...), nil}
 }
 
-func (m haltMessage) handle(c *Controller) { c.halts[m.model] = m.halt }
-
 // handle records a VM's state. It requests a pull if the VM's sessions aren't known yet after the start of this VM,
 // or will be lost as it leaves.
 func (m memberMessage) handle(c *Controller) {
@@ -291,47 +258,6 @@
 	}
 }
 
-// applySnapshot takes the rules of a new configuration. A changed rule takes effect after the activation delay and a pull,
-// a halt at once. Run calls it for each snapshot.
-func (c *Controller) applySnapshot(s configuration.Snapshot, now time.Time) {
-	for _, m := range s.Catalog.Models {
-		r := rollout.RuleOf(&s.Catalog, m)
-		old, known := c.rules[m.Name]
-		switch {
-		case !known:
-			c.rules[m.Name] = ruleState{current: r, next: r}
-		case r == old.next:
-		case r.State == catalog.RollOutHalted:
-			c.rules[m.Name] = ruleState{current: r, next: r}
-			c.requestPull()
-		default:
-			old.next, old.activateAt = r, activationTime(r, now, c.options.ActivationDelay)
-			c.rules[m.Name] = old
-		}
-	}
-	c.applyWithdrawals(s.Catalog.Withdrawals)
-	c.scheduleActivation(now)
-}
-
-// applyWithdrawals drops the bindings to newly withdrawn versions, so that a reinstatement doesn't restore them.
-// applySnapshot calls it.
-func (c *Controller) applyWithdrawals(withdrawn []catalog.Withdrawal) {
-	next := map[binding]bool{}
-	for _, w := range withdrawn {
-		b := binding{w.Model, w.Version}
-		next[b] = true
-		if !c.withdrawn[b] {
-			c.table.drop(b)
-			c.remote.drop(b, time.Now())
-			c.ownChanged = true
-		}
-	}
-	if !maps.Equal(next, c.withdrawn) {
-		c.requestPull() // new sessions get another version now, so the versions of sessions on other VMs must be known
-	}
-	c.withdrawn = next
-}
-
 // pullInterval returns the time between periodic pulls, which is at most rolloutPullInterval while a rollout is running.
 // Run calls it every expireInterval.
 func (c *Controller) pullInterval() time.Duration {
@@ -343,22 +269,6 @@
 	return c.options.IdleTimeout / pullsPerIdleTimeout
 }
 
-// scheduleActivation sets the timer to the activation of the next pending rule, at most expireInterval ahead.
-// It is called on each new configuration and after each pull.
-func (c *Controller) scheduleActivation(now time.Time) {
-	wait := expireInterval
-	pending := false
-	for _, s := range c.rules {
-		if s.current != s.next {
-			pending = true
-			wait = min(wait, max(s.activateAt.Sub(now), 0))
-		}
-	}
-	if pending {
-		c.activationTimer.Reset(wait)
-	}
-}
-
 // requestPull starts a pull of sessions from the VMs of the region. If one is under way, another follows it. It is
 // called periodically and when versions or members change.
 func (c *Controller) requestPull() {
