--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -11,6 +11,37 @@
 	"cornelmux/internal/task"
 )
 
+// Words in a prompt that ask an engine for a fault; a service looks for some of them in the request body.
+const (
+	// FaultBreak cuts the connection, on an engine in the middle of the stream.
+	FaultBreak = "fault:break"
+	// FaultSilent sends nothing more and keeps the connection open.
+	FaultSilent = "fault:silent"
+	// FaultForeign sends the answer of another request.
+	FaultForeign = "fault:foreign"
+	// FaultRefuse answers 503 without running the request.
+	FaultRefuse = "fault:refuse"
+	// FaultForget cuts the connection and drops the run, so that it can't be resumed.
+	FaultForget = "fault:forget"
+	// FaultCrash cuts every stream, drops all runs and changes the incarnation, as a restart does.
+	FaultCrash = "fault:crash"
+	// FaultReject answers 400.
+	FaultReject = "fault:reject"
+	// FaultFail answers 500.
+	FaultFail = "fault:fail"
+	// FaultEarly ends the answer before it is complete: an engine ends the stream without an error, a service sends less than
+	// its Content-Length.
+	FaultEarly = "fault:early"
+	// FaultTwice sends each event twice.
+	FaultTwice = "fault:twice"
+	// FaultShuffle sends the events in reverse order.
+	FaultShuffle = "fault:shuffle"
+	// FaultSlow adds faultSlowDelay to a call of a service.
+	FaultSlow = "fault:slow"
+	// FaultOversize puts a comment of oversizeBytes into each event.
+	FaultOversize = "fault:oversize"
+)
+
 // PlatformFaults are the faults of the platform stand-in, set with PUT /faults.
 type PlatformFaults struct {
 	// Down answers every call with status 503, except those of /faults and /counts.
