--- a/internal/peer/controller.go
+++ b/internal/peer/controller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -24,8 +23,6 @@
 	// leaveSends is how many times a VM announces that it leaves, leaveInterval the time between two announcements.
 	leaveSends    = 3
 	leaveInterval = 100 * time.Millisecond
-	// sectionTimeout bounds one call of all sections.
-	sectionTimeout = 500 * time.Millisecond
 )
 
 // Transport carries datagrams of at most MaxPacketBytes between VMs.
@@ -315,13 +312,6 @@
 	}
 }
 
-// queueSectionWork queues a call of the sections for serveSections; a full queue drops it.
-func (c *Controller) queueSectionWork(w sectionWork) {
-	if task.Tell(c.sectionQueue, w) != nil {
-		c.counts.SectionQueueFull++
-	}
-}
-
 // mergeUnique returns list with the elements of more that it doesn't hold. The handler of collectedMessage adds the facts of
 // peers to the VM's own ones with it.
 func mergeUnique[T comparable](list, more []T) []T {
@@ -333,87 +323,3 @@
 	}
 	return out
 }
-
-// Counts counts the datagrams of a VM by what became of them. BadSize, BadVersion, BadMAC and Malformed count those that
-// Decode rejected, by its error.
-type Counts struct {
-	Sent          uint64
-	SentBytes     uint64
-	SendFailed    uint64
-	Received      uint64
-	ReceivedBytes uint64
-	BadSize       uint64
-	BadVersion    uint64
-	BadMAC        uint64
-	Malformed     uint64
-	// Replayed counts datagrams that came twice, out of order or from an earlier incarnation.
-	Replayed uint64
-	// OwnName counts datagrams that carry the VM's own name: another VM may have the same one.
-	OwnName uint64
-	// MailboxFull counts datagrams dropped because the mailbox was full.
-	MailboxFull uint64
-	// SectionQueueFull counts calls of the sections dropped because the queue was full.
-	SectionQueueFull uint64
-}
-
-// countRejected counts a datagram that Decode rejected. The handler of packetMessage calls it.
-func (c *Counts) countRejected(err error) {
-	switch {
-	case errors.Is(err, ErrTruncated), errors.Is(err, ErrOversize):
-		c.BadSize++
-	case errors.Is(err, ErrVersion):
-		c.BadVersion++
-	case errors.Is(err, ErrMAC):
-		c.BadMAC++
-	default:
-		c.Malformed++
-	}
-}
-
-// sectionWork is a call of the sections. A goroutine of its own makes it, so that the controller never waits for
-// another.
-type sectionWork interface {
-	do(context.Context, *Controller)
-}
-
-type (
-	collectWork struct{}
-	receiveWork struct{ state State }
-)
-
-// serveSections makes the queued calls of the sections, each within sectionTimeout. It runs as a task of the Controller.
-func (c *Controller) serveSections(ctx context.Context) error {
-	for {
-		select {
-		case w := <-c.sectionQueue:
-			limited, cancel := context.WithTimeout(ctx, sectionTimeout)
-			w.do(limited, c)
-			cancel()
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-// do collects the state of the sections and passes it to the controller. serveSections calls it once per round. A section
-// that fails is left out; if the mailbox is full, the round is skipped.
-func (collectWork) do(ctx context.Context, c *Controller) {
-	var s State
-	for _, section := range c.sections {
-		if err := section.Collect(ctx, &s); err != nil {
-			c.log.V(1).Info("state not collected", "error", err.Error())
-		}
-	}
-	if err := task.Tell(c.mailbox, message(collectedMessage{s})); err != nil {
-		c.log.V(1).Info("gossip round skipped", "error", err.Error())
-	}
-}
-
-// do passes a peer's state to the sections. serveSections calls it for each state that is newer than those known of its VM.
-func (w receiveWork) do(ctx context.Context, c *Controller) {
-	for _, section := range c.sections {
-		if err := section.Receive(ctx, w.state); err != nil {
-			c.log.V(1).Info("state not applied", "from", w.state.VM, "error", err.Error())
-		}
-	}
-}
