Split the fleet's test site: processes and calls get files

site_test.go had 422 lines and three jobs. process_test.go builds, starts and ends processes, call_test.go sends callers' requests and reads what the stand-ins counted; site_test.go keeps the site. Declarations moved whole, no check changed.

--- a/fleet/site_test.go
+++ b/fleet/site_test.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -27,38 +26,12 @@
 )
 
 const (
-	// callerKey is the API key of the client account.
-	callerKey = "fleet-test-key"
 	// testTimeout ends a wait or a request that would hang.
 	testTimeout = 60 * time.Second
 	// pollInterval is the time between two attempts.
 	pollInterval = 20 * time.Millisecond
 )
 
-// binaryDir holds the programs that run built.
-var binaryDir string
-
-func TestMain(m *testing.M) {
-	os.Exit(run(m))
-}
-
-// run builds the programs, runs the tests and returns the exit code.
-func run(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "fleet")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(dir)
-	build := exec.Command("go", "build", "-o", dir+"/", "../cmd/...")
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
-		return 1
-	}
-	binaryDir = dir
-	return m.Run()
-}
-
 // site is a set of processes: the platform, two engines, a service, a rating service and two entry VMs.
 // The entry VMs reach the platform, and the engines and the service are reached, through relays.
 type site struct {
@@ -212,50 +185,6 @@
 	return path
 }
 
-// start starts a process of one of the built programs and appends its output to the log file of this name.
-func (s *site) start(name, binary string, args ...string) {
-	p := exec.Command(filepath.Join(binaryDir, filepath.Base(binary)), args...)
-	log, err := os.OpenFile(filepath.Join(s.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	s.c.Assert(err, qt.IsNil)
-	defer log.Close()
-	p.Stdout, p.Stderr = log, log
-	s.c.Assert(p.Start(), qt.IsNil)
-	s.procs[name] = p
-}
-
-func (s *site) startVM(v *vm) { s.start(v.name, "cornelmux", "serve", "--settings", v.settingsPath) }
-
-func (s *site) signal(name string, sig syscall.Signal) {
-	s.c.Assert(s.procs[name].Process.Signal(sig), qt.IsNil)
-}
-
-// kill ends a process at once and waits until it is gone.
-func (s *site) kill(name string) {
-	s.signal(name, syscall.SIGKILL)
-	_ = s.procs[name].Wait()
-}
-
-// printLogs prints the last 4 KiB of each process's log.
-func (s *site) printLogs() {
-	files, _ := filepath.Glob(filepath.Join(s.dir, "*.log"))
-	for _, f := range files {
-		data, _ := os.ReadFile(f)
-		const tail = 4 << 10
-		s.c.Logf("%s:\n%s", filepath.Base(f), data[max(0, len(data)-tail):])
-	}
-}
-
-// waitListening waits until the address accepts connections.
-func (s *site) waitListening(address string) {
-	s.waitUntil("listening on "+address, func() error {
-		conn, err := net.Dial("tcp", address)
-		if err != nil {
-			return err
-		}
-		return conn.Close()
-	})
-}
-
 // waitUntil repeats f until it returns no error, and fails the test after testTimeout.
 func (s *site) waitUntil(what string, f func() error) {
 	deadline := time.Now().Add(testTimeout)
@@ -325,98 +254,8 @@
 	}
 }
 
-// call is a caller's request; id and session are sent as the headers Idempotency-Key and X-Session-Id.
-type call struct {
-	method  string
-	path    string
-	id      string
-	session string
-	body    string
-}
-
-// reply is what a caller got; version is the model version that answered.
-type reply struct {
-	status  int
-	version string
-	body    string
-}
-
-// chatCall returns an idempotent chat request.
-func chatCall(id, session, model, text string) call {
-	body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":%q}]}`, model, text)
-	return call{"POST", "/v1/chat/completions", id, session, body}
-}
-
-// bookingCall returns a non-idempotent request to the service.
-func bookingCall(id string) call {
-	return call{"POST", "/services/reminders/send", id, "", `{"parish":"Erdenet"}`}
-}
-
-// send sends a call to a VM on a connection of its own and returns the reply.
-func (s *site) send(v *vm, r call) (reply, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+v.callerAddress+r.path, strings.NewReader(r.body))
-	if err != nil {
-		return reply{}, err
-	}
-	req.Header.Set("Authorization", "Bearer "+callerKey)
-	req.Header.Set("Idempotency-Key", r.id)
-	req.Header.Set("X-Session-Id", r.session)
-	req.Close = true
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return reply{}, err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return reply{resp.StatusCode, resp.Header.Get("X-Cornelmux-Version"), string(body)}, err
-}
-
-// runCounts returns how often the stand-in at the URL ran each run, by run ID.
-func (s *site) runCounts(url string) map[string]int {
-	resp, err := http.Get(url + "/counts")
-	s.c.Assert(err, qt.IsNil)
-	defer resp.Body.Close()
-	counts := map[string]int{}
-	s.c.Assert(json.NewDecoder(resp.Body).Decode(&counts), qt.IsNil)
-	return counts
-}
-
-// requestCounts returns how often the service ran each request, by the caller's request ID: the middle of three parts of
-// the run ID.
-func (s *site) requestCounts() map[string]int {
-	byRequest := map[string]int{}
-	for runID, n := range s.runCounts(s.serviceURL) {
-		if parts := strings.Split(runID, "/"); len(parts) == 3 {
-			byRequest[parts[1]] += n
-		}
-	}
-	return byRequest
-}
-
 func freeAddress(c *qt.C) string {
 	address, err := standin.FreeAddress()
 	c.Assert(err, qt.IsNil)
 	return address
 }
-
-// storedValue is a key of the platform's store; its field names are the names in the JSON.
-type storedValue struct {
-	Key   string
-	Value []byte
-}
-
-// journalContains returns an error unless one of the stored values, as the platform lists them, names the request.
-func journalContains(r io.Reader, id string) error {
-	var values []storedValue
-	if err := json.NewDecoder(r).Decode(&values); err != nil {
-		return err
-	}
-	for _, v := range values {
-		if bytes.Contains(v.Value, []byte(id)) {
-			return nil
-		}
-	}
-	return fmt.Errorf("not in %d values", len(values))
-}
