Let one loop serve the mailboxes of the stand-ins

Engine, Platform and Service each had the same loop over their mailbox, and two handlers copied a map by hand. handleAll and maps.Clone take their place. No change of behaviour.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -105,16 +106,7 @@
 func (e *Engine) IgnoreFences() { e.checksFence = false }
 
 // Run owns the state and handles messages until ctx ends.
-func (e *Engine) Run(ctx context.Context) error {
-	for {
-		select {
-		case m := <-e.mailbox:
-			m.handle(e)
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
+func (e *Engine) Run(ctx context.Context) error { return handleAll(ctx, e.mailbox, e) }
 
 // handle starts and counts a run, and drops the oldest one over maxRuns. serveChat sends the message.
 func (m startMessage) handle(e *Engine) {
@@ -165,11 +157,7 @@
 }
 
 func (m runCountsMessage) handle(e *Engine) {
-	counts := make(map[string]int, len(e.runCounts))
-	for k, n := range e.runCounts {
-		counts[k] = n
-	}
-	m.reply <- counts
+	m.reply <- maps.Clone(e.runCounts)
 }
 
 // answerTokens returns the tokens of an answer: the model version in brackets, then the words of the prompt.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -73,16 +73,7 @@
 }
 
 // Run owns the state and handles messages until ctx ends.
-func (p *Platform) Run(ctx context.Context) error {
-	for {
-		select {
-		case m := <-p.mailbox:
-			m.handle(p)
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
+func (p *Platform) Run(ctx context.Context) error { return handleAll(ctx, p.mailbox, p) }
 
 type (
 	// readMessage reads a key or, with recurse, every key with the prefix.
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -55,16 +56,7 @@
 }
 
 // Run owns the counts and handles messages until ctx ends.
-func (s *Service) Run(ctx context.Context) error {
-	for {
-		select {
-		case m := <-s.mailbox:
-			m.handle(s)
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
+func (s *Service) Run(ctx context.Context) error { return handleAll(ctx, s.mailbox, s) }
 
 func (m callMessage) handle(s *Service) {
 	s.counts[m.id]++
@@ -72,11 +64,7 @@
 }
 
 func (m callCountsMessage) handle(s *Service) {
-	counts := make(map[string]int, len(s.counts))
-	for k, n := range s.counts {
-		counts[k] = n
-	}
-	m.reply <- counts
+	m.reply <- maps.Clone(s.counts)
 }
 
 // callAnswer is the body of the answer to a call.
