Split the relay's loop into its state and the steps on it

run had 46 lines with the modes and the connections at five levels of nesting. set, cut and connect now each do one of them; run only receives. No change of behaviour.

--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -89,56 +89,75 @@
 	}
 }
 
+// relayState is what run of a Relay owns.
+type relayState struct {
+	mode RelayMode
+	// conns are the connections of both sides that the relay has opened or accepted and not cut.
+	conns []net.Conn
+	// silenced is closed by RelaySilent and then replaced.
+	silenced chan struct{}
+}
+
 // run owns the mode and the open connections until ctx ends, and closes the connections then. NewRelay starts it.
 func (r *Relay) run(ctx context.Context) {
-	mode := RelayPass
-	silenced := make(chan struct{})
-	var conns []net.Conn
-	defer func() {
-		for _, c := range conns {
-			c.Close()
-		}
-	}()
+	s := relayState{mode: RelayPass, silenced: make(chan struct{})}
+	defer s.cut()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-r.mailbox:
-			switch {
-			case m.mode != nil:
-				mode = *m.mode
-				if mode == RelaySilent {
-					close(silenced)
-					silenced, mode = make(chan struct{}), RelayPass
-				}
-				if mode == RelayRefuse || mode == RelayReset {
-					for _, c := range conns {
-						c.Close()
-					}
-					conns = nil
-				}
-				if mode == RelayReset {
-					mode = RelayPass
-				}
+			if m.mode != nil {
+				s.set(*m.mode)
 				close(m.reply)
-			case mode == RelayRefuse:
-				m.conn.Close()
-			default:
-				upstream, err := net.Dial("tcp", r.target)
-				if err != nil {
-					m.conn.Close()
-					continue
-				}
-				conns = append(conns, m.conn, upstream)
-				go forward(m.conn, upstream, silenced, mode == RelayOneWay, mode == RelayDelay)
-				go forward(upstream, m.conn, silenced, false, mode == RelayDelay)
+				continue
 			}
+			s.connect(m.conn, r.target)
 		}
 	}
 }
 
+// cut closes the open connections.
+func (s *relayState) cut() {
+	for _, c := range s.conns {
+		c.Close()
+	}
+	s.conns = nil
+}
+
+// set changes the mode. RelaySilent and RelayReset affect only open connections, so RelayPass follows them.
+func (s *relayState) set(mode RelayMode) {
+	s.mode = mode
+	switch mode {
+	case RelaySilent:
+		close(s.silenced)
+		s.silenced, s.mode = make(chan struct{}), RelayPass
+	case RelayRefuse:
+		s.cut()
+	case RelayReset:
+		s.cut()
+		s.mode = RelayPass
+	}
+}
+
+// connect relays an accepted connection to the target, or closes it if the mode or the target refuses it.
+func (s *relayState) connect(conn net.Conn, target string) {
+	if s.mode == RelayRefuse {
+		conn.Close()
+		return
+	}
+	upstream, err := net.Dial("tcp", target)
+	if err != nil {
+		conn.Close()
+		return
+	}
+	s.conns = append(s.conns, conn, upstream)
+	go forward(conn, upstream, s.silenced, s.mode == RelayOneWay, s.mode == RelayDelay)
+	go forward(upstream, conn, s.silenced, false, s.mode == RelayDelay)
+}
+
 // forward copies from one connection to the other until one of them closes. If discard is true, or once silenced is closed,
-// it reads and drops the data instead. With delay it waits relayDelay after each read. run starts one for each direction of
+// it reads and drops the data instead. With delay it waits relayDelay after each read. connect starts one for each direction of
 // a connection.
 func forward(to, from net.Conn, silenced <-chan struct{}, discard, delay bool) {
 	buf := make([]byte, 32<<10)
