--- a/internal/cascade/decide_test.go
+++ b/internal/cascade/decide_test.go
@@ -2,24 +2,19 @@
 
 import (
 	"errors"
-	"flag"
 	"math"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
+	"cornelmux/internal/rapidtest"
+
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 )
 
-// TestMain fixes the seed of rapid, so that each run checks the same cases.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "6") // the flag is registered by the import
-	_ = flag.Set("rapid.checks", "2000")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+// TestMain fixes rapid's seed, so that each run checks the same cases.
+func TestMain(m *testing.M) { rapidtest.Main(m, rapidtest.Settings{Seed: 6, Checks: 2000}) }
 
 func drawLevel(t *rapid.T) Level {
 	rated := rapid.Float64Range(0, tallyWindow).Draw(t, "rated")
--- a/internal/journal/log_test.go
+++ b/internal/journal/log_test.go
@@ -1,9 +1,7 @@
 package journal
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"reflect"
 	"slices"
 	"testing"
@@ -13,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"cornelmux/internal/peer"
+	"cornelmux/internal/rapidtest"
 	"cornelmux/pkg/result"
 )
 
@@ -22,17 +21,9 @@
 	testClaimDuration = 10 * time.Second
 )
 
-// TestMain sets defaults for the property tests; a fixed seed keeps runs reproducible.
+// TestMain fixes rapid's seed, so that each run checks the same cases.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{
-		"rapid.seed": "20261204", "rapid.checks": "1000", "rapid.steps": "60", "rapid.nofailfile": "true",
-	} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	flag.Parse()
-	os.Exit(m.Run())
+	rapidtest.Main(m, rapidtest.Settings{Seed: 20261204, Checks: 1000, Steps: 60})
 }
 
 // simPlatform simulates a platform that holds one partition, with writes that take effect late and reads that are stale.
--- a/internal/limit/ledger_test.go
+++ b/internal/limit/ledger_test.go
@@ -1,26 +1,18 @@
 package limit
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
+	"cornelmux/internal/rapidtest"
+
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 )
 
-// TestMain fixes the seed of rapid, so that every run draws the same cases.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for _, f := range []struct{ name, value string }{{"seed", "20261204"}, {"checks", "2000"}, {"nofailfile", "true"}} {
-		if err := flag.Set("rapid."+f.name, f.value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes rapid's seed, so that each run checks the same cases.
+func TestMain(m *testing.M) { rapidtest.Main(m, rapidtest.Settings{Seed: 20261204, Checks: 2000}) }
 
 // demand and offer are datagrams, which the network may lose, delay, duplicate or reorder.
 type demand struct {
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -17,19 +15,12 @@
 
 	"cornelmux/internal/consul"
 	"cornelmux/internal/endpoint"
+	"cornelmux/internal/rapidtest"
 	"cornelmux/internal/task"
 )
 
-// TestMain fixes rapid's seed, so that each run has the same result.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for _, f := range []struct{ name, value string }{{"seed", "20261204"}, {"checks", "2000"}, {"nofailfile", "true"}} {
-		if err := flag.Set("rapid."+f.name, f.value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes rapid's seed, so that each run checks the same cases.
+func TestMain(m *testing.M) { rapidtest.Main(m, rapidtest.Settings{Seed: 20261204, Checks: 2000}) }
 
 // fakeEngine takes orders like an endpoint; checksFence makes it reject outdated ones.
 type fakeEngine struct {
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -4,10 +4,8 @@
 	"context"
 	"encoding/binary"
 	"errors"
-	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,20 +16,14 @@
 
 	"cornelmux/internal/configuration"
 	"cornelmux/internal/peer"
+	"cornelmux/internal/rapidtest"
 	"cornelmux/internal/rollout"
 	"cornelmux/internal/task"
 	"cornelmux/pkg/catalog"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "300", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes rapid's seed, so that each run checks the same cases.
+func TestMain(m *testing.M) { rapidtest.Main(m, rapidtest.Settings{Seed: 20261204, Checks: 300}) }
 
 const (
 	vmCount         = 3
