--- a/internal/session/controller.go
+++ b/internal/session/controller.go
@@ -298,13 +298,7 @@
 	if err := c.remote.add(sets, now); err != nil {
 		c.log.Info("session set refused", "error", err.Error())
 	}
-	for name, s := range c.rules {
-		if s.current != s.next && !s.activateAt.After(m.startedAt) {
-			s.current = s.next
-			c.rules[name] = s
-			c.log.Info("rollout step in force", "model", name, "version", s.current.Version, "share", s.current.Share, "state", s.current.State)
-		}
-	}
+	c.activateRules(m.startedAt)
 	if c.pullAgain {
 		c.pullAgain = false
 		c.requestPull()
--- a/internal/session/rules.go
+++ b/internal/session/rules.go
@@ -99,3 +99,15 @@
 		c.activationTimer.Reset(wait)
 	}
 }
+
+// activateRules puts the pending rules in force that were due when the pull of startedAt began. The handler of pulledMessage
+// calls it.
+func (c *Controller) activateRules(startedAt time.Time) {
+	for name, s := range c.rules {
+		if s.current != s.next && !s.activateAt.After(startedAt) {
+			s.current = s.next
+			c.rules[name] = s
+			c.log.Info("rollout step in force", "model", name, "version", s.current.Version, "share", s.current.Share, "state", s.current.State)
+		}
+	}
+}
