--- a/internal/journal/log_test.go
+++ b/internal/journal/log_test.go
@@ -97,21 +97,31 @@
 	}
 	next, sealed := vm.view.WithAppended(add), (*Batch)(nil)
 	if rapid.Bool().Draw(t, "seal") && len(head.Entries) > 0 {
-		if _, ok := s.sealed[head.Sequence]; !ok {
-			s.sealed[head.Sequence] = vm.view.InlineBatch()
-		}
-		batch := s.sealed[head.Sequence]
+		batch := s.seal(head.Sequence, vm.view.InlineBatch())
 		var err error
 		if next, err = vm.view.WithoutSealed(next, batch); err != nil {
 			return
 		}
 		sealed = &batch
 	}
-	w := simWrite{next, version}
+	s.write(t, vm, simWrite{next, version}, sealed, outcomes)
+}
+
+// seal creates the sealed batch of the sequence unless another VM has, and returns the one that is there.
+func (s *simPlatform) seal(sequence uint64, b Batch) Batch {
+	if _, ok := s.sealed[sequence]; !ok {
+		s.sealed[sequence] = b
+	}
+	return s.sealed[sequence]
+}
+
+// write writes a VM's head with a fault at random: the answer is lost, the write comes late, or the VM only sealed a batch.
+// sealed is the batch that the head no longer holds, or nil. attempt calls it.
+func (s *simPlatform) write(t *rapid.T, vm *simVM, w simWrite, sealed *Batch, outcomes []Outcome) {
 	switch rapid.SampledFrom([]string{"done", "done", "answer lost", "late", "sealed only"}).Draw(t, "write") {
 	case "done":
 		if s.cas(w) {
-			if err := vm.view.ApplyWrite(next, sealed); err != nil {
+			if err := vm.view.ApplyWrite(w.head, sealed); err != nil {
 				t.Fatal(err)
 			}
 			s.acknowledge(vm, outcomes)
@@ -160,14 +170,7 @@
 	if len(s.heads) > 0 {
 		head = s.heads[len(s.heads)-1]
 	}
-	var log []Entry
-	for n := range head.Sequence {
-		if s.sealed[n].Base != uint64(len(log)) {
-			t.Fatalf("batch %d starts at %d of %d", n, s.sealed[n].Base, len(log))
-		}
-		log = append(log, s.sealed[n].Entries...)
-	}
-	log = append(log, head.Entries...)
+	log := s.readLog(t, head)
 	positions := map[string]int{}
 	for i, e := range log {
 		// A bill that is retried after the resend window may be in the log twice; MergeBills counts it once.
@@ -188,6 +191,24 @@
 			billed[e.Key] = true
 		}
 	}
+	checkBills(t, log, billed)
+}
+
+// readLog returns the entries of the whole log, and fails the test if the batches aren't contiguous. check calls it.
+func (s *simPlatform) readLog(t *rapid.T, head Head) []Entry {
+	var log []Entry
+	for n := range head.Sequence {
+		if s.sealed[n].Base != uint64(len(log)) {
+			t.Fatalf("batch %d starts at %d of %d", n, s.sealed[n].Base, len(log))
+		}
+		log = append(log, s.sealed[n].Entries...)
+	}
+	return append(log, head.Entries...)
+}
+
+// checkBills checks that each request of billed has a bill, that no request has two, and that the client account pays for the
+// first run only. Entries that are in the log twice must not change the bills. check calls it.
+func checkBills(t *rapid.T, log []Entry, billed map[Key]bool) {
 	bills := map[Key]bool{}
 	folded := MergeBills(log)
 	if doubled := MergeBills(append(log, log...)); !reflect.DeepEqual(folded, doubled) {
