Use task.TellUntil where its select was written out

The pulls of sessions, a partition's report of written bills and the relay's accept loop had the same select of a send and the end of the context. No change of behaviour.

--- a/internal/journal/partition.go
+++ b/internal/journal/partition.go
@@ -247,10 +247,7 @@
 	if bills == 0 {
 		return
 	}
-	select {
-	case p.controller <- billedMessage{bills}:
-	case <-ctx.Done():
-	}
+	_ = task.TellUntil(ctx, p.controller, message(billedMessage{bills})) // fails only at shutdown, when nobody counts any more
 }
 
 // failBatch refuses the messages of a batch for commit after a failed write: attempted are those that the write held, rest
--- a/internal/session/pull.go
+++ b/internal/session/pull.go
@@ -27,9 +27,7 @@
 		case addresses := <-c.pulls:
 			startedAt := time.Now()
 			sets, answered := c.pullAll(ctx, addresses)
-			select {
-			case c.mailbox <- pulledMessage{startedAt, sets, answered}:
-			case <-ctx.Done():
+			if task.TellUntil(ctx, c.mailbox, message(pulledMessage{startedAt, sets, answered})) != nil {
 				return nil
 			}
 		case <-ctx.Done():
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -81,9 +81,7 @@
 		if err != nil {
 			return nil
 		}
-		select {
-		case r.mailbox <- relayMessage{conn: conn}:
-		case <-ctx.Done():
+		if task.TellUntil(ctx, r.mailbox, relayMessage{conn: conn}) != nil {
 			conn.Close()
 		}
 	}
