--- a/internal/order/client.go
+++ b/internal/order/client.go
@@ -14,8 +14,8 @@
 }
 
 // Order implements Sender; address is the endpoint's host:port. It waits for the answer.
-func (c Client) Order(ctx context.Context, address string, n RecordedOrder) error {
-	data, err := json.Marshal(n)
+func (c Client) Order(ctx context.Context, address string, o RecordedOrder) error {
+	data, err := json.Marshal(o)
 	if err != nil {
 		return err
 	}
--- a/internal/order/controller.go
+++ b/internal/order/controller.go
@@ -32,7 +32,7 @@
 
 // Sender sends an order to an endpoint, or fails with ErrFenced if the endpoint has accepted a later one.
 type Sender interface {
-	Order(ctx context.Context, address string, n RecordedOrder) error
+	Order(ctx context.Context, address string, o RecordedOrder) error
 }
 
 // Controller sends orders to the endpoints that this VM polls, until their reports show the effect. It also sends
@@ -85,8 +85,8 @@
 		select {
 		case m := <-c.mailbox:
 			c.reconcile(ctx, m, time.Now())
-		case n := <-c.sendsDone:
-			c.sent[n] = time.Now()
+		case o := <-c.sendsDone:
+			c.sent[o] = time.Now()
 		case <-c.ends:
 			c.runningSends--
 		case <-ctx.Done():
@@ -116,22 +116,22 @@
 
 // reconcile starts to send the oldest pending order of each endpoint that this VM polls. Run calls it after each poll.
 func (c *Controller) reconcile(ctx context.Context, m pollResult, now time.Time) {
-	for n, at := range c.sent {
+	for o, at := range c.sent {
 		if now.Sub(at) > resendAfter {
-			delete(c.sent, n)
+			delete(c.sent, o)
 		}
 	}
 	for _, e := range m.endpoints {
 		if !e.PolledHere {
 			continue
 		}
-		for _, n := range m.records[e.ID].Pending(e, now) {
-			if _, waits := c.sent[n]; waits || c.runningSends >= maxConcurrentSends {
+		for _, o := range m.records[e.ID].Pending(e, now) {
+			if _, waits := c.sent[o]; waits || c.runningSends >= maxConcurrentSends {
 				continue
 			}
-			c.sent[n] = now
+			c.sent[o] = now
 			c.runningSends++
-			task.Start(ctx, "order to "+e.ID, c.ends, func(ctx context.Context) error { return c.send(ctx, e.Address, n) })
+			task.Start(ctx, "order to "+e.ID, c.ends, func(ctx context.Context) error { return c.send(ctx, e.Address, o) })
 			break // one at a time, so that the endpoint receives them in the order of their numbers
 		}
 	}
@@ -140,26 +140,26 @@
 // send sends an order, logs the result and tells the controller that it is done. An order that was rejected as outdated
 // but still stands gets a new number. It runs as a task of its own for each order. An order that failed is tried again after
 // resendAfter.
-func (c *Controller) send(ctx context.Context, address string, n RecordedOrder) error {
+func (c *Controller) send(ctx context.Context, address string, o RecordedOrder) error {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	err := c.sendNewest(ctx, address, n)
+	err := c.sendNewest(ctx, address, o)
 	switch {
 	case err == nil:
-		c.log.Info("order sent", "endpoint", n.Endpoint, "kind", n.Kind, "version", n.Version, "role", n.Role, "fence", n.Fence)
+		c.log.Info("order sent", "endpoint", o.Endpoint, "kind", o.Kind, "version", o.Version, "role", o.Role, "fence", o.Fence)
 	case errors.Is(err, ErrFenced):
-		err = c.ledger.Renumber(ctx, n)
-		c.log.Info("order rejected as outdated", "endpoint", n.Endpoint, "kind", n.Kind, "fence", n.Fence, "renewed", err == nil)
+		err = c.ledger.Renumber(ctx, o)
+		c.log.Info("order rejected as outdated", "endpoint", o.Endpoint, "kind", o.Kind, "fence", o.Fence, "renewed", err == nil)
 	default:
-		c.log.Info("order not sent", "endpoint", n.Endpoint, "kind", n.Kind, "fence", n.Fence, "error", err.Error())
+		c.log.Info("order not sent", "endpoint", o.Endpoint, "kind", o.Kind, "fence", o.Fence, "error", err.Error())
 	}
-	return task.Tell(c.sendsDone, n)
+	return task.Tell(c.sendsDone, o)
 }
 
 // sendNewest sends an order if it is still the newest about its subject. A load first waits for its slot, to keep
 // within the weight store's rate. send calls it.
-func (c *Controller) sendNewest(ctx context.Context, address string, n RecordedOrder) error {
-	if n.Kind == KindLoad {
+func (c *Controller) sendNewest(ctx context.Context, address string, o RecordedOrder) error {
+	if o.Kind == KindLoad {
 		wait, err := c.ledger.ReserveLoad(ctx)
 		if err != nil {
 			return err
@@ -168,12 +168,12 @@
 			return ctx.Err()
 		}
 	}
-	newest, err := c.ledger.IsNewest(ctx, n)
+	newest, err := c.ledger.IsNewest(ctx, o)
 	if err != nil {
 		return err
 	}
 	if !newest {
 		return ErrFenced
 	}
-	return c.sender.Order(ctx, address, n)
+	return c.sender.Order(ctx, address, o)
 }
--- a/internal/order/ledger.go
+++ b/internal/order/ledger.go
@@ -44,8 +44,8 @@
 		if err != nil {
 			return nil, err
 		}
-		next, n, err := r.Add(o)
-		added = n
+		next, recorded, err := r.Add(o)
+		added = recorded
 		if err != nil || next.Fence == r.Fence {
 			return nil, err
 		}
@@ -55,25 +55,25 @@
 }
 
 // Renumber gives an order the next number if it still stands. It is called if the endpoint rejected it as outdated.
-func (l Ledger) Renumber(ctx context.Context, n RecordedOrder) error {
-	return l.update(ctx, recordPrefix+n.Endpoint, func(data []byte) ([]byte, error) {
+func (l Ledger) Renumber(ctx context.Context, o RecordedOrder) error {
+	return l.update(ctx, recordPrefix+o.Endpoint, func(data []byte) ([]byte, error) {
 		r, err := parseRecord(data)
-		if err != nil || !r.IsNewest(n) {
+		if err != nil || !r.IsNewest(o) {
 			return nil, err
 		}
-		return json.Marshal(r.Renumber(n))
+		return json.Marshal(r.Renumber(o))
 	})
 }
 
 // IsNewest reports whether the order is still the newest about its subject. The Controller calls it just before an order is
 // sent.
-func (l Ledger) IsNewest(ctx context.Context, n RecordedOrder) (bool, error) {
-	v, err := l.Store.Get(ctx, recordPrefix+n.Endpoint)
+func (l Ledger) IsNewest(ctx context.Context, o RecordedOrder) (bool, error) {
+	v, err := l.Store.Get(ctx, recordPrefix+o.Endpoint)
 	if err != nil {
 		return false, err
 	}
 	r, err := parseRecord(v.Data)
-	return r.IsNewest(n), err
+	return r.IsNewest(o), err
 }
 
 // Records returns the record of each endpoint that has one, by endpoint. poll calls it in each interval. One record that
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -87,27 +87,27 @@
 // Add returns the record with the order under the next number. An order that is the newest about its subject keeps its
 // number. Ledger.Add calls it.
 func (r Record) Add(o Order) (Record, RecordedOrder, error) {
-	i := slices.IndexFunc(r.Orders, func(n RecordedOrder) bool { return n.subject() == o.subject() })
+	i := slices.IndexFunc(r.Orders, func(old RecordedOrder) bool { return old.subject() == o.subject() })
 	if i >= 0 && r.Orders[i].Order == o {
 		return r, r.Orders[i], nil
 	}
-	n := RecordedOrder{Order: o, Fence: r.Fence + 1}
-	next := Record{Fence: n.Fence, Orders: slices.Clone(r.Orders)}
+	recorded := RecordedOrder{Order: o, Fence: r.Fence + 1}
+	next := Record{Fence: recorded.Fence, Orders: slices.Clone(r.Orders)}
 	switch {
 	case i >= 0:
-		next.Orders[i] = n
+		next.Orders[i] = recorded
 	case len(r.Orders) >= maxOrders:
 		return r, RecordedOrder{}, fmt.Errorf("endpoint %s already has %d orders", o.Endpoint, maxOrders)
 	default:
-		next.Orders = append(next.Orders, n)
+		next.Orders = append(next.Orders, recorded)
 	}
-	return next, n, nil
+	return next, recorded, nil
 }
 
 // Renumber returns the record with the next number for an order that still stands. It is called if the endpoint has
 // accepted a higher number.
-func (r Record) Renumber(n RecordedOrder) Record {
-	i := slices.Index(r.Orders, n)
+func (r Record) Renumber(o RecordedOrder) Record {
+	i := slices.Index(r.Orders, o)
 	if i < 0 {
 		return r
 	}
@@ -116,8 +116,8 @@
 	return next
 }
 
-// IsNewest reports whether no later order about the subject of n is recorded.
-func (r Record) IsNewest(n RecordedOrder) bool { return slices.Contains(r.Orders, n) }
+// IsNewest reports whether no later order about the subject of o is recorded.
+func (r Record) IsNewest(o RecordedOrder) bool { return slices.Contains(r.Orders, o) }
 
 // TookEffect reports whether the endpoint's last report shows the effect of the order.
 func (o Order) TookEffect(e endpoint.Endpoint) bool {
@@ -138,9 +138,9 @@
 		return nil
 	}
 	var list []RecordedOrder
-	for _, n := range r.Orders {
-		if !n.TookEffect(e) {
-			list = append(list, n)
+	for _, o := range r.Orders {
+		if !o.TookEffect(e) {
+			list = append(list, o)
 		}
 	}
 	slices.SortFunc(list, func(a, b RecordedOrder) int { return cmp.Compare(a.Fence, b.Fence) })
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -31,19 +31,19 @@
 }
 
 // take carries out an order.
-func (e *fakeEngine) take(n RecordedOrder) error {
-	if e.checksFence && n.Fence < e.fence {
+func (e *fakeEngine) take(o RecordedOrder) error {
+	if e.checksFence && o.Fence < e.fence {
 		return ErrFenced
 	}
-	e.fence = max(e.fence, n.Fence)
-	kept := slices.DeleteFunc(slices.Clone(e.versions), func(v string) bool { return v == n.Version })
-	switch n.Kind {
+	e.fence = max(e.fence, o.Fence)
+	kept := slices.DeleteFunc(slices.Clone(e.versions), func(v string) bool { return v == o.Version })
+	switch o.Kind {
 	case KindLoad:
-		e.versions = append(kept, n.Version)
+		e.versions = append(kept, o.Version)
 	case KindUnload:
 		e.versions = kept
 	default:
-		e.role = n.Role
+		e.role = o.Role
 	}
 	return nil
 }
@@ -71,21 +71,21 @@
 		var r Record
 		var paused []RecordedOrder
 		submitted := map[string]Order{}
-		send := func(n RecordedOrder) {
-			if e.take(n) != nil {
-				r = r.Renumber(n)
+		send := func(o RecordedOrder) {
+			if e.take(o) != nil {
+				r = r.Renumber(o)
 			}
 		}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			switch rapid.SampledFrom([]string{"submit", "read", "send"}).Draw(t, "event") {
 			case "submit":
 				before := r.Fence
-				next, n, err := r.Add(rapid.SampledFrom(testOrders).Draw(t, "order"))
-				if err != nil || next.Fence < before || !next.IsNewest(n) {
+				next, recorded, err := r.Add(rapid.SampledFrom(testOrders).Draw(t, "order"))
+				if err != nil || next.Fence < before || !next.IsNewest(recorded) {
 					t.Fatalf("fence %d after %d, %v", next.Fence, before, err)
 				}
 				r = next
-				submitted[n.subject()] = n.Order
+				submitted[recorded.subject()] = recorded.Order
 			case "read":
 				paused = append(paused, r.Pending(e.report(now), now)...)
 			case "send":
@@ -199,9 +199,9 @@
 			store := &fakeStore{data: map[string]consul.Value{}, loseAnswers: row.loseAnswers}
 			l := Ledger{Store: store}
 			for range 2 {
-				n, err := l.Add(context.Background(), row.order)
+				recorded, err := l.Add(context.Background(), row.order)
 				c.Assert(err, qt.IsNil)
-				c.Assert(n, qt.Equals, RecordedOrder{row.order, row.fence})
+				c.Assert(recorded, qt.Equals, RecordedOrder{row.order, row.fence})
 			}
 			c.Assert(store.data[recordPrefix+"e1"].Version, qt.Equals, uint64(1))
 		})
@@ -224,11 +224,11 @@
 	return []endpoint.Endpoint{e}, nil
 }
 
-func (f *fakeEndpoint) Order(_ context.Context, _ string, n RecordedOrder) error {
+func (f *fakeEndpoint) Order(_ context.Context, _ string, o RecordedOrder) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.sends = append(f.sends, n)
-	return f.engine.take(n)
+	f.sends = append(f.sends, o)
+	return f.engine.take(o)
 }
 
 // TestControllerSendsWhatAnotherVMRecorded records orders and runs a controller that didn't submit them.
