--- a/internal/limit/controller.go
+++ b/internal/limit/controller.go
@@ -172,13 +172,13 @@
 func (m collectMessage) handle(c *Controller) {
 	now := time.Now()
 	var demand []peer.AccountDemand
-	for _, n := range largestShortfalls(c.ledgers, maxDemandsPerState, now) {
+	for _, s := range largestShortfalls(c.ledgers, maxDemandsPerState, now) {
 		if len(c.demandedAt) >= maxPendingDemands {
 			break
 		}
 		id := rand.Uint64()
 		c.demandedAt[id] = now
-		demand = append(demand, peer.AccountDemand{Account: n.account, RequestsPerSecond: n.perSecond, ID: id})
+		demand = append(demand, peer.AccountDemand{Account: s.account, RequestsPerSecond: s.perSecond, ID: id})
 	}
 	m.reply <- append(demand, c.nextOffers()...)
 }
--- a/internal/limit/ledger.go
+++ b/internal/limit/ledger.go
@@ -19,6 +19,12 @@
 	// demandReserve multiplies a VM's own demand: it lends none of the product, and asks for a loan only if its own
 	// share is less.
 	demandReserve = 1.2
+	// busyShare is the part of the usable rate, 0 to 1, that the demand with its reserve exceeds when a VM asks for a loan.
+	busyShare = 0.8
+	// loanFactor multiplies the equal part of a shortfall that falls to each of the other VMs; a new loan covers the product.
+	loanFactor = 2
+	// minLoanShare is the part of its own share, 0 to 1, that a VM lends at least where it can spare it.
+	minLoanShare = 0.125
 	// demandWindow is the time over which the demand is averaged.
 	demandWindow = 2 * time.Second
 )
@@ -153,18 +159,19 @@
 func (l *Ledger) capacity() float64 { return max(1, float64(l.Rate.Burst)/float64(l.VMs)) }
 
 // Shortfall returns the rate that the VM lacks beyond its own share, in requests per second. It returns 0 while the
-// demand with its reserve is at most 80 % of the usable rate. largestShortfalls calls it.
+// demand with its reserve is at most busyShare of the usable rate. largestShortfalls calls it.
 func (l *Ledger) Shortfall(now time.Time) float64 {
 	l.advance(now)
-	if shortfall := l.Demand*demandReserve - l.OwnShare(); shortfall > 0 && l.Demand*demandReserve > l.UsableRate(now)*0.8 {
-		return shortfall
+	wanted := l.Demand * demandReserve
+	if wanted <= l.UsableRate(now)*busyShare {
+		return 0
 	}
-	return 0
+	return max(wanted-l.OwnShare(), 0)
 }
 
 // Lend returns the rate to lend to a VM with the shortfall, or 0, and records the loan. The Controller calls it for
-// each demand of another VM. A new loan is twice the shortfall divided by the number of other VMs, or an eighth of the
-// own share if that is more, as far as this VM can spare it. A loan that has not expired keeps its rate when it is
+// each demand of another VM. A new loan is loanFactor times the shortfall divided by the number of other VMs, or minLoanShare
+// of the own share if that is more, as far as this VM can spare it. A loan that has not expired keeps its rate when it is
 // renewed, because the borrower may still use the former one.
 func (l *Ledger) Lend(vm string, shortfall float64, now time.Time) float64 {
 	l.advance(now)
@@ -172,7 +179,8 @@
 	loan, running := l.Lent[vm]
 	if !running {
 		free := spare - l.lentRate(now)
-		loan.PerSecond = min(free, max(2*shortfall/float64(max(l.VMs-1, 1)), l.OwnShare()/8))
+		perVM := loanFactor * shortfall / float64(max(l.VMs-1, 1))
+		loan.PerSecond = min(free, max(perVM, l.OwnShare()*minLoanShare))
 	}
 	if l.recentlyStarted(now) || loan.PerSecond <= 0 || (running && l.lentRate(now) > spare) {
 		return 0
