--- a/internal/journal/read.go
+++ b/internal/journal/read.go
@@ -66,15 +66,8 @@
 			return nil
 		})
 	}
-	var firstErr error
-	for range batchReaders {
-		if end := <-ends; end.Err != nil && firstErr == nil {
-			firstErr = end.Err
-			cancel()
-		}
-	}
-	if firstErr != nil {
-		return nil, firstErr
+	if err := waitForReaders(cancel, ends); err != nil {
+		return nil, err
 	}
 	batches := make([]Batch, to-from)
 	for range batches {
@@ -83,3 +76,16 @@
 	}
 	return batches, nil
 }
+
+// waitForReaders waits until all batchReaders have ended and returns the first error, at which it cancels the other readers.
+// readBatches calls it.
+func waitForReaders(cancel context.CancelFunc, ends <-chan task.End) error {
+	var first error
+	for range batchReaders {
+		if end := <-ends; end.Err != nil && first == nil {
+			first = end.Err
+			cancel()
+		}
+	}
+	return first
+}
