--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -22,7 +23,9 @@
 )
 
 const (
-	// registerTimeout bounds a registration call, and also the reading of a request's header.
+	// readHeaderTimeout bounds the reading of a request's header.
+	readHeaderTimeout = time.Second
+	// registerTimeout bounds a registration call.
 	registerTimeout = time.Second
 	// registerRetryInterval is the pause after a failed registration.
 	registerRetryInterval = 2 * time.Second
@@ -113,7 +116,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	server := &http.Server{Handler: p, ReadHeaderTimeout: registerTimeout}
+	server := &http.Server{Handler: p, ReadHeaderTimeout: readHeaderTimeout}
 	ends := make(chan task.End, 3)
 	task.Start(ctx, "state", ends, p.Run)
 	task.Start(ctx, "server", ends, func(context.Context) error { return server.Serve(l) })
@@ -143,9 +146,7 @@
 		return err
 	}
 	fullMeta := map[string]string{"region": c.Region, "zone": c.Zone}
-	for k, v := range meta {
-		fullMeta[k] = v
-	}
+	maps.Copy(fullMeta, meta)
 	client := consul.New(c.Platform, http.DefaultClient, registerTimeout)
 	registration := consul.Registration{ID: c.ID, Name: service, Address: host, Port: portNumber, Meta: fullMeta}
 	for {
