--- a/fleet/site_test.go
+++ b/fleet/site_test.go
@@ -85,19 +85,7 @@
 		s.relays[name] = r
 		return r.Address
 	}
-	platformAddress := freeAddress(c)
-	s.platformURL = "http://" + platformAddress
-	s.start("platform", "standin", "platform", "--listen", platformAddress)
-	ratingAddress := freeAddress(c)
-	s.start("rating", "standin", "rating", "--listen", ratingAddress)
-	s.waitListening(platformAddress)
-	s.startEngine("engine-1", "zone-1", "composer/v1,cheap/v1", relayTo)
-	s.startEngine("engine-2", "zone-2", "composer/v1,composer/v2", relayTo)
-	serviceAddress := freeAddress(c)
-	s.serviceURL = "http://" + serviceAddress
-	s.start("service-1", "standin", "service", "--listen", serviceAddress, "--name", "reminders", "--delay", "50ms")
-	s.waitListening(serviceAddress)
-	s.register("service-1", "zone-1", relayTo("service-1", serviceAddress))
+	platformAddress, ratingAddress := s.startStandins(relayTo)
 	s.writeFile("operator.key", "operator-key")
 	s.writeFile("fleet.key", "fleet-key")
 	for n := 1; n <= 2; n++ {
@@ -112,6 +100,25 @@
 	return s
 }
 
+// startStandins starts the platform, the rating service, both engines and the service, and registers the addresses of their
+// relays. newSite calls it with a function that starts a relay.
+func (s *site) startStandins(relayTo func(name, target string) string) (platformAddress, ratingAddress string) {
+	platformAddress = freeAddress(s.c)
+	s.platformURL = "http://" + platformAddress
+	s.start("platform", "standin", "platform", "--listen", platformAddress)
+	ratingAddress = freeAddress(s.c)
+	s.start("rating", "standin", "rating", "--listen", ratingAddress)
+	s.waitListening(platformAddress)
+	s.startEngine("engine-1", "zone-1", "composer/v1,cheap/v1", relayTo)
+	s.startEngine("engine-2", "zone-2", "composer/v1,composer/v2", relayTo)
+	serviceAddress := freeAddress(s.c)
+	s.serviceURL = "http://" + serviceAddress
+	s.start("service-1", "standin", "service", "--listen", serviceAddress, "--name", "reminders", "--delay", "50ms")
+	s.waitListening(serviceAddress)
+	s.register("service-1", "zone-1", relayTo("service-1", serviceAddress))
+	return platformAddress, ratingAddress
+}
+
 // startEngine starts an engine and registers the address of its relay.
 func (s *site) startEngine(id, zone, versions string, relayTo func(name, target string) string) {
 	address := freeAddress(s.c)
@@ -121,7 +128,7 @@
 	s.register(id, zone, relayTo(id, address))
 }
 
-// register registers an endpoint with the platform.
+// register adds an endpoint to the platform's list.
 func (s *site) register(id, zone, address string) {
 	host, port, err := net.SplitHostPort(address)
 	s.c.Assert(err, qt.IsNil)
