--- a/fleet/call_test.go
+++ b/fleet/call_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -84,23 +83,3 @@
 	}
 	return byRequest
 }
-
-// storedValue is a key of the platform's store; its field names are the names in the JSON.
-type storedValue struct {
-	Key   string
-	Value []byte
-}
-
-// journalContains returns an error unless one of the stored values, as the platform lists them, names the request.
-func journalContains(r io.Reader, id string) error {
-	var values []storedValue
-	if err := json.NewDecoder(r).Decode(&values); err != nil {
-		return err
-	}
-	for _, v := range values {
-		if bytes.Contains(v.Value, []byte(id)) {
-			return nil
-		}
-	}
-	return fmt.Errorf("not in %d values", len(values))
-}
--- a/fleet/failure_test.go
+++ b/fleet/failure_test.go
@@ -112,15 +112,15 @@
 	return replies
 }
 
-// waitForJournal waits until a value of the journal names the request.
-func (s *site) waitForJournal(id string) {
-	s.waitUntil("the journal has "+id, func() error {
+// waitForClaim waits until the journal holds a claim of the request.
+func (s *site) waitForClaim(id string) {
+	s.waitUntil("the journal has a claim of "+id, func() error {
 		resp, err := http.Get(s.platformURL + "/v1/kv/" + journalKeyPrefix + "?recurse=true")
 		if err != nil {
 			return err
 		}
 		defer resp.Body.Close()
-		return journalContains(resp.Body, id)
+		return hasClaim(resp.Body, id)
 	})
 }
 
@@ -136,7 +136,7 @@
 			s := newSite(t, setting{"limits", "claim_for", "2s"}, setting{"reach", "platform_timeout", "1s"})
 			s.setFaults(standin.PlatformFaults{HoldAnswers: journalKeyPrefix})
 			first := sendAsync(s, s.vms[0], bookingCall("b-1"))
-			s.waitForJournal("b-1")
+			s.waitForClaim("b-1")
 			if row.freeze {
 				s.signal("vm-1", syscall.SIGSTOP)
 			} else {
