Wait until a frozen process has stopped

SIGSTOP only asks for the stop: the threads go on until one of them has taken the signal and stopped the others. That is inferred from the counts and the measured delays; no trace shows vm-1's steps.

freeze waits for the stop with wait4 and WUNTRACED. The checks are the same, and now hold on what they name.

--- a/fleet/failure_test.go
+++ b/fleet/failure_test.go
@@ -138,7 +138,7 @@
 			first := sendAsync(s, s.vms[0], bookingCall("b-1"))
 			s.waitForClaim("b-1")
 			if row.freeze {
-				s.signal("vm-1", syscall.SIGSTOP)
+				s.freeze("vm-1")
 			} else {
 				s.kill("vm-1")
 			}
@@ -181,7 +181,7 @@
 				return nil
 			})
 			if row.freeze {
-				s.signal("vm-1", syscall.SIGSTOP)
+				s.freeze("vm-1")
 			} else {
 				s.kill("vm-1")
 			}
--- a/fleet/process_test.go
+++ b/fleet/process_test.go
@@ -53,6 +53,15 @@
 	s.c.Assert(s.procs[name].Process.Signal(sig), qt.IsNil)
 }
 
+// freeze stops a process and waits until all its threads have stopped, since they go on for a while on a busy machine.
+func (s *site) freeze(name string) {
+	s.signal(name, syscall.SIGSTOP)
+	var status syscall.WaitStatus
+	_, err := syscall.Wait4(s.procs[name].Process.Pid, &status, syscall.WUNTRACED, nil)
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(status.Stopped(), qt.IsTrue)
+}
+
 // kill ends a process at once and waits until it is gone.
 func (s *site) kill(name string) {
 	s.signal(name, syscall.SIGKILL)
--- a/fleet/traffic_test.go
+++ b/fleet/traffic_test.go
@@ -58,7 +58,7 @@
 func TestTrafficWhileOneProcessFails(t *testing.T) {
 	freeze := func(name string) func(s *site) {
 		return func(s *site) {
-			s.signal(name, syscall.SIGSTOP)
+			s.freeze(name)
 			task.Sleep(context.Background(), faultDuration)
 			s.signal(name, syscall.SIGCONT)
 		}
