--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -175,7 +175,7 @@
 	_ = f.Shifts.AttemptEnded(ctx, a) // a full mailbox loses one answer's evidence
 	step := Step{
 		Endpoint: place.ID, Model: x.Attempt.Model, Version: place.Version, End: s.end.String(), Load: place.Load,
-		TTFB: s.ttfb, Duration: s.duration, Events: s.events, MeanGap: o.MeanGap, Confidence: -1,
+		TTFB: s.ttfb, Duration: s.duration, Events: s.events, MeanGap: o.MeanGap, Silent: s.silent, Confidence: -1,
 		Verdict: x.Attempt.Verdict.String(),
 	}
 	if s.head.HasConfidence {
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -27,6 +27,15 @@
 	// events counts the events that were read, gaps holds the times between them.
 	events int
 	gaps   gaps
+	// silent is the longest time without progress; progressAt is the time of the last one, or the start of the send.
+	silent     time.Duration
+	progressAt time.Time
+}
+
+// progressed records progress of the answer. relay and send call it.
+func (s *sendResult) progressed(now time.Time) {
+	s.silent = max(s.silent, now.Sub(s.progressAt))
+	s.progressAt = now
 }
 
 // send sends the request to the placed endpoint and relays the answer. It cancels the send after the silence timeout.
@@ -39,7 +48,7 @@
 	defer cancel(nil)
 	silenceTimer := time.AfterFunc(limit, func() { cancel(errSilence) })
 	defer silenceTimer.Stop()
-	s := sendResult{}
+	s := sendResult{progressAt: began}
 	stream, err := f.Sender.Open(run, x.Attempt.Endpoint, f.call(), f.sendCheck(ctx))
 	if err == nil {
 		s.head, s.ttfb = stream.Head(), time.Since(began)
@@ -49,6 +58,7 @@
 	} else {
 		s.err = err
 	}
+	s.progressed(time.Now())
 	s.duration = time.Since(began)
 	s.end = f.classifyEnd(ctx, run, s.err)
 	if s.end == pool.EndTimeout {
@@ -154,8 +164,11 @@
 			return err
 		}
 		p := fragment.Chunk
-		if gap > 0 && isProgress(p) {
-			silenceTimer.Reset(gap)
+		if isProgress(p) {
+			s.progressed(time.Now())
+			if gap > 0 {
+				silenceTimer.Reset(gap)
+			}
 		}
 		if p.Event != "" {
 			now := time.Now()
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -52,6 +52,8 @@
 	// Events counts the events that were read. MeanGap is the mean time between them; 0 for fewer than three.
 	Events  int           `json:"events"`
 	MeanGap time.Duration `json:"gap_ns"`
+	// Silent is the longest time without progress: before the first event, between two, or until the send ended.
+	Silent time.Duration `json:"silent_ns"`
 	// Confidence is the model's confidence in its answer, 0 to 100; -1 if there is none.
 	Confidence int `json:"confidence"`
 	// Verdict is the decision on the answer by its confidence.
