Count a retry only once it is placed

A retry for which no endpoint was eligible was counted in the retry budget though nothing was sent. In an outage of a service's endpoints such retries used up the budget, and the next failure was refused with `retry budget is used up` while an endpoint was there. The Controller now takes the retry back if the placement finds nobody. It takes back the oldest count, so that every later window still has as many counted as were sent; a property test drives that.

--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -46,6 +46,19 @@
 	return allowed
 }
 
+// ReturnRetry takes one counted retry back, because nothing was sent. It uncounts the oldest, so that later windows never
+// have fewer counted than sent. The Controller calls it for a retry that couldn't be placed.
+func (b *RetryBudget) ReturnRetry(now time.Time) {
+	current := b.advance(now)
+	for i := range b.retries {
+		oldest := (current + 1 + i) % len(b.retries)
+		if b.retries[oldest] > 0 {
+			b.retries[oldest]--
+			return
+		}
+	}
+}
+
 // AllowsEscalation reports whether the budget has room for an escalation. It leaves a part of the budget for retries
 // after failures. The Controller calls it with each placement.
 func (b *RetryBudget) AllowsEscalation(now time.Time) bool {
--- a/internal/pool/budget_test.go
+++ b/internal/pool/budget_test.go
@@ -78,3 +78,32 @@
 		}
 	})
 }
+
+// TestReturnedRetries draws retries of which some are taken back, and checks that no window has more sent than it may.
+func TestReturnedRetries(tt *testing.T) {
+	limit := RetryLimit{Slack: 4, Window: 2 * time.Second}
+	rapid.Check(tt, func(t *rapid.T) {
+		b, now := NewRetryBudget(limit), start
+		var sent []time.Time
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			if !b.TakeRetry(now) {
+				continue
+			}
+			if rapid.Bool().Draw(t, "returned") {
+				b.ReturnRetry(now.Add(time.Millisecond))
+				continue
+			}
+			sent = append(sent, now)
+			n := 0
+			for _, at := range sent {
+				if now.Sub(at) < limit.Window {
+					n++
+				}
+			}
+			if n > int(limit.Slack) {
+				t.Fatalf("%d retries in a window", n)
+			}
+		}
+	})
+}
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -210,7 +210,7 @@
 	c.scanWaiters = append(c.scanWaiters, m.reply)
 }
 
-// handle counts the run in the retry budget and places it. An escalation is counted but never refused, since the budget
+// handle counts the run in the retry budget and places it; a retry that isn't placed isn't counted. An escalation is counted but never refused, since the budget
 // was checked before. Choose sends the message.
 func (m chooseMessage) handle(_ context.Context, c *Controller) {
 	now := time.Now()
@@ -225,6 +225,9 @@
 		return
 	}
 	p, choice := c.table.Choose(&m.query, now)
+	if m.query.Retry && choice != ChoicePlaced {
+		budget.ReturnRetry(now)
+	}
 	p.RetryAllowed = budget.AllowsEscalation(now)
 	m.reply <- chooseReply{p, choice}
 }
