Give a silent send up only once another endpoint is reserved

What callers saw: a stream that had begun was closed without its end, or an idempotent request got 502 or 503, though its endpoint was sound and had only paused for a second.

Cause: the silence timer cancelled the send first and looked for another endpoint afterwards. Whether a retry was allowed had been decided when the send was placed. If the retry budget was used up by then, or no endpoint was eligible, the request had neither its old endpoint nor a new one. Class: giving up what one has before its replacement is certain.

Now a silence watch, a task of each send, binds and places the replacement first and cancels the send only then; the next send goes to exactly this placement. If the send goes on during the question, or ends, the placement is given back (EndUnused): the endpoint isn't suspected and the retry budget gets its retry back. The old send is cancelled before the new one begins, as before.

A route without a MaxGap had the timer of the first byte over the whole stream; it now counts from event to event.

--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -60,7 +60,8 @@
 // Handle implements Filter. Forward is the last filter of its chain. It returns errEscalate unchanged; Escalate then
 // calls it again with the stronger model.
 func (f Forward) Handle(ctx context.Context, x *Exchange, _ Next) error {
-	run := &forwardRun{Forward: f, x: x, lastEventID: x.Routed.LastEventID}
+	run := &forwardRun{placer: placer{f.Pool, f.Shifts, x.Request.Session}, sender: f.Sender, x: x, lastEventID: x.Routed.LastEventID}
+	defer func() { run.release(ctx, run.reserved) }()
 	for {
 		err := run.attempt(ctx)
 		if err == nil || errors.Is(err, errEscalate) {
@@ -74,8 +75,11 @@
 
 // forwardRun is one request on its way through Forward.
 type forwardRun struct {
-	Forward
-	x *Exchange
+	placer
+	sender Sender
+	x      *Exchange
+	// reserved is the placement of the next send, if there is one already.
+	reserved *Reservation
 	// tried lists the IDs of the endpoints that this run has used.
 	tried []string
 	// present is the present attempt; trial says that its progress is to be told.
@@ -96,19 +100,19 @@
 // errEndpointStatus ends a send that the endpoint answered with an error status; the answer is in errorAnswer.
 var errEndpointStatus = errors.New("the endpoint answered with an error status")
 
-// attempt binds the session to a version, places the run, sends it once and reports the outcome. If the binding or the
-// placement fails, nothing is sent or reported, and there is no retry. Handle calls it for the first send and for each
-// retry.
+// attempt places the run unless a placement is reserved, sends it once and reports the outcome. If the placement fails,
+// nothing is sent or reported, and there is no retry. Handle calls it for the first send and for each retry.
 func (f *forwardRun) attempt(ctx context.Context) error {
 	x := f.x
-	binding, err := f.Shifts.Bind(ctx, x.Routed.Service, x.Request.Session)
-	if err != nil {
-		return result.Errorf(result.QueueFull, "bind the session to a version: %v", err)
-	}
-	place, err := f.Pool.Choose(ctx, f.query(binding))
-	if err != nil {
-		return err
+	r := f.reserved
+	f.reserved = nil
+	if r == nil {
+		var err error
+		if r, err = f.reserve(ctx, f.query()); err != nil {
+			return err
+		}
 	}
+	place := r.Placement
 	f.tried = append(f.tried, place.ID)
 	x.Routed.Attempts++
 	x.Attempt.Endpoint = endpoint.Endpoint{ID: place.ID, Address: place.Address, Region: place.Region, Zone: place.Zone}
@@ -117,19 +121,20 @@
 		ID: shift.AttemptID{Request: x.Request.ID, Number: x.Routed.Attempts}, Service: x.Routed.Service, Version: place.Version,
 		Session: x.Request.Session, Endpoint: place.ID, Kind: x.Routed.Route.Name + " " + x.Attempt.Model,
 		Model: x.Attempt.Model, Running: place.Running,
-	}, binding.Trial
+	}, r.Binding.Trial
 	_ = f.Shifts.AttemptStarted(ctx, f.present) // a full mailbox loses the binding of the session
 	s := f.send(ctx, place)
+	f.reserved = s.reserved
 	f.report(ctx, place, s)
 	return s.err
 }
 
 // query describes the run for placement. Only streams go to model engines and carry a model, a prompt and an affinity:
-// the shared prefix of the prompt, or else the session. attempt calls it before each send.
-func (f *forwardRun) query(b shift.Binding) pool.Query {
+// the shared prefix of the prompt, or else the session. It's called before each send, and for the replacement of a silent one.
+func (f *forwardRun) query() pool.Query {
 	x := f.x
 	q := pool.Query{
-		Service: x.Routed.Service, Version: b.Version, ExcludedVersions: b.ExcludedVersions, Exclude: f.tried, Retry: x.Routed.Attempts > 0,
+		Service: x.Routed.Service, Exclude: f.tried, Retry: x.Routed.Attempts > 0,
 		Escalation: x.Attempt.Level > 0 && len(f.tried) == 0,
 	}
 	if x.Routed.Route.Kind == routing.KindStream {
@@ -175,7 +180,7 @@
 	_ = f.Shifts.AttemptEnded(ctx, a) // a full mailbox loses one answer's evidence
 	step := Step{
 		Endpoint: place.ID, Model: x.Attempt.Model, Version: place.Version, End: s.end.String(), Load: place.Load,
-		TTFB: s.ttfb, Duration: s.duration, Events: s.events, MeanGap: o.MeanGap, Silent: s.silent, Confidence: -1,
+		TTFB: s.ttfb, Duration: s.duration, Events: s.events, MeanGap: o.MeanGap, Silent: s.silent, Refused: s.refused, RefusedErr: s.refusedErr, Confidence: -1,
 		Verdict: x.Attempt.Verdict.String(),
 	}
 	if s.head.HasConfidence {
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/pool"
 	"cornelmux/internal/shift"
+	"cornelmux/internal/task"
 	"cornelmux/pkg/result"
 	"cornelmux/pkg/routing"
 )
@@ -30,6 +32,11 @@
 	// silent is the longest time without progress; progressAt is the time of the last one, or the start of the send.
 	silent     time.Duration
 	progressAt time.Time
+	// reserved is the placement that was reserved for the next send because this one was silent. refused counts the tries that
+	// found none, refusedErr is the reason of the last.
+	reserved   *Reservation
+	refused    int
+	refusedErr string
 }
 
 // progressed records progress of the answer. relay and send call it.
@@ -38,65 +45,65 @@
 	s.progressAt = now
 }
 
-// send sends the request to the placed endpoint and relays the answer. It cancels the send after the silence timeout.
-// attempt calls it.
+// send sends the request to the placed endpoint and relays the answer. A silence watch cancels the send if the request can go
+// on elsewhere. attempt calls it.
 func (f *forwardRun) send(ctx context.Context, place pool.Placement) sendResult {
 	x := f.x
 	began := time.Now()
-	limit := f.silenceLimit(place)
 	run, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silenceTimer := time.AfterFunc(limit, func() { cancel(errSilence) })
-	defer silenceTimer.Stop()
+	watch := f.startSilenceWatch(run, cancel, place)
 	s := sendResult{progressAt: began}
-	stream, err := f.Sender.Open(run, x.Attempt.Endpoint, f.call(), f.sendCheck(ctx))
+	stream, err := f.sender.Open(run, x.Attempt.Endpoint, f.call(), f.sendCheck(ctx))
 	if err == nil {
 		s.head, s.ttfb = stream.Head(), time.Since(began)
 		f.reportProgress(ctx, &s)
-		s.err = f.relay(run, stream, silenceTimer, &s)
+		s.err = f.relay(run, stream, watch, &s)
 		stream.Close()
 	} else {
 		s.err = err
 	}
 	s.progressed(time.Now())
 	s.duration = time.Since(began)
+	cancel(nil)
+	s.reserved = watch.stop()
+	if watch != nil && watch.err != nil {
+		s.refused, s.refusedErr = watch.refused, watch.err.Error()
+	}
 	s.end = f.classifyEnd(ctx, run, s.err)
 	if s.end == pool.EndTimeout {
-		s.err = fmt.Errorf("%w: no byte for %v", endpoint.ErrBroken, limit)
+		s.err = fmt.Errorf("%w: no progress for %v", endpoint.ErrBroken, s.silent)
 	}
 	return s
 }
 
-// errSilence is the cause of the cancellation by the silence timeout.
-var errSilence = errors.New("silence timeout of the endpoint")
-
-// silenceLimit returns the silence timeout until the head of the answer. For a resumed stream it follows from MaxGap
-// and twice the usual time to first byte. If no retry is possible, or nothing is known to base a timeout on, it is a
-// second longer than the time to the deadline, so that the deadline ends the request first; a request without a
-// deadline gets an hour. send calls it before the request is sent.
-func (f *forwardRun) silenceLimit(place pool.Placement) time.Duration {
+// startSilenceWatch starts the watch of a send whose context is run, or returns nil if the request can't be sent again or
+// nothing is known to base a timeout on. send calls it before the request is sent.
+func (f *forwardRun) startSilenceWatch(run context.Context, cancel context.CancelCauseFunc, place pool.Placement) *silenceWatch {
 	x := f.x
-	left := time.Until(x.Request.Deadline)
-	if x.Request.Deadline.IsZero() {
-		left = time.Hour
-	}
-	if !f.retryPossible() {
-		return left + time.Second
+	first := f.firstSilenceLimit(place)
+	if !x.Idempotent || x.Routed.Attempts >= x.Routed.Route.MaxAttempts || first <= 0 {
+		return nil
 	}
-	wait := max(time.Duration(minTTFBTimeoutShare*float64(x.Routed.Route.Objective)), ttfbTimeoutFactor*place.TypicalLatency.TTFB)
-	if x.Relayed {
-		wait = max(time.Duration(gapTimeoutShare*float64(x.Routed.Route.MaxGap)), 2*place.TypicalLatency.TTFB)
+	w := &silenceWatch{
+		placer: f.placer, query: f.query(), first: first, gap: f.eventGapLimit(first), cancel: cancel,
+		progress: make(chan struct{}, 1), ends: make(chan task.End, 1),
 	}
-	if wait <= 0 {
-		return left + time.Second
+	if d := x.Request.Deadline; !d.IsZero() {
+		w.latest = d.Add(-max(minSendTime, place.TypicalLatency.TTFB))
 	}
-	return wait
+	task.Start(run, "silence watch", w.ends, w.run)
+	return w
 }
 
-// retryPossible reports whether the request may be retried if the present send fails.
-func (f *forwardRun) retryPossible() bool {
-	x := f.x
-	return x.Idempotent && x.Routed.Attempts < x.Routed.Route.MaxAttempts && x.Attempt.RetryAllowed
+// firstSilenceLimit returns the silence timeout until the first progress of a send, or 0 if nothing is known to base one on. For
+// a resumed stream it follows from MaxGap and twice the usual time to first byte.
+func (f *forwardRun) firstSilenceLimit(place pool.Placement) time.Duration {
+	r := f.x.Routed.Route
+	if f.x.Relayed {
+		return max(time.Duration(gapTimeoutShare*float64(r.MaxGap)), 2*place.TypicalLatency.TTFB)
+	}
+	return max(time.Duration(minTTFBTimeoutShare*float64(r.Objective)), ttfbTimeoutFactor*place.TypicalLatency.TTFB)
 }
 
 // call describes the request for the sender. Only streams carry an urgency. The run ID is the request ID. send calls
@@ -137,9 +144,9 @@
 	}
 }
 
-// relay passes the chunks on until the last one and restarts the silence timer with each. send calls it once the head
-// of the answer is there. The head of a resumed stream is not passed on.
-func (f *forwardRun) relay(ctx context.Context, stream endpoint.Stream, silenceTimer *time.Timer, s *sendResult) error {
+// relay passes the chunks on until the last one and tells the silence watch of progress. send calls it once the head of the
+// answer is there. The head of a resumed stream is not passed on.
+func (f *forwardRun) relay(ctx context.Context, stream endpoint.Stream, watch *silenceWatch, s *sendResult) error {
 	x := f.x
 	head := Head{
 		RequestID: x.Request.ID, Status: s.head.Status, ContentType: s.head.ContentType, Fields: s.head.Fields,
@@ -153,7 +160,6 @@
 			return err
 		}
 	}
-	gap := f.eventGapLimit()
 	lastEventAt, reportAt := time.Now(), firstProgress
 	for {
 		fragment, err := stream.Next()
@@ -166,9 +172,7 @@
 		p := fragment.Chunk
 		if isProgress(p) {
 			s.progressed(time.Now())
-			if gap > 0 {
-				silenceTimer.Reset(gap)
-			}
+			watch.progressed()
 		}
 		if p.Event != "" {
 			now := time.Now()
@@ -219,12 +223,10 @@
 	return p.Last || p.Event != "" || bytes.Contains(p.Data, []byte("data:"))
 }
 
-// eventGapLimit returns the silence timeout between the events of a stream; 0 means none.
-func (f *forwardRun) eventGapLimit() time.Duration {
-	if f.x.Routed.Route.Kind != routing.KindStream || !f.retryPossible() {
-		return 0
-	}
-	return time.Duration(gapTimeoutShare * float64(f.x.Routed.Route.MaxGap))
+// eventGapLimit returns the silence timeout between the events of a stream: that until the first progress if the route sets
+// no MaxGap.
+func (f *forwardRun) eventGapLimit(first time.Duration) time.Duration {
+	return cmp.Or(time.Duration(gapTimeoutShare*float64(f.x.Routed.Route.MaxGap)), first)
 }
 
 // bufferError reads the endpoint's answer with an error status whole and holds it back in errorAnswer. relay calls it.
--- /dev/null
+++ b/internal/filter/reserve.go
@@ -0,0 +1,51 @@
+package filter
+
+import (
+	"context"
+
+	"cornelmux/internal/pool"
+	"cornelmux/internal/shift"
+	"cornelmux/pkg/result"
+)
+
+// Reservation is a placement for a send that has not begun; the pool counts it as in flight until Done.
+type Reservation struct {
+	Placement pool.Placement
+	Binding   shift.Binding
+	// Query is that of the placement.
+	Query pool.Query
+}
+
+// placer reserves placements for the sends of one request.
+type placer struct {
+	Pool    Pool
+	Shifts  Shifts
+	session string
+}
+
+// reserve binds the session to a version and places the run. A filter calls it before it sends, and before it gives up a send
+// or an answer for another one.
+func (p placer) reserve(ctx context.Context, q pool.Query) (*Reservation, error) {
+	binding, err := p.Shifts.Bind(ctx, q.Service, p.session)
+	if err != nil {
+		return nil, result.Errorf(result.QueueFull, "bind the session to a version: %v", err)
+	}
+	q.Version, q.ExcludedVersions = binding.Version, binding.ExcludedVersions
+	place, err := p.Pool.Choose(ctx, q)
+	if err != nil {
+		return nil, err
+	}
+	return &Reservation{Placement: place, Binding: binding, Query: q}, nil
+}
+
+// release gives a retry's reservation back that no send used; nil is none.
+func (p placer) release(ctx context.Context, r *Reservation) {
+	if r == nil {
+		return
+	}
+	o := pool.Outcome{
+		Endpoint: r.Placement.ID, Incarnation: r.Placement.Incarnation, End: pool.EndUnused, Service: r.Query.Service,
+		Model: r.Query.Model, Weight: r.Query.Weight,
+	}
+	_ = p.Pool.Done(ctx, o) // Done waits for room; if it fails even so, the run stays counted as in flight
+}
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -54,6 +54,10 @@
 	MeanGap time.Duration `json:"gap_ns"`
 	// Silent is the longest time without progress: before the first event, between two, or until the send ended.
 	Silent time.Duration `json:"silent_ns"`
+	// Refused counts the tries to place a silent send elsewhere that found no endpoint or no retry budget.
+	// RefusedErr is the reason of the last.
+	Refused    int    `json:"replacements_refused"`
+	RefusedErr string `json:"replacement_error,omitempty"`
 	// Confidence is the model's confidence in its answer, 0 to 100; -1 if there is none.
 	Confidence int `json:"confidence"`
 	// Verdict is the decision on the answer by its confidence.
--- a/internal/filter/silence_test.go
+++ b/internal/filter/silence_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
 
 	"cornelmux/internal/endpoint"
+	"cornelmux/internal/pool"
+	"cornelmux/internal/task"
+	"cornelmux/pkg/result"
 	"cornelmux/pkg/routing"
 )
 
@@ -44,3 +50,234 @@
 func contextUntil(t *testing.T, x *Exchange) (context.Context, context.CancelFunc) {
 	return context.WithDeadline(t.Context(), x.Request.Deadline)
 }
+
+// pausingSender is a Sender whose answers begin after a pause and have pauses between their chunks, as scripted, in order.
+type pausingSender struct {
+	script []pausingSend
+	to     []string
+}
+
+type pausingSend struct {
+	// head is the time until the head of the answer, pauses[i] that before chunks[i].
+	head   time.Duration
+	pauses []time.Duration
+	chunks []endpoint.Chunk
+}
+
+func (s *pausingSender) Open(ctx context.Context, e endpoint.Endpoint, _ endpoint.Call, check endpoint.SendCheck) (endpoint.Stream, error) {
+	if err := check(); err != nil {
+		return nil, err
+	}
+	n := len(s.to)
+	s.to = append(s.to, e.ID)
+	if n >= len(s.script) {
+		return nil, fmt.Errorf("%w: no further send is scripted", endpoint.ErrBroken)
+	}
+	send := s.script[n]
+	if !task.Sleep(ctx, send.head) {
+		return nil, endpoint.ErrBroken
+	}
+	return &pausingStream{ctx, send}, nil
+}
+
+type pausingStream struct {
+	ctx  context.Context
+	send pausingSend
+}
+
+func (s *pausingStream) Head() endpoint.Head { return head(200, "s") }
+
+func (s *pausingStream) Next() (endpoint.Fragment, error) {
+	if !task.Sleep(s.ctx, s.send.pauses[0]) {
+		return endpoint.Fragment{}, endpoint.ErrBroken
+	}
+	c := s.send.chunks[0]
+	s.send.pauses, s.send.chunks = s.send.pauses[1:], s.send.chunks[1:]
+	return endpoint.Fragment{Chunk: c}, nil
+}
+
+func (s *pausingStream) Close() {}
+
+// busyPool is a Pool that refuses retries for a time with an error, and takes a time to place the others.
+type busyPool struct {
+	fakePool
+	refusal     error
+	refuseUntil time.Time
+	placing     time.Duration
+}
+
+func (p *busyPool) Choose(ctx context.Context, q pool.Query) (pool.Placement, error) {
+	if q.Retry && time.Now().Before(p.refuseUntil) {
+		return pool.Placement{}, p.refusal
+	}
+	if q.Retry {
+		time.Sleep(p.placing)
+	}
+	return p.fakePool.Choose(ctx, q)
+}
+
+// TestPauseOfASoundEndpointBreaksNoAnswer checks that a silent send goes on unless another endpoint can take the request, and is
+// moved there as soon as one can.
+func TestPauseOfASoundEndpointBreaksNoAnswer(t *testing.T) {
+	noBudget := result.Errorf(result.QueueFull, "retry budget is used up")
+	noEndpoint := result.Errorf(result.NoEndpoint, "no endpoint is eligible")
+	const short, long = 10 * time.Millisecond, 1300 * time.Millisecond
+	pauses := func(list ...time.Duration) []time.Duration { return list }
+	events := []endpoint.Chunk{event("1", "data: a\n\n"), event("2", "data: b\n\n"), end}
+	whole := pausingSend{short, pauses(short, short, short), events}
+	rest := pausingSend{short, pauses(short, short), events[1:]}
+	betweenEvents := pausingSend{short, pauses(short, long, short), events}
+	forGood := pausingSend{short, pauses(short, time.Hour), events}
+	tests := []struct {
+		name    string
+		kind    routing.Kind
+		script  []pausingSend
+		refusal error
+		// refused is how long the pool refuses retries, placing how long it takes to place one.
+		refused, placing time.Duration
+		to               []string
+		ends             []pool.End
+	}{
+		{"between events, no budget", routing.KindStream, []pausingSend{betweenEvents}, noBudget, time.Minute, 0, []string{"e1"}, []pool.End{pool.EndAnswered}},
+		{"between events, no endpoint", routing.KindStream, []pausingSend{betweenEvents}, noEndpoint, time.Minute, 0, []string{"e1"}, []pool.End{pool.EndAnswered}},
+		{
+			"before the first event", routing.KindStream,
+			[]pausingSend{{short, pauses(long, short, short), events}},
+			noBudget, time.Minute, 0,
+			[]string{"e1"},
+			[]pool.End{pool.EndAnswered},
+		},
+		{
+			"before the head", routing.KindStream,
+			[]pausingSend{{long, pauses(short, short, short), events}},
+			noEndpoint, time.Minute, 0,
+			[]string{"e1"},
+			[]pool.End{pool.EndAnswered},
+		},
+		{
+			"before the head of an answer without events", routing.KindIdempotent,
+			[]pausingSend{{long, pauses(short), []endpoint.Chunk{last("x")}}},
+			noBudget, time.Minute, 0,
+			[]string{"e1"},
+			[]pool.End{pool.EndAnswered},
+		},
+		{
+			"in the body of an answer without events", routing.KindIdempotent,
+			[]pausingSend{{short, pauses(long), []endpoint.Chunk{last("x")}}},
+			noBudget, time.Minute, 0,
+			[]string{"e1"},
+			[]pool.End{pool.EndAnswered},
+		},
+		{
+			"until a retry is allowed", routing.KindStream,
+			[]pausingSend{forGood, rest},
+			noBudget, 3 * time.Second, 0,
+			[]string{"e1", "e2"},
+			[]pool.End{pool.EndTimeout, pool.EndAnswered},
+		},
+		{
+			"before the head until a retry is allowed", routing.KindStream,
+			[]pausingSend{{time.Hour, nil, nil}, whole},
+			noBudget, 3 * time.Second, 0,
+			[]string{"e1", "e2"},
+			[]pool.End{pool.EndTimeout, pool.EndAnswered},
+		},
+		{
+			"goes on while the replacement is placed", routing.KindStream,
+			[]pausingSend{betweenEvents},
+			nil, 0, 2 * (long - 800*time.Millisecond),
+			[]string{"e1"},
+			[]pool.End{pool.EndUnused, pool.EndAnswered},
+		},
+		{
+			"ends while the replacement is placed", routing.KindIdempotent,
+			[]pausingSend{{long, pauses(short), []endpoint.Chunk{last("x")}}},
+			nil, 0, time.Second,
+			[]string{"e1"},
+			[]pool.End{pool.EndUnused, pool.EndAnswered},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x, sink := routedExchange(test.kind)
+				ctx, cancel := contextUntil(t, x)
+				defer cancel()
+				sender := &pausingSender{script: test.script}
+				p := &busyPool{refusal: test.refusal, refuseUntil: time.Now().Add(test.refused), placing: test.placing}
+				err := Forward{p, noShift{}, sender}.Handle(ctx, x, nil)
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, sink.whole, qt.IsTrue)
+				qt.Check(t, sender.to, qt.DeepEquals, test.to)
+				qt.Check(t, p.ends, qt.DeepEquals, test.ends)
+			})
+		})
+	}
+}
+
+// noCrashes implements pool.Crashes.
+type noCrashes struct{}
+
+func (noCrashes) Crashed(context.Context, uint64, string) error { return nil }
+
+// pausedEndpoint is a Sender of streams that come without a pause, except that all streams of the endpoint stand still from
+// after their first event until a moment.
+type pausedEndpoint struct {
+	id    string
+	until time.Time
+}
+
+func (s pausedEndpoint) Open(ctx context.Context, e endpoint.Endpoint, c endpoint.Call, check endpoint.SendCheck) (endpoint.Stream, error) {
+	if err := check(); err != nil {
+		return nil, err
+	}
+	send := pausingSend{0, []time.Duration{0, 0, 0}, []endpoint.Chunk{event("1", "data: a\n\n"), event("2", "data: b\n\n"), end}}
+	if e.ID == s.id {
+		send.pauses[1] = time.Until(s.until)
+	}
+	if c.LastEventID == "1" {
+		send.pauses, send.chunks = send.pauses[1:], send.chunks[1:]
+	}
+	return &pausingStream{ctx, send}, nil
+}
+
+// TestPauseOfABusyEndpointBreaksNoAnswer lets all streams of an endpoint pause at once, which is more than the retry budget allows
+// to move.
+func TestPauseOfABusyEndpointBreaksNoAnswer(t *testing.T) {
+	const streams, pause = 64, 1300 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		limit := pool.RetryLimit{Ratio: 0.2, Slack: 1, Window: 10 * time.Second}
+		p := pool.New(noCrashes{}, pool.Options{Location: endpoint.Location{Zone: "z"}, RetryLimit: limit}, logr.Discard())
+		ends := make(chan task.End, 1)
+		task.Start(ctx, "pool", ends, p.Run)
+		for _, id := range []string{"near", "far"} {
+			e := pool.Entry{ID: id, Service: "s", Address: "127.0.0.1:1", Zone: "z" + strings.TrimPrefix(id, "near"), Slots: streams}
+			qt.Assert(t, p.Put(ctx, e), qt.IsNil)
+		}
+		sender := pausedEndpoint{"near", time.Now().Add(pause)}
+		requests := make(chan task.End, streams)
+		for n := range streams {
+			x, sink := routedExchange(routing.KindStream)
+			x.Request.ID = fmt.Sprint(n)
+			task.Start(ctx, x.Request.ID, requests, func(ctx context.Context) error {
+				if err := (Forward{p, noShift{}, sender}).Handle(ctx, x, nil); err != nil {
+					return err
+				}
+				if !sink.whole || sink.text != "data: a\n\ndata: b\n\n" {
+					return fmt.Errorf("the answer is %q", sink.text)
+				}
+				return nil
+			})
+		}
+		whole := 0
+		for range streams {
+			if end := <-requests; end.Err == nil {
+				whole++
+			}
+		}
+		qt.Check(t, whole, qt.Equals, streams)
+		cancel()
+		<-ends
+	})
+}
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -132,7 +132,7 @@
 }
 
 // Choose implements filter.Pool. It places a run and counts it as in flight until Done. Filter Forward calls it for
-// each send; if it fails, Forward doesn't retry.
+// each send, and for a replacement before it gives up a silent send; if it fails, nothing is sent.
 func (c *Controller) Choose(_ context.Context, q Query) (Placement, error) {
 	reply := make(chan chooseReply, 1)
 	if err := task.Tell(c.mailbox, message(chooseMessage{q, reply})); err != nil {
@@ -245,6 +245,8 @@
 func (m doneMessage) handle(ctx context.Context, c *Controller) {
 	c.reportCrashes(ctx, c.table.Done(&m.outcome, time.Now()))
 	switch m.outcome.End {
+	case EndUnused:
+		c.budget(m.outcome.Service).ReturnRetry(time.Now())
 	case EndLost, EndTimeout, EndUnreachable, EndReplaced:
 		c.log.Info("endpoint suspected", "endpoint", m.outcome.Endpoint, "end", m.outcome.End.String())
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -98,12 +98,14 @@
 	EndReplaced
 	// EndAbandoned means that the router or the caller ended the run.
 	EndAbandoned
+	// EndUnused means that a retry was placed and nothing was sent; the retry budget gets it back.
+	EndUnused
 )
 
 // endNames are the values in logs.
 var endNames = map[End]string{
 	EndAnswered: "answered", EndFailed: "failed", EndRefused: "refused", EndUnreachable: "unreached", EndLost: "lost",
-	EndTimeout: "silent", EndReplaced: "replaced", EndAbandoned: "abandoned",
+	EndTimeout: "silent", EndReplaced: "replaced", EndAbandoned: "abandoned", EndUnused: "unused",
 }
 
 // String implements fmt.Stringer.
