Keep an answer of low confidence if the stronger model can't be placed

What callers saw: 503, although the first model had answered. Escalate dropped the answer of low confidence first and placed the stronger model afterwards; if no endpoint was eligible by then (an exclusion by a rollout, endpoints that left), nothing was left to pass on. Forward now reserves the stronger model's placement while the first answer is still open, and keeps that answer if there is none.

--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -61,6 +61,7 @@
 // calls it again with the stronger model.
 func (f Forward) Handle(ctx context.Context, x *Exchange, _ Next) error {
 	run := &forwardRun{placer: placer{f.Pool, f.Shifts, x.Request.Session}, sender: f.Sender, x: x, lastEventID: x.Routed.LastEventID}
+	run.reserved, x.Routed.Stronger = x.Routed.Stronger, nil
 	defer func() { run.release(ctx, run.reserved) }()
 	for {
 		err := run.attempt(ctx)
@@ -135,10 +136,9 @@
 	x := f.x
 	q := pool.Query{
 		Service: x.Routed.Service, Exclude: f.tried, Retry: x.Routed.Attempts > 0,
-		Escalation: x.Attempt.Level > 0 && len(f.tried) == 0,
 	}
 	if x.Routed.Route.Kind == routing.KindStream {
-		q.Model, q.Prompt, q.Weight = x.Attempt.Model, x.Routed.Prompt, f.weight()
+		q.Model, q.Prompt, q.Weight = x.Attempt.Model, x.Routed.Prompt, f.weight(x.Attempt.Model)
 		if n := len(x.Routed.Route.Cascade); n > 0 && x.Attempt.Level < n-1 {
 			q.StrongerModel = x.Routed.Route.Cascade[n-1]
 		}
@@ -150,13 +150,25 @@
 	return q
 }
 
-// weight returns the share of an engine, 0 to 1, that the run takes.
-func (f *forwardRun) weight() float64 {
+// reserveStronger reserves a placement for the cascade's strongest model and reports whether there was one. begin calls it.
+func (f *forwardRun) reserveStronger(ctx context.Context) bool {
+	models := f.x.Routed.Route.Cascade
+	q := f.query()
+	q.Model, q.StrongerModel = models[len(models)-1], ""
+	q.Weight = f.weight(q.Model)
+	q.Exclude, q.Retry, q.Escalation = nil, true, true
+	r, err := f.reserve(ctx, q)
+	f.x.Routed.Stronger = r
+	return err == nil
+}
+
+// weight returns the share of an engine, 0 to 1, that a run of the model takes.
+func (f *forwardRun) weight(model string) float64 {
 	s := f.x.Routed.Table.Service(f.x.Routed.Service)
 	if s == nil {
 		return 1
 	}
-	return s.Engine.Weight(f.x.Attempt.Model)
+	return s.Engine.Weight(model)
 }
 
 // report tells the pool and the traffic shift how the send ended, and appends it to the trace for the log.
@@ -173,7 +185,7 @@
 		Pace: s.gaps.pace(),
 	}
 	if x.Routed.Route.Kind == routing.KindStream {
-		o.Model, o.Prompt, o.Weight = x.Attempt.Model, x.Routed.Prompt, f.weight()
+		o.Model, o.Prompt, o.Weight = x.Attempt.Model, x.Routed.Prompt, f.weight(x.Attempt.Model)
 	}
 	o.MeanGap = s.gaps.mean()
 	_ = f.Pool.Done(ctx, o)           // Done waits for room; if it fails even so, the run stays counted as in flight
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -156,7 +156,7 @@
 		return f.bufferError(stream, head)
 	}
 	if !x.Relayed {
-		if err := x.Sink.Begin(ctx, head); err != nil {
+		if err := f.begin(ctx, head); err != nil {
 			return err
 		}
 	}
@@ -199,6 +199,17 @@
 	}
 }
 
+// begin passes the head on. An answer is dropped for the stronger model's only once that model has a placement; otherwise it is
+// kept. relay calls it.
+func (f *forwardRun) begin(ctx context.Context, head Head) error {
+	err := f.x.Sink.Begin(ctx, head)
+	if !errors.Is(err, errEscalate) || f.reserveStronger(ctx) {
+		return err
+	}
+	f.x.Attempt.RetryAllowed = false
+	return f.x.Sink.Begin(ctx, head)
+}
+
 const (
 	// firstProgress is the number of events after which the pace of a stream is reported first, since fewer tell too little
 	// of the rest. progressFactor is that by which it grows until the next report.
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -34,6 +34,8 @@
 	Attempts int
 	// MayHaveRun reports that an endpoint ran the request, or may have.
 	MayHaveRun bool
+	// Stronger is reserved for the strongest model, whose answer is to replace one that was dropped.
+	Stronger *Reservation
 	// Trace lists the sends, for the log.
 	Trace []Step
 }
--- a/internal/filter/silence_test.go
+++ b/internal/filter/silence_test.go
@@ -29,7 +29,7 @@
 		{"comments are no progress", pacedStream{pause: 100 * time.Millisecond, chunks: []endpoint.Chunk{
 			event("1", "a"), {Data: []byte(": here\n\n")}, {Data: []byte(": here\n\n")}, event("2", "b"), end,
 		}}, 300 * time.Millisecond},
-		{"silent to its end", pacedStream{pause: time.Hour, chunks: []endpoint.Chunk{end}}, time.Minute},
+		{"silent to the deadline", pacedStream{pause: time.Hour, chunks: []endpoint.Chunk{end}}, time.Minute},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -215,6 +215,34 @@
 	}
 }
 
+// TestAnswerIsKeptIfTheStrongerModelHasNoEndpoint checks that an answer of low confidence isn't dropped for one that can't be had.
+func TestAnswerIsKeptIfTheStrongerModelHasNoEndpoint(t *testing.T) {
+	tests := []struct {
+		name    string
+		refused time.Duration
+		text    string
+		ends    []pool.End
+	}{
+		{"placed", 0, "large", []pool.End{pool.EndAnswered, pool.EndAnswered}},
+		{"no endpoint", time.Minute, "small", []pool.End{pool.EndAnswered}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x, sink := routedExchange(routing.KindStream, "s", "l")
+			sender := &scriptedSender{script: []scriptedSend{
+				{head: rated("1", 5), chunks: []endpoint.Chunk{event("1", "small"), end}},
+				{head: rated("2", 95), chunks: []endpoint.Chunk{event("1", "large"), end}},
+			}}
+			p := &busyPool{refusal: result.Errorf(result.NoEndpoint, "none"), refuseUntil: time.Now().Add(test.refused)}
+			err := Chain(Escalate{}, Forward{p, noShift{}, sender})(t.Context(), x)
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, sink.whole, qt.IsTrue)
+			qt.Check(t, sink.text, qt.Equals, test.text)
+			qt.Check(t, p.ends, qt.DeepEquals, test.ends)
+		})
+	}
+}
+
 // noCrashes implements pool.Crashes.
 type noCrashes struct{}
 
