--- a/internal/filter/stall_test.go
+++ b/internal/filter/stall_test.go
@@ -60,20 +60,30 @@
 func TestStalledStreamIsResumed(t *testing.T) {
 	events := []endpoint.Chunk{event("1", "id: 1\ndata: a\n\n"), event("2", "id: 2\ndata: b\n\n"), end}
 	comment := endpoint.Chunk{Data: []byte(": still here\n\n")}
+	// tooSlow is more than the silence timeout between events, but less than that before the first.
+	const tooSlow = 900 * time.Millisecond
 	tests := []struct {
 		name  string
 		first pacedStream
 		sends int
+		// noMaxGap takes the bound between events away, so that the objective bounds each.
+		noMaxGap bool
 	}{
-		{"slow but sound", pacedStream{pause: 700 * time.Millisecond, chunks: events}, 1},
-		{"stalled without a byte", pacedStream{pause: time.Hour, chunks: events}, 2},
-		{"a comment now and then, before the first event", pacedStream{pause: 300 * time.Millisecond, chunks: []endpoint.Chunk{comment}, endless: true}, 2},
-		{"a comment now and then, after an event", pacedStream{pause: 300 * time.Millisecond, chunks: []endpoint.Chunk{events[0], comment}, endless: true}, 2},
+		{"slow but sound", pacedStream{pause: 700 * time.Millisecond, chunks: events}, 1, false},
+		{"slow but sound, without a bound between events", pacedStream{pause: tooSlow, chunks: events}, 1, true},
+		{"stalled without a byte", pacedStream{pause: time.Hour, chunks: events}, 2, false},
+		{"stalled without a byte, without a bound between events", pacedStream{pause: time.Hour, chunks: events}, 2, true},
+		{"a comment now and then, before the first event", pacedStream{pause: 300 * time.Millisecond, chunks: []endpoint.Chunk{comment}, endless: true}, 2, false},
+		{"a comment now and then, after an event", pacedStream{pause: 300 * time.Millisecond, chunks: []endpoint.Chunk{events[0], comment}, endless: true}, 2, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				x, sink := routedExchange(routing.KindStream)
+				limit := 5 * x.Routed.Route.MaxGap
+				if test.noMaxGap {
+					x.Routed.Route.MaxGap = 0
+				}
 				rest := pacedStream{pause: 10 * time.Millisecond, chunks: events}
 				sender := &pacedSender{streams: []pacedStream{test.first, rest, rest}}
 				started := time.Now()
@@ -83,7 +93,7 @@
 				qt.Check(t, err, qt.IsNil)
 				qt.Check(t, sink.whole, qt.IsTrue)
 				qt.Check(t, sender.sends, qt.Equals, test.sends)
-				qt.Check(t, time.Since(started) < 5*x.Routed.Route.MaxGap, qt.IsTrue, qt.Commentf("%v", time.Since(started)))
+				qt.Check(t, time.Since(started) < limit, qt.IsTrue, qt.Commentf("%v", time.Since(started)))
 			})
 		})
 	}
