Leave an endpoint time to read a long prompt before it counts as silent

What callers saw: nothing for 2 s, then the same again at another endpoint, and no whole answer by the deadline. The timeout (the objective, or six usual first bytes) knew nothing of the prompt's length, and what the first endpoint had read was thrown away.

The placement now says how long the part of the prompt that isn't cached takes at least, and the timeout before the first byte is at least twice that.

TestLongPromptIsNotTakenForSilence/long_prompt fails with a factor of 0, which is the old rule: e1 and e2 were asked.

--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -41,6 +41,9 @@
 	ttfbTimeoutFactor = 6
 	// minTTFBTimeoutShare is the least value of that timeout, as a share of the route's objective.
 	minTTFBTimeoutShare = 1.0
+	// prefillTimeoutFactor multiplies the time to process the prompt to get the least value of that timeout, since a prompt
+	// that is being read shares its engine with others.
+	prefillTimeoutFactor = 2
 	// gapTimeoutShare is the share of the route's MaxGap after which a silent stream is resumed at another endpoint.
 	gapTimeoutShare = 0.8
 	// retryAfter is the Retry-After of requests that no endpoint accepted.
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -97,13 +97,14 @@
 }
 
 // firstSilenceLimit returns the silence timeout until the first progress of a send, or 0 if nothing is known to base one on. For
-// a resumed stream it follows from MaxGap and twice the usual time to first byte.
+// a resumed stream it follows from MaxGap and twice the usual time to first byte. It leaves time for a long prompt.
 func (f *forwardRun) firstSilenceLimit(place pool.Placement) time.Duration {
 	r := f.x.Routed.Route
+	prefill := prefillTimeoutFactor * place.PrefillTime
 	if f.x.Relayed {
-		return max(time.Duration(gapTimeoutShare*float64(r.MaxGap)), 2*place.TypicalLatency.TTFB)
+		return max(time.Duration(gapTimeoutShare*float64(r.MaxGap)), 2*place.TypicalLatency.TTFB, prefill)
 	}
-	return max(time.Duration(minTTFBTimeoutShare*float64(r.Objective)), ttfbTimeoutFactor*place.TypicalLatency.TTFB)
+	return max(time.Duration(minTTFBTimeoutShare*float64(r.Objective)), ttfbTimeoutFactor*place.TypicalLatency.TTFB, prefill)
 }
 
 // call describes the request for the sender. Only streams carry an urgency. The run ID is the request ID. send calls
--- a/internal/filter/silence_test.go
+++ b/internal/filter/silence_test.go
@@ -243,6 +243,46 @@
 	}
 }
 
+// longPromptPool is a Pool whose endpoints take a time to process the prompt.
+type longPromptPool struct {
+	fakePool
+	prefill time.Duration
+}
+
+func (p *longPromptPool) Choose(ctx context.Context, q pool.Query) (pool.Placement, error) {
+	place, err := p.fakePool.Choose(ctx, q)
+	place.PrefillTime = p.prefill
+	return place, err
+}
+
+// TestLongPromptIsNotTakenForSilence checks that a send isn't moved while its endpoint may still read the prompt, which another
+// would have to read from the start.
+func TestLongPromptIsNotTakenForSilence(t *testing.T) {
+	const short = 10 * time.Millisecond
+	tests := []struct {
+		name    string
+		prefill time.Duration
+		to      []string
+	}{
+		{"short prompt", 100 * time.Millisecond, []string{"e1", "e2"}},
+		{"long prompt", 1500 * time.Millisecond, []string{"e1"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x, sink := routedExchange(routing.KindStream)
+				ctx, cancel := contextUntil(t, x)
+				defer cancel()
+				pauses, chunks := []time.Duration{short, short}, []endpoint.Chunk{event("1", "data: a\n\n"), end}
+				sender := &pausingSender{script: []pausingSend{{2500 * time.Millisecond, pauses, chunks}, {short, pauses, chunks}}}
+				qt.Check(t, Forward{&longPromptPool{prefill: test.prefill}, noShift{}, sender}.Handle(ctx, x, nil), qt.IsNil)
+				qt.Check(t, sink.whole, qt.IsTrue)
+				qt.Check(t, sender.to, qt.DeepEquals, test.to)
+			})
+		})
+	}
+}
+
 // noCrashes implements pool.Crashes.
 type noCrashes struct{}
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -68,6 +68,9 @@
 	// TypicalLatency is that of such runs, StrongerLatency that of runs of the stronger model.
 	TypicalLatency  Latency
 	StrongerLatency Latency
+	// PrefillTime is how long the endpoint's most expensive model takes at least to process the part of the prompt that it has
+	// not cached.
+	PrefillTime time.Duration
 }
 
 // Latency is a moving mean over the runs of a model; 0 means unknown.
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -171,7 +171,8 @@
 	best.InFlight++
 	best.engineLoad += q.weight()
 	return Placement{
-		Entry: best.Entry, Running: best.InFlight + inFlight, Load: slotUtilization(best.InFlight+inFlight, best.Slots),
+		PrefillTime: prefillTime(best.uncachedTokens(q)),
+		Entry:       best.Entry, Running: best.InFlight + inFlight, Load: slotUtilization(best.InFlight+inFlight, best.Slots),
 		TypicalLatency: t.typical[latencyKey{q.Service, q.Model}], StrongerLatency: t.typical[latencyKey{q.Service, q.StrongerModel}],
 	}, ChoicePlaced
 }
--- a/internal/pool/table_test.go
+++ b/internal/pool/table_test.go
@@ -206,3 +206,31 @@
 		}
 	})
 }
+
+// TestPlacementSaysPrefillTime checks that only the part of the prompt that isn't cached counts.
+func TestPlacementSaysPrefillTime(t *testing.T) {
+	prompt := routing.Prompt{TokensIn: 2 * 27_000, Blocks: []routing.PrefixBlock{{ID: 1, Tokens: 27_000}, {ID: 2, Tokens: 27_000}}}
+	tests := []struct {
+		name  string
+		model string
+		want  time.Duration
+	}{
+		{"model that knows nothing of it", "m", 2 * time.Second},
+		{"model that has the first block cached", "cached", time.Second},
+		{"plain service", "", 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := newTable(entry("a"))
+			q := Query{Service: "s", Model: "cached", Prompt: prompt}
+			p, _ := table.Choose(&q, start)
+			table.Done(&Outcome{Endpoint: p.ID, Incarnation: 5, End: EndAnswered, Service: "s", Model: q.Model, Prompt: prompt, TTFB: time.Second}, start)
+			q.Model = test.model
+			if test.model == "" {
+				q.Prompt = routing.Prompt{}
+			}
+			p, _ = table.Choose(&q, start)
+			qt.Check(t, p.PrefillTime, qt.Equals, test.want)
+		})
+	}
+}
