--- a/internal/filter/accesslog.go
+++ b/internal/filter/accesslog.go
@@ -34,7 +34,8 @@
 	values := []any{
 		"request", x.Request.ID, "code", int(code), "name", result.Describe(code).Name, "run", string(run), "detail", detail,
 		"path", x.Request.Path, "session", x.Request.Session, "service", x.Routed.Service, "account", x.Routed.Account,
-		"milliseconds", time.Since(x.Arrived).Milliseconds(), "caller_gone", ctx.Err() != nil, "steps", x.Routed.Trace,
+		"milliseconds", time.Since(x.Arrived).Milliseconds(), "caller_gone", ctx.Err() != nil,
+		"prompt_tokens", x.Routed.Prompt.TokensIn, "steps", x.Routed.Trace,
 	}
 	if t, r := x.Routed.Table, x.Routed.Route; t != nil && r != nil {
 		values = append(values, "configuration", t.Version, "route", r.Name)
