Move only part of a silent endpoint's runs at a time

If a sound endpoint pauses, all its runs fall silent together. All were moved at the silence timeout: the other endpoints had to read 64 prompts anew, and the service's retry budget was used up for those that really failed, while the endpoint went on a moment later. The pool now allows to move half of a silent endpoint's runs in half a second, and two in any case; the rest asks again. An endpoint that is gone for good is left by all within a few such steps.

TestPauseOfABusyEndpointBreaksNoAnswer has a row with a budget for all: without the bound 64 of 64 streams were moved for a pause of 1.3 s, now 32. All of them still come whole.

--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -89,6 +89,7 @@
 		placer: f.placer, query: f.query(), first: first, gap: f.eventGapLimit(first), cancel: cancel,
 		progress: make(chan struct{}, 1), ends: make(chan task.End, 1),
 	}
+	w.query.Silent = place.ID
 	if d := x.Request.Deadline; !d.IsZero() {
 		w.latest = d.Add(-max(minSendTime, place.TypicalLatency.TTFB))
 	}
--- a/internal/filter/silence_test.go
+++ b/internal/filter/silence_test.go
@@ -293,12 +293,15 @@
 type pausedEndpoint struct {
 	id    string
 	until time.Time
+	// sends receives the endpoint of each send.
+	sends chan string
 }
 
 func (s pausedEndpoint) Open(ctx context.Context, e endpoint.Endpoint, c endpoint.Call, check endpoint.SendCheck) (endpoint.Stream, error) {
 	if err := check(); err != nil {
 		return nil, err
 	}
+	s.sends <- e.ID
 	send := pausingSend{0, []time.Duration{0, 0, 0}, []endpoint.Chunk{event("1", "data: a\n\n"), event("2", "data: b\n\n"), end}}
 	if e.ID == s.id {
 		send.pauses[1] = time.Until(s.until)
@@ -309,13 +312,34 @@
 	return &pausingStream{ctx, send}, nil
 }
 
-// TestPauseOfABusyEndpointBreaksNoAnswer lets all streams of an endpoint pause at once, which is more than the retry budget allows
-// to move.
+// TestPauseOfABusyEndpointBreaksNoAnswer lets all streams of an endpoint pause at once.
 func TestPauseOfABusyEndpointBreaksNoAnswer(t *testing.T) {
-	const streams, pause = 64, 1300 * time.Millisecond
+	const streams = 64
+	tests := []struct {
+		name  string
+		ratio float64
+		pause time.Duration
+		// maxMoved is how many may be moved to the other endpoint.
+		maxMoved int
+	}{
+		{"the retry budget is smaller than the endpoint", 0.2, 1300 * time.Millisecond, streams / 4},
+		{"the retry budget allows to move all, for a short pause", 2, 1300 * time.Millisecond, streams / 2},
+		{"the retry budget allows to move all, for good", 2, time.Hour, streams},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			whole, moved := pauseBusyEndpoint(t, streams, test.ratio, test.pause)
+			qt.Check(t, whole, qt.Equals, streams)
+			qt.Check(t, moved <= test.maxMoved, qt.IsTrue, qt.Commentf("%d of %d moved", moved, streams))
+		})
+	}
+}
+
+// pauseBusyEndpoint starts the streams at an endpoint that pauses, and returns how many came whole and how many were moved.
+func pauseBusyEndpoint(t *testing.T, streams int, ratio float64, pause time.Duration) (whole, moved int) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		limit := pool.RetryLimit{Ratio: 0.2, Slack: 1, Window: 10 * time.Second}
+		limit := pool.RetryLimit{Ratio: ratio, Slack: 1, Window: 10 * time.Second}
 		p := pool.New(noCrashes{}, pool.Options{Location: endpoint.Location{Zone: "z"}, RetryLimit: limit}, logr.Discard())
 		ends := make(chan task.End, 1)
 		task.Start(ctx, "pool", ends, p.Run)
@@ -323,7 +347,7 @@
 			e := pool.Entry{ID: id, Service: "s", Address: "127.0.0.1:1", Zone: "z" + strings.TrimPrefix(id, "near"), Slots: streams}
 			qt.Assert(t, p.Put(ctx, e), qt.IsNil)
 		}
-		sender := pausedEndpoint{"near", time.Now().Add(pause)}
+		sender := pausedEndpoint{"near", time.Now().Add(pause), make(chan string, 2*streams)}
 		requests := make(chan task.End, streams)
 		for n := range streams {
 			x, sink := routedExchange(routing.KindStream)
@@ -338,14 +362,14 @@
 				return nil
 			})
 		}
-		whole := 0
 		for range streams {
 			if end := <-requests; end.Err == nil {
 				whole++
 			}
 		}
-		qt.Check(t, whole, qt.Equals, streams)
+		moved = len(sender.sends) - streams
 		cancel()
 		<-ends
 	})
+	return whole, moved
 }
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -150,6 +150,8 @@
 		return r.placement, nil
 	case ChoiceNoBudget:
 		return Placement{}, result.Errorf(result.QueueFull, "service %s: retry budget is used up", q.Service).WithRetryAfter(retryAfter)
+	case ChoiceLater:
+		return Placement{}, result.Errorf(result.QueueFull, "endpoint %s: other silent runs are moved first", q.Silent).WithRetryAfter(retryAfter)
 	default:
 		return Placement{}, result.Errorf(result.NoEndpoint, "service %s version %q", q.Service, q.Version).WithRetryAfter(retryAfter)
 	}
@@ -220,6 +222,9 @@
 		budget.CountRequest(now)
 	case m.query.Escalation:
 		budget.CountRetry(now)
+	case m.query.Silent != "" && !c.table.TakeMove(m.query.Silent, now):
+		m.reply <- chooseReply{choice: ChoiceLater}
+		return
 	case !budget.TakeRetry(now):
 		m.reply <- chooseReply{choice: ChoiceNoBudget}
 		return
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -50,6 +50,8 @@
 	ExcludedVersions []string
 	// Exclude lists the IDs of the endpoints that were tried before.
 	Exclude []string
+	// Silent is the ID of the endpoint whose silent run is to be replaced, or "".
+	Silent string
 	// Retry says that the request was sent before, so that this send counts against the retry budget.
 	Retry bool
 	// Escalation says that the retry goes to a stronger model. The budget was checked before, so it is not refused.
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -9,6 +9,11 @@
 	// maxBackoff.
 	firstBackoff = 400 * time.Millisecond
 	maxBackoff   = 6 * time.Second
+	// moveInterval is the time in which at most maxMoveShare of an endpoint's runs are moved away because they are silent, but
+	// minMoves in any case: an endpoint that pauses with all its runs mostly goes on soon.
+	moveInterval = 500 * time.Millisecond
+	maxMoveShare = 0.5
+	minMoves     = 2
 	// refusalTTL is how long refusalCost counts for an endpoint that refused a run.
 	refusalTTL = 150 * time.Millisecond
 	// failureUpdateShare and latencyUpdateShare are the parts of one outcome, 0 to 1, in the moving means failureRate
@@ -57,6 +62,9 @@
 	latencyRatio float64
 	// prefixBlocks holds the blocks that the endpoint has probably cached, with the time of their last use.
 	prefixBlocks map[blockKey]time.Time
+	// movesLeft is how many silent runs may still be moved away in the moveInterval that began at movesSince.
+	movesLeft  int
+	movesSince time.Time
 	// lostRuns are the runs whose connection broke and that may have crashed the endpoint.
 	lostRuns []lostRun
 }
@@ -194,6 +202,18 @@
 	}
 }
 
+// takeMove reports whether a silent run may be moved away now, and counts it. Table.TakeMove calls it.
+func (r *Record) takeMove(now time.Time) bool {
+	if now.Sub(r.movesSince) >= moveInterval {
+		r.movesSince, r.movesLeft = now, max(int(maxMoveShare*float64(r.InFlight)), minMoves)
+	}
+	if r.movesLeft == 0 {
+		return false
+	}
+	r.movesLeft--
+	return true
+}
+
 // takeCrashes returns the fingerprints of the lost runs that still count and forgets them. It is called when the
 // endpoint is known to be down or restarted.
 func (r *Record) takeCrashes(now time.Time) []uint64 {
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -27,6 +27,8 @@
 	ChoiceNone
 	// ChoiceNoBudget means that the retry budget is used up.
 	ChoiceNoBudget
+	// ChoiceLater means that other runs of the silent endpoint are moved first.
+	ChoiceLater
 )
 
 // Crash says that an endpoint crashed while it ran the request with the fingerprint. Endpoint is its ID.
@@ -177,6 +179,13 @@
 	}, ChoicePlaced
 }
 
+// TakeMove reports whether a silent run may be moved away from the endpoint now, and counts it. The Controller calls it before it
+// chooses another.
+func (t *Table) TakeMove(id string, now time.Time) bool {
+	r, ok := t.records[id]
+	return !ok || r.takeMove(now)
+}
+
 // weight returns the share of an engine, 0 to 1, that the run takes.
 func (q *Query) weight() float64 { return cmp.Or(q.Weight, 1) }
 
