Count runs that fall silent together as one failure of their endpoint

A sound endpoint that paused for a second lost several runs by silence at once. Each doubled its backoff, up to 6 s, and added to its failure rate, so that it was left out long after it had gone on. Silences within a backoff are now one failure: the endpoint gets a run again after 0.4 s.

TestEndpointIsUsedAgainSoonAfterAPause: of its six rows, the two with 16 silences within one backoff failed before.

--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -190,6 +190,9 @@
 	case EndReplaced:
 		r.replaced = true
 	case EndLost, EndTimeout, EndUnreachable:
+		if o.End == EndTimeout && now.Before(r.backoffUntil) {
+			break // runs that fell silent together are one failure
+		}
 		r.failureRate += (1 - r.failureRate) * failureUpdateShare
 		r.unreachable = o.End != EndLost
 		r.backOff(now)
--- a/internal/pool/table_test.go
+++ b/internal/pool/table_test.go
@@ -147,6 +147,43 @@
 	}
 }
 
+// TestEndpointIsUsedAgainSoonAfterAPause ends runs of the nearer of two endpoints by silence at about the same time, and checks that
+// it's chosen again after the backoff of one failure.
+func TestEndpointIsUsedAgainSoonAfterAPause(t *testing.T) {
+	tests := []struct {
+		name string
+		runs int
+		// apart is the time between two ends.
+		apart time.Duration
+		wait  time.Duration
+		want  string
+	}{
+		{"one run, during the backoff", 1, 0, firstBackoff / 2, "far"},
+		{"one run", 1, 0, firstBackoff, "near"},
+		{"all at once, during the backoff", 16, 0, firstBackoff / 2, "far"},
+		{"all at once", 16, 0, firstBackoff, "near"},
+		{"within the backoff", 16, 20 * time.Millisecond, firstBackoff, "near"},
+		{"again after the backoff", 2, firstBackoff, firstBackoff, "far"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			near, far := entry("near"), entry("far")
+			far.Zone, far.Region = "z2", "r2"
+			table := newTable(near, far)
+			now := start
+			for range test.runs {
+				_, _ = table.Choose(&Query{Service: "s"}, start)
+			}
+			for n := range test.runs {
+				now = start.Add(time.Duration(n) * test.apart)
+				table.Done(&Outcome{Endpoint: "near", Incarnation: 5, End: EndTimeout, Service: "s"}, now)
+			}
+			p, _ := table.Choose(&Query{Service: "s"}, now.Add(test.wait))
+			qt.Check(t, p.ID, qt.Equals, test.want)
+		})
+	}
+}
+
 // TestPlacementPrefersCachedPrompt checks that requests with the same prompt go to the endpoint that processed it
 // before.
 func TestPlacementPrefersCachedPrompt(t *testing.T) {
