Don't count endpoints that can't be reached as attempts

What callers saw: a stream that had begun was closed, or a request got 503, after its attempts had gone to endpoints to which no connection could be made, while others were free. max_attempts bounds the endpoints to which a request is sent, and nothing was sent there. Such endpoints no longer count; each is asked once, each retry still draws on the retry budget, and the deadline ends the tries.

Found by going through the ways in which a request ends without an answer.

--- a/internal/filter/escalate.go
+++ b/internal/filter/escalate.go
@@ -89,7 +89,7 @@
 
 // mayEscalate reports whether the request may be sent again, to the stronger model.
 func (c *confidenceSink) mayEscalate() bool {
-	return c.x.Idempotent && c.x.Attempt.RetryAllowed && c.x.Routed.Route.MaxAttempts-c.x.Routed.Attempts >= minAttemptsLeft
+	return c.x.Idempotent && c.x.Attempt.RetryAllowed && c.x.Routed.attemptsLeft() >= minAttemptsLeft
 }
 
 // Chunk implements Sink.
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -212,7 +212,7 @@
 // final. Handle calls it after each failed attempt.
 func (f *forwardRun) shouldRetry(ctx context.Context, err error) bool {
 	x := f.x
-	if ctx.Err() != nil || errors.Is(err, errCallerGone) || x.Routed.Attempts >= x.Routed.Route.MaxAttempts {
+	if ctx.Err() != nil || errors.Is(err, errCallerGone) || x.Routed.attemptsLeft() <= 0 {
 		return false
 	}
 	var coded *result.Error
--- a/internal/filter/forward_test.go
+++ b/internal/filter/forward_test.go
@@ -209,6 +209,15 @@
 			{head: head(200, "1"), chunks: []endpoint.Chunk{event("1", "a"), event("2", "b")}, broken: endpoint.ErrBroken},
 			{head: head(200, "2"), chunks: []endpoint.Chunk{event("3", "c"), end}},
 		}, "abc", "1", 2, 0, ""},
+		{"stream is resumed past endpoints that can't be reached", routing.KindStream, []scriptedSend{
+			{head: head(200, "1"), chunks: []endpoint.Chunk{event("1", "a")}, broken: endpoint.ErrBroken},
+			{err: endpoint.ErrNotSent},
+			{err: endpoint.ErrNotSent},
+			{head: head(200, "2"), chunks: []endpoint.Chunk{event("2", "b"), end}},
+		}, "ab", "1", 4, 0, ""},
+		{"non-idempotent request gets past endpoints that can't be reached", routing.KindNonIdempotent, []scriptedSend{
+			{err: endpoint.ErrNotSent}, {err: endpoint.ErrNotSent}, {err: endpoint.ErrNotSent}, whole("4", "yes"),
+		}, "yes", "4", 4, 0, ""},
 		{"stream that ends early is broken", routing.KindStream, []scriptedSend{
 			{head: head(200, "1"), chunks: []endpoint.Chunk{event("1", "a")}},
 			{err: endpoint.ErrBroken},
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -82,7 +82,7 @@
 func (f *forwardRun) startSilenceWatch(run context.Context, cancel context.CancelCauseFunc, place pool.Placement) *silenceWatch {
 	x := f.x
 	first := f.firstSilenceLimit(place)
-	if !x.Idempotent || x.Routed.Attempts >= x.Routed.Route.MaxAttempts || first <= 0 {
+	if !x.Idempotent || x.Routed.attemptsLeft() <= 0 || first <= 0 {
 		return nil
 	}
 	w := &silenceWatch{
@@ -258,7 +258,7 @@
 }
 
 // classifyEnd returns how the send ended for the endpoint, and sets MayHaveRun if the endpoint may have run the
-// request. ctx is the context of the request, run that of the send, which the silence timeout cancels. send calls it.
+// request, or counts one that wasn't reached. ctx is the context of the request, run that of the send, which the silence timeout cancels. send calls it.
 func (f *forwardRun) classifyEnd(ctx, run context.Context, err error) pool.End {
 	var refused *endpoint.RefusedError
 	var coded *result.Error
@@ -282,6 +282,7 @@
 		if ctx.Err() != nil {
 			return pool.EndAbandoned
 		}
+		f.x.Routed.Unreached++
 		return pool.EndUnreachable
 	}
 	f.x.Routed.MayHaveRun = true
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -32,6 +32,8 @@
 	LastEventID string
 	// Attempts counts how often the request was placed on an endpoint, also if nothing was sent there.
 	Attempts int
+	// Unreached counts those of them to whose endpoint no connection could be made.
+	Unreached int
 	// MayHaveRun reports that an endpoint ran the request, or may have.
 	MayHaveRun bool
 	// Stronger is reserved for the strongest model, whose answer is to replace one that was dropped.
@@ -40,6 +42,10 @@
 	Trace []Step
 }
 
+// attemptsLeft returns how many more endpoints the request may be sent to. One that couldn't be reached doesn't count, since
+// nothing was sent there.
+func (r *Routed) attemptsLeft() int { return r.Route.MaxAttempts - (r.Attempts - r.Unreached) }
+
 // Step describes one send of a request and its outcome, for the log.
 type Step struct {
 	Endpoint string `json:"endpoint"`
