Don't take a slow caller for a silent endpoint

What callers saw: a caller that took an event slowly lost its stream. While the VM waited for it to take what had come, the silence timeout of the endpoint ran on: the send was cancelled, the endpoint suspected, and the stream resumed elsewhere until no attempt was left, then broken off. The watch now counts only the time in which the send waits for the endpoint, and so does silent_ns.

Found by going through the ways in which an answer that comes is broken off. TestSlowCallerIsNotTakenForSilence/stream failed before: three sends to three endpoints (timeout, lost, lost) and 4003 after the first event.

--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -87,7 +87,7 @@
 	}
 	w := &silenceWatch{
 		placer: f.placer, query: f.query(), first: first, gap: f.eventGapLimit(first), cancel: cancel,
-		progress: make(chan struct{}, 1), ends: make(chan task.End, 1),
+		progress: make(chan progress, 1), ends: make(chan task.End, 1),
 	}
 	w.query.Silent = place.ID
 	if d := x.Request.Deadline; !d.IsZero() {
@@ -174,7 +174,7 @@
 		p := fragment.Chunk
 		if isProgress(p) {
 			s.progressed(time.Now())
-			watch.progressed()
+			watch.signal(progressPassingOn)
 		}
 		if p.Event != "" {
 			now := time.Now()
@@ -192,6 +192,10 @@
 			return fmt.Errorf("%w: %w", errCallerGone, err)
 		}
 		x.Relayed = true
+		if isProgress(p) {
+			s.progressAt = time.Now()
+			watch.signal(progressWaiting)
+		}
 		if p.Event != "" {
 			f.lastEventID = p.Event
 		}
--- a/internal/filter/silence.go
+++ b/internal/filter/silence.go
@@ -25,8 +25,8 @@
 	// latest is when the last replacement may be asked for; zero means no limit.
 	latest time.Time
 	cancel context.CancelCauseFunc
-	// progress has room for one signal.
-	progress chan struct{}
+	// progress holds the newest signal.
+	progress chan progress
 	ends     chan task.End
 
 	// What follows is read by the owner after the watch has ended: the reservation, or nil, the number of tries that found no
@@ -36,15 +36,27 @@
 	err      error
 }
 
-// progressed tells the watch of progress of the send; w may be nil.
-func (w *silenceWatch) progressed() {
+// progress says what a send does since its answer came on.
+type progress int
+
+const (
+	// progressPassingOn means that the caller takes what came, which is no silence of the endpoint.
+	progressPassingOn progress = iota + 1
+	// progressWaiting means that the send waits for more.
+	progressWaiting
+)
+
+// signal tells the watch of progress of the send, in place of a signal that it hasn't read yet. Only the owner of the watch
+// calls it; w may be nil.
+func (w *silenceWatch) signal(p progress) {
 	if w == nil {
 		return
 	}
 	select {
-	case w.progress <- struct{}{}:
-	default: // one signal is waiting, which says as much
+	case <-w.progress:
+	default: // the watch has read the last one
 	}
+	w.progress <- p
 }
 
 // run watches until it has cancelled the send or ctx, the send's context, ends. It's the task of a watch.
@@ -53,8 +65,11 @@
 	defer timer.Stop()
 	for {
 		select {
-		case <-w.progress:
-			timer.Reset(w.gap)
+		case p := <-w.progress:
+			timer.Stop()
+			if p == progressWaiting {
+				timer.Reset(w.gap)
+			}
 		case now := <-timer.C:
 			if !w.latest.IsZero() && now.After(w.latest) {
 				return nil
--- a/internal/filter/silence_test.go
+++ b/internal/filter/silence_test.go
@@ -283,6 +283,47 @@
 	}
 }
 
+// slowSink is a Sink that takes a time for each chunk.
+type slowSink struct {
+	textSink
+	pause time.Duration
+}
+
+func (w *slowSink) Chunk(ctx context.Context, p endpoint.Chunk) error {
+	time.Sleep(w.pause)
+	return w.textSink.Chunk(ctx, p)
+}
+
+// TestSlowCallerIsNotTakenForSilence checks that the time in which the caller takes an event isn't a silence of the endpoint.
+func TestSlowCallerIsNotTakenForSilence(t *testing.T) {
+	const short = 10 * time.Millisecond
+	tests := []struct {
+		name string
+		kind routing.Kind
+		send pausingSend
+	}{
+		{"stream", routing.KindStream, pausingSend{short, []time.Duration{short, short, short}, []endpoint.Chunk{event("1", "a"), event("2", "b"), end}}},
+		{"answer without events", routing.KindIdempotent, pausingSend{short, []time.Duration{short}, []endpoint.Chunk{last("ab")}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x, _ := routedExchange(test.kind)
+				sink := &slowSink{pause: 3 * time.Second}
+				x.Sink = sink
+				ctx, cancel := contextUntil(t, x)
+				defer cancel()
+				p := &fakePool{}
+				sender := &pausingSender{script: []pausingSend{test.send}}
+				qt.Check(t, Forward{p, noShift{}, sender}.Handle(ctx, x, nil), qt.IsNil)
+				qt.Check(t, sink.text, qt.Equals, "ab")
+				qt.Check(t, p.ends, qt.DeepEquals, []pool.End{pool.EndAnswered})
+				qt.Check(t, x.Routed.Trace[0].Silent <= 2*short, qt.IsTrue)
+			})
+		})
+	}
+}
+
 // noCrashes implements pool.Crashes.
 type noCrashes struct{}
 
