Answer a silent request before its caller gives up

What callers saw: neither an answer nor a refusal. A request of which nothing had come kept its endpoint until the caller's own deadline, and the router's 504 left at the moment at which the caller closed.

A request of which nothing was answered now ends 25 ms before the caller's timeout (5 in 100 of a short one) and gets 504; an answer that has begun keeps all of its time. The route's timeout is as before, since the caller still waits then.

TestSilentRequestIsAnsweredBeforeItsCallerGivesUp: its first three rows failed before (5 s of 5 s).

--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -34,6 +34,10 @@
 }
 
 const (
+	// answerMargin is how long before the caller's timeout a request of which nothing was answered is given up, so that the error
+	// reaches the caller; for short timeouts it is maxAnswerMarginShare of them.
+	answerMargin         = 25 * time.Millisecond
+	maxAnswerMarginShare = 0.05
 	// minSendTime is the time to the deadline below which a request is not sent any more.
 	minSendTime = 20 * time.Millisecond
 	// ttfbTimeoutFactor multiplies the usual time to first byte to get the silence timeout for the head of an answer,
@@ -66,6 +70,12 @@
 	run := &forwardRun{placer: placer{f.Pool, f.Shifts, x.Request.Session}, sender: f.Sender, x: x, lastEventID: x.Routed.LastEventID}
 	run.reserved, x.Routed.Stronger = x.Routed.Stronger, nil
 	defer func() { run.release(ctx, run.reserved) }()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if wait, ok := run.timeToGiveUp(); ok {
+		run.giveUp = time.AfterFunc(wait, func() { cancel(context.DeadlineExceeded) })
+		defer run.giveUp.Stop()
+	}
 	for {
 		err := run.attempt(ctx)
 		if err == nil || errors.Is(err, errEscalate) {
@@ -82,6 +92,8 @@
 	placer
 	sender Sender
 	x      *Exchange
+	// giveUp cancels the request unless a part of the answer is relayed before; nil without a deadline of the caller.
+	giveUp *time.Timer
 	// reserved is the placement of the next send, if there is one already.
 	reserved *Reservation
 	// tried lists the IDs of the endpoints that this run has used.
@@ -95,6 +107,19 @@
 	errorAnswer *bufferedAnswer
 }
 
+// timeToGiveUp returns the time until answerMargin before the caller's timeout; false if the route's timeout ends before or a part
+// of the answer was relayed. Handle calls it once.
+func (f *forwardRun) timeToGiveUp() (time.Duration, bool) {
+	x := f.x
+	timeout := x.Routed.CallerTimeout
+	end := x.Arrived.Add(timeout)
+	if timeout <= 0 || x.Relayed || x.Request.Deadline.Before(end) {
+		return 0, false
+	}
+	margin := min(answerMargin, time.Duration(maxAnswerMarginShare*float64(timeout)))
+	return time.Until(end) - margin, true
+}
+
 // bufferedAnswer is a whole answer that is held back.
 type bufferedAnswer struct {
 	head Head
@@ -246,7 +271,7 @@
 	var refused *endpoint.RefusedError
 	var e *result.Error
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		e = result.Errorf(result.DeadlinePassed, "%v", err)
 	case errors.As(err, &refused):
 		e = result.Errorf(result.QueueFull, "%s", endpointNames(f.tried)).WithRetryAfter(retryAfter)
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -191,7 +191,7 @@
 		if err := x.Sink.Chunk(ctx, p); err != nil {
 			return fmt.Errorf("%w: %w", errCallerGone, err)
 		}
-		x.Relayed = true
+		f.setRelayed()
 		if isProgress(p) {
 			s.progressAt = time.Now()
 			watch.signal(progressWaiting)
@@ -205,6 +205,14 @@
 	}
 }
 
+// setRelayed records that the caller has a part of the answer, which no error can replace any more.
+func (f *forwardRun) setRelayed() {
+	f.x.Relayed = true
+	if f.giveUp != nil {
+		f.giveUp.Stop()
+	}
+}
+
 // begin passes the head on. An answer is dropped for the stronger model's only once that model has a placement; otherwise it is
 // kept. relay calls it.
 func (f *forwardRun) begin(ctx context.Context, head Head) error {
--- a/internal/filter/silence_test.go
+++ b/internal/filter/silence_test.go
@@ -46,76 +46,6 @@
 	}
 }
 
-// contextUntil returns a context that ends at the request's deadline.
-func contextUntil(t *testing.T, x *Exchange) (context.Context, context.CancelFunc) {
-	return context.WithDeadline(t.Context(), x.Request.Deadline)
-}
-
-// pausingSender is a Sender whose answers begin after a pause and have pauses between their chunks, as scripted, in order.
-type pausingSender struct {
-	script []pausingSend
-	to     []string
-}
-
-type pausingSend struct {
-	// head is the time until the head of the answer, pauses[i] that before chunks[i].
-	head   time.Duration
-	pauses []time.Duration
-	chunks []endpoint.Chunk
-}
-
-func (s *pausingSender) Open(ctx context.Context, e endpoint.Endpoint, _ endpoint.Call, check endpoint.SendCheck) (endpoint.Stream, error) {
-	if err := check(); err != nil {
-		return nil, err
-	}
-	n := len(s.to)
-	s.to = append(s.to, e.ID)
-	if n >= len(s.script) {
-		return nil, fmt.Errorf("%w: no further send is scripted", endpoint.ErrBroken)
-	}
-	send := s.script[n]
-	if !task.Sleep(ctx, send.head) {
-		return nil, endpoint.ErrBroken
-	}
-	return &pausingStream{ctx, send}, nil
-}
-
-type pausingStream struct {
-	ctx  context.Context
-	send pausingSend
-}
-
-func (s *pausingStream) Head() endpoint.Head { return head(200, "s") }
-
-func (s *pausingStream) Next() (endpoint.Fragment, error) {
-	if !task.Sleep(s.ctx, s.send.pauses[0]) {
-		return endpoint.Fragment{}, endpoint.ErrBroken
-	}
-	c := s.send.chunks[0]
-	s.send.pauses, s.send.chunks = s.send.pauses[1:], s.send.chunks[1:]
-	return endpoint.Fragment{Chunk: c}, nil
-}
-
-func (s *pausingStream) Close() {}
-
-// busyPool is a Pool that refuses retries for a time with an error, and takes a time to place the others.
-type busyPool struct {
-	fakePool
-	refusal     error
-	refuseUntil time.Time
-	placing     time.Duration
-}
-
-func (p *busyPool) Choose(ctx context.Context, q pool.Query) (pool.Placement, error) {
-	if q.Retry && time.Now().Before(p.refuseUntil) {
-		return pool.Placement{}, p.refusal
-	}
-	if q.Retry {
-		time.Sleep(p.placing)
-	}
-	return p.fakePool.Choose(ctx, q)
-}
-
 // TestPauseOfASoundEndpointBreaksNoAnswer checks that a silent send goes on unless another endpoint can take the request, and is
 // moved there as soon as one can.
 func TestPauseOfASoundEndpointBreaksNoAnswer(t *testing.T) {
@@ -243,18 +173,6 @@
 	}
 }
 
-// longPromptPool is a Pool whose endpoints take a time to process the prompt.
-type longPromptPool struct {
-	fakePool
-	prefill time.Duration
-}
-
-func (p *longPromptPool) Choose(ctx context.Context, q pool.Query) (pool.Placement, error) {
-	place, err := p.fakePool.Choose(ctx, q)
-	place.PrefillTime = p.prefill
-	return place, err
-}
-
 // TestLongPromptIsNotTakenForSilence checks that a send isn't moved while its endpoint may still read the prompt, which another
 // would have to read from the start.
 func TestLongPromptIsNotTakenForSilence(t *testing.T) {
@@ -283,17 +201,6 @@
 	}
 }
 
-// slowSink is a Sink that takes a time for each chunk.
-type slowSink struct {
-	textSink
-	pause time.Duration
-}
-
-func (w *slowSink) Chunk(ctx context.Context, p endpoint.Chunk) error {
-	time.Sleep(w.pause)
-	return w.textSink.Chunk(ctx, p)
-}
-
 // TestSlowCallerIsNotTakenForSilence checks that the time in which the caller takes an event isn't a silence of the endpoint.
 func TestSlowCallerIsNotTakenForSilence(t *testing.T) {
 	const short = 10 * time.Millisecond
@@ -324,33 +231,50 @@
 	}
 }
 
-// noCrashes implements pool.Crashes.
-type noCrashes struct{}
-
-func (noCrashes) Crashed(context.Context, uint64, string) error { return nil }
-
-// pausedEndpoint is a Sender of streams that come without a pause, except that all streams of the endpoint stand still from
-// after their first event until a moment.
-type pausedEndpoint struct {
-	id    string
-	until time.Time
-	// sends receives the endpoint of each send.
-	sends chan string
-}
-
-func (s pausedEndpoint) Open(ctx context.Context, e endpoint.Endpoint, c endpoint.Call, check endpoint.SendCheck) (endpoint.Stream, error) {
-	if err := check(); err != nil {
-		return nil, err
-	}
-	s.sends <- e.ID
-	send := pausingSend{0, []time.Duration{0, 0, 0}, []endpoint.Chunk{event("1", "data: a\n\n"), event("2", "data: b\n\n"), end}}
-	if e.ID == s.id {
-		send.pauses[1] = time.Until(s.until)
+// TestSilentRequestIsAnsweredBeforeItsCallerGivesUp checks that a request of which nothing was answered gets its error before the
+// caller's timeout, and that an answer which has begun may use all of the time.
+func TestSilentRequestIsAnsweredBeforeItsCallerGivesUp(t *testing.T) {
+	const timeout = 5 * time.Second
+	silent := pausingSend{time.Hour, nil, nil}
+	tests := []struct {
+		name         string
+		kind         routing.Kind
+		routeTimeout time.Duration
+		send         pausingSend
+		// from and to bound the time until the end.
+		from, to time.Duration
+		code     result.Code
+	}{
+		{"idempotent", routing.KindIdempotent, 0, silent, timeout * 9 / 10, timeout - 10*time.Millisecond, result.DeadlinePassed},
+		{"non-idempotent", routing.KindNonIdempotent, 0, silent, timeout * 9 / 10, timeout - 10*time.Millisecond, result.DeadlinePassed},
+		{"stream", routing.KindStream, 0, silent, timeout * 9 / 10, timeout - 10*time.Millisecond, result.DeadlinePassed},
+		{
+			"stream that has begun", routing.KindStream, 0,
+			pausingSend{0, []time.Duration{0, timeout - time.Millisecond}, []endpoint.Chunk{event("1", "a"), end}},
+			timeout - time.Millisecond, timeout - time.Millisecond, 0,
+		},
+		{"the route's timeout ends before", routing.KindStream, timeout / 2, silent, timeout / 2, timeout / 2, result.DeadlinePassed},
 	}
-	if c.LastEventID == "1" {
-		send.pauses, send.chunks = send.pauses[1:], send.chunks[1:]
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x, _ := routedExchange(test.kind)
+				x.Routed.Route.MaxAttempts = 1
+				x.Routed.CallerTimeout = timeout
+				x.Request.Deadline = deadline(x.Arrived, timeout, test.routeTimeout)
+				ctx, cancel := contextUntil(t, x)
+				defer cancel()
+				err := Forward{&fakePool{}, noShift{}, &pausingSender{script: []pausingSend{test.send}}}.Handle(ctx, x, nil)
+				took := time.Since(x.Arrived)
+				qt.Check(t, took >= test.from && took <= test.to, qt.IsTrue, qt.Commentf("%v", took))
+				if test.code == 0 {
+					qt.Check(t, err, qt.IsNil)
+					return
+				}
+				qt.Check(t, result.From(err).Code, qt.Equals, test.code)
+			})
+		})
 	}
-	return &pausingStream{ctx, send}, nil
 }
 
 // TestPauseOfABusyEndpointBreaksNoAnswer lets all streams of an endpoint pause at once.
