--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -34,6 +34,10 @@
 }
 
 const (
+	// answerMargin is how long before the caller's timeout a request of which nothing was answered is given up, so that the error
+	// reaches the caller; for short timeouts it is maxAnswerMarginShare of them.
+	answerMargin         = 25 * time.Millisecond
+	maxAnswerMarginShare = 0.05
 	// minSendTime is the time to the deadline below which a request is not sent any more.
 	minSendTime = 20 * time.Millisecond
 	// ttfbTimeoutFactor multiplies the usual time to first byte to get the silence timeout for the head of an answer,
@@ -41,6 +45,9 @@
 	ttfbTimeoutFactor = 6
 	// minTTFBTimeoutShare is the least value of that timeout, as a share of the route's objective.
 	minTTFBTimeoutShare = 1.0
+	// prefillTimeoutFactor multiplies the time to process the prompt to get the least value of that timeout, since a prompt
+	// that is being read shares its engine with others.
+	prefillTimeoutFactor = 2
 	// gapTimeoutShare is the share of the route's MaxGap after which a silent stream is resumed at another endpoint.
 	gapTimeoutShare = 0.8
 	// retryAfter is the Retry-After of requests that no endpoint accepted.
@@ -60,7 +67,15 @@
 // Handle implements Filter. Forward is the last filter of its chain. It returns errEscalate unchanged; Escalate then
 // calls it again with the stronger model.
 func (f Forward) Handle(ctx context.Context, x *Exchange, _ Next) error {
-	run := &forwardRun{Forward: f, x: x, lastEventID: x.Routed.LastEventID}
+	run := &forwardRun{placer: placer{f.Pool, f.Shifts, x.Request.Session}, sender: f.Sender, x: x, lastEventID: x.Routed.LastEventID}
+	run.reserved, x.Routed.Stronger = x.Routed.Stronger, nil
+	defer func() { run.release(ctx, run.reserved) }()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if wait, ok := run.timeToGiveUp(); ok {
+		run.giveUp = time.AfterFunc(wait, func() { cancel(context.DeadlineExceeded) })
+		defer run.giveUp.Stop()
+	}
 	for {
 		err := run.attempt(ctx)
 		if err == nil || errors.Is(err, errEscalate) {
@@ -74,8 +89,13 @@
 
 // forwardRun is one request on its way through Forward.
 type forwardRun struct {
-	Forward
-	x *Exchange
+	placer
+	sender Sender
+	x      *Exchange
+	// giveUp cancels the request unless a part of the answer is relayed before; nil without a deadline of the caller.
+	giveUp *time.Timer
+	// reserved is the placement of the next send, if there is one already.
+	reserved *Reservation
 	// tried lists the IDs of the endpoints that this run has used.
 	tried []string
 	// present is the present attempt; trial says that its progress is to be told.
@@ -87,6 +107,19 @@
 	errorAnswer *bufferedAnswer
 }
 
+// timeToGiveUp returns the time until answerMargin before the caller's timeout; false if the route's timeout ends before or a part
+// of the answer was relayed. Handle calls it once.
+func (f *forwardRun) timeToGiveUp() (time.Duration, bool) {
+	x := f.x
+	timeout := x.Routed.CallerTimeout
+	end := x.Arrived.Add(timeout)
+	if timeout <= 0 || x.Relayed || x.Request.Deadline.Before(end) {
+		return 0, false
+	}
+	margin := min(answerMargin, time.Duration(maxAnswerMarginShare*float64(timeout)))
+	return time.Until(end) - margin, true
+}
+
 // bufferedAnswer is a whole answer that is held back.
 type bufferedAnswer struct {
 	head Head
@@ -96,19 +129,19 @@
 // errEndpointStatus ends a send that the endpoint answered with an error status; the answer is in errorAnswer.
 var errEndpointStatus = errors.New("the endpoint answered with an error status")
 
-// attempt binds the session to a version, places the run, sends it once and reports the outcome. If the binding or the
-// placement fails, nothing is sent or reported, and there is no retry. Handle calls it for the first send and for each
-// retry.
+// attempt places the run unless a placement is reserved, sends it once and reports the outcome. If the placement fails,
+// nothing is sent or reported, and there is no retry. Handle calls it for the first send and for each retry.
 func (f *forwardRun) attempt(ctx context.Context) error {
 	x := f.x
-	binding, err := f.Shifts.Bind(ctx, x.Routed.Service, x.Request.Session)
-	if err != nil {
-		return result.Errorf(result.QueueFull, "bind the session to a version: %v", err)
-	}
-	place, err := f.Pool.Choose(ctx, f.query(binding))
-	if err != nil {
-		return err
+	r := f.reserved
+	f.reserved = nil
+	if r == nil {
+		var err error
+		if r, err = f.reserve(ctx, f.query()); err != nil {
+			return err
+		}
 	}
+	place := r.Placement
 	f.tried = append(f.tried, place.ID)
 	x.Routed.Attempts++
 	x.Attempt.Endpoint = endpoint.Endpoint{ID: place.ID, Address: place.Address, Region: place.Region, Zone: place.Zone}
@@ -117,23 +150,23 @@
 		ID: shift.AttemptID{Request: x.Request.ID, Number: x.Routed.Attempts}, Service: x.Routed.Service, Version: place.Version,
 		Session: x.Request.Session, Endpoint: place.ID, Kind: x.Routed.Route.Name + " " + x.Attempt.Model,
 		Model: x.Attempt.Model, Running: place.Running,
-	}, binding.Trial
+	}, r.Binding.Trial
 	_ = f.Shifts.AttemptStarted(ctx, f.present) // a full mailbox loses the binding of the session
 	s := f.send(ctx, place)
+	f.reserved = s.reserved
 	f.report(ctx, place, s)
 	return s.err
 }
 
 // query describes the run for placement. Only streams go to model engines and carry a model, a prompt and an affinity:
-// the shared prefix of the prompt, or else the session. attempt calls it before each send.
-func (f *forwardRun) query(b shift.Binding) pool.Query {
+// the shared prefix of the prompt, or else the session. It's called before each send, and for the replacement of a silent one.
+func (f *forwardRun) query() pool.Query {
 	x := f.x
 	q := pool.Query{
-		Service: x.Routed.Service, Version: b.Version, ExcludedVersions: b.ExcludedVersions, Exclude: f.tried, Retry: x.Routed.Attempts > 0,
-		Escalation: x.Attempt.Level > 0 && len(f.tried) == 0,
+		Service: x.Routed.Service, Exclude: f.tried, Retry: x.Routed.Attempts > 0,
 	}
 	if x.Routed.Route.Kind == routing.KindStream {
-		q.Model, q.Prompt, q.Weight = x.Attempt.Model, x.Routed.Prompt, f.weight()
+		q.Model, q.Prompt, q.Weight = x.Attempt.Model, x.Routed.Prompt, f.weight(x.Attempt.Model)
 		if n := len(x.Routed.Route.Cascade); n > 0 && x.Attempt.Level < n-1 {
 			q.StrongerModel = x.Routed.Route.Cascade[n-1]
 		}
@@ -145,13 +178,25 @@
 	return q
 }
 
-// weight returns the share of an engine, 0 to 1, that the run takes.
-func (f *forwardRun) weight() float64 {
+// reserveStronger reserves a placement for the cascade's strongest model and reports whether there was one. begin calls it.
+func (f *forwardRun) reserveStronger(ctx context.Context) bool {
+	models := f.x.Routed.Route.Cascade
+	q := f.query()
+	q.Model, q.StrongerModel = models[len(models)-1], ""
+	q.Weight = f.weight(q.Model)
+	q.Exclude, q.Retry, q.Escalation = nil, true, true
+	r, err := f.reserve(ctx, q)
+	f.x.Routed.Stronger = r
+	return err == nil
+}
+
+// weight returns the share of an engine, 0 to 1, that a run of the model takes.
+func (f *forwardRun) weight(model string) float64 {
 	s := f.x.Routed.Table.Service(f.x.Routed.Service)
 	if s == nil {
 		return 1
 	}
-	return s.Engine.Weight(f.x.Attempt.Model)
+	return s.Engine.Weight(model)
 }
 
 // report tells the pool and the traffic shift how the send ended, and appends it to the trace for the log.
@@ -168,14 +213,14 @@
 		Pace: s.gaps.pace(),
 	}
 	if x.Routed.Route.Kind == routing.KindStream {
-		o.Model, o.Prompt, o.Weight = x.Attempt.Model, x.Routed.Prompt, f.weight()
+		o.Model, o.Prompt, o.Weight = x.Attempt.Model, x.Routed.Prompt, f.weight(x.Attempt.Model)
 	}
 	o.MeanGap = s.gaps.mean()
 	_ = f.Pool.Done(ctx, o)           // Done waits for room; if it fails even so, the run stays counted as in flight
 	_ = f.Shifts.AttemptEnded(ctx, a) // a full mailbox loses one answer's evidence
 	step := Step{
 		Endpoint: place.ID, Model: x.Attempt.Model, Version: place.Version, End: s.end.String(), Load: place.Load,
-		TTFB: s.ttfb, Duration: s.duration, Events: s.events, MeanGap: o.MeanGap, Confidence: -1,
+		TTFB: s.ttfb, Duration: s.duration, Events: s.events, MeanGap: o.MeanGap, Silent: s.silent, Refused: s.refused, RefusedErr: s.refusedErr, Confidence: -1,
 		Verdict: x.Attempt.Verdict.String(),
 	}
 	if s.head.HasConfidence {
@@ -192,7 +237,7 @@
 // final. Handle calls it after each failed attempt.
 func (f *forwardRun) shouldRetry(ctx context.Context, err error) bool {
 	x := f.x
-	if ctx.Err() != nil || errors.Is(err, errCallerGone) || x.Routed.Attempts >= x.Routed.Route.MaxAttempts {
+	if ctx.Err() != nil || errors.Is(err, errCallerGone) || x.Routed.attemptsLeft() <= 0 {
 		return false
 	}
 	var coded *result.Error
@@ -226,7 +271,7 @@
 	var refused *endpoint.RefusedError
 	var e *result.Error
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		e = result.Errorf(result.DeadlinePassed, "%v", err)
 	case errors.As(err, &refused):
 		e = result.Errorf(result.QueueFull, "%s", endpointNames(f.tried)).WithRetryAfter(retryAfter)
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -32,12 +32,20 @@
 	LastEventID string
 	// Attempts counts how often the request was placed on an endpoint, also if nothing was sent there.
 	Attempts int
+	// Unreached counts those of them to whose endpoint no connection could be made.
+	Unreached int
 	// MayHaveRun reports that an endpoint ran the request, or may have.
 	MayHaveRun bool
+	// Stronger is reserved for the strongest model, whose answer is to replace one that was dropped.
+	Stronger *Reservation
 	// Trace lists the sends, for the log.
 	Trace []Step
 }
 
+// attemptsLeft returns how many more endpoints the request may be sent to. One that couldn't be reached doesn't count, since
+// nothing was sent there.
+func (r *Routed) attemptsLeft() int { return r.Route.MaxAttempts - (r.Attempts - r.Unreached) }
+
 // Step describes one send of a request and its outcome, for the log.
 type Step struct {
 	Endpoint string `json:"endpoint"`
@@ -52,6 +60,12 @@
 	// Events counts the events that were read. MeanGap is the mean time between them; 0 for fewer than three.
 	Events  int           `json:"events"`
 	MeanGap time.Duration `json:"gap_ns"`
+	// Silent is the longest time without progress: before the first event, between two, or until the send ended.
+	Silent time.Duration `json:"silent_ns"`
+	// Refused counts the tries to place a silent send elsewhere that found no endpoint or no retry budget.
+	// RefusedErr is the reason of the last.
+	Refused    int    `json:"replacements_refused"`
+	RefusedErr string `json:"replacement_error,omitempty"`
 	// Confidence is the model's confidence in its answer, 0 to 100; -1 if there is none.
 	Confidence int `json:"confidence"`
 	// Verdict is the decision on the answer by its confidence.
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -132,7 +132,7 @@
 }
 
 // Choose implements filter.Pool. It places a run and counts it as in flight until Done. Filter Forward calls it for
-// each send; if it fails, Forward doesn't retry.
+// each send, and for a replacement before it gives up a silent send; if it fails, nothing is sent.
 func (c *Controller) Choose(_ context.Context, q Query) (Placement, error) {
 	reply := make(chan chooseReply, 1)
 	if err := task.Tell(c.mailbox, message(chooseMessage{q, reply})); err != nil {
@@ -150,6 +150,8 @@
 		return r.placement, nil
 	case ChoiceNoBudget:
 		return Placement{}, result.Errorf(result.QueueFull, "service %s: retry budget is used up", q.Service).WithRetryAfter(retryAfter)
+	case ChoiceLater:
+		return Placement{}, result.Errorf(result.QueueFull, "endpoint %s: other silent runs are moved first", q.Silent).WithRetryAfter(retryAfter)
 	default:
 		return Placement{}, result.Errorf(result.NoEndpoint, "service %s version %q", q.Service, q.Version).WithRetryAfter(retryAfter)
 	}
@@ -210,7 +212,7 @@
 	c.scanWaiters = append(c.scanWaiters, m.reply)
 }
 
-// handle counts the run in the retry budget and places it. An escalation is counted but never refused, since the budget
+// handle counts the run in the retry budget and places it; a retry that isn't placed isn't counted. An escalation is counted but never refused, since the budget
 // was checked before. Choose sends the message.
 func (m chooseMessage) handle(_ context.Context, c *Controller) {
 	now := time.Now()
@@ -220,11 +222,17 @@
 		budget.CountRequest(now)
 	case m.query.Escalation:
 		budget.CountRetry(now)
+	case m.query.Silent != "" && !c.table.TakeMove(m.query.Silent, now):
+		m.reply <- chooseReply{choice: ChoiceLater}
+		return
 	case !budget.TakeRetry(now):
 		m.reply <- chooseReply{choice: ChoiceNoBudget}
 		return
 	}
 	p, choice := c.table.Choose(&m.query, now)
+	if m.query.Retry && choice != ChoicePlaced {
+		budget.ReturnRetry(now)
+	}
 	p.RetryAllowed = budget.AllowsEscalation(now)
 	m.reply <- chooseReply{p, choice}
 }
@@ -242,6 +250,8 @@
 func (m doneMessage) handle(ctx context.Context, c *Controller) {
 	c.reportCrashes(ctx, c.table.Done(&m.outcome, time.Now()))
 	switch m.outcome.End {
+	case EndUnused:
+		c.budget(m.outcome.Service).ReturnRetry(time.Now())
 	case EndLost, EndTimeout, EndUnreachable, EndReplaced:
 		c.log.Info("endpoint suspected", "endpoint", m.outcome.Endpoint, "end", m.outcome.End.String())
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -50,6 +50,8 @@
 	ExcludedVersions []string
 	// Exclude lists the IDs of the endpoints that were tried before.
 	Exclude []string
+	// Silent is the ID of the endpoint whose silent run is to be replaced, or "".
+	Silent string
 	// Retry says that the request was sent before, so that this send counts against the retry budget.
 	Retry bool
 	// Escalation says that the retry goes to a stronger model. The budget was checked before, so it is not refused.
@@ -68,6 +70,9 @@
 	// TypicalLatency is that of such runs, StrongerLatency that of runs of the stronger model.
 	TypicalLatency  Latency
 	StrongerLatency Latency
+	// PrefillTime is how long the endpoint's most expensive model takes at least to process the part of the prompt that it has
+	// not cached.
+	PrefillTime time.Duration
 }
 
 // Latency is a moving mean over the runs of a model; 0 means unknown.
@@ -98,12 +103,14 @@
 	EndReplaced
 	// EndAbandoned means that the router or the caller ended the run.
 	EndAbandoned
+	// EndUnused means that a retry was placed and nothing was sent; the retry budget gets it back.
+	EndUnused
 )
 
 // endNames are the values in logs.
 var endNames = map[End]string{
 	EndAnswered: "answered", EndFailed: "failed", EndRefused: "refused", EndUnreachable: "unreached", EndLost: "lost",
-	EndTimeout: "silent", EndReplaced: "replaced", EndAbandoned: "abandoned",
+	EndTimeout: "silent", EndReplaced: "replaced", EndAbandoned: "abandoned", EndUnused: "unused",
 }
 
 // String implements fmt.Stringer.
--- a/internal/pool/table_test.go
+++ b/internal/pool/table_test.go
@@ -147,6 +147,43 @@
 	}
 }
 
+// TestEndpointIsUsedAgainSoonAfterAPause ends runs of the nearer of two endpoints by silence at about the same time, and checks that
+// it's chosen again after the backoff of one failure.
+func TestEndpointIsUsedAgainSoonAfterAPause(t *testing.T) {
+	tests := []struct {
+		name string
+		runs int
+		// apart is the time between two ends.
+		apart time.Duration
+		wait  time.Duration
+		want  string
+	}{
+		{"one run, during the backoff", 1, 0, firstBackoff / 2, "far"},
+		{"one run", 1, 0, firstBackoff, "near"},
+		{"all at once, during the backoff", 16, 0, firstBackoff / 2, "far"},
+		{"all at once", 16, 0, firstBackoff, "near"},
+		{"within the backoff", 16, 20 * time.Millisecond, firstBackoff, "near"},
+		{"again after the backoff", 2, firstBackoff, firstBackoff, "far"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			near, far := entry("near"), entry("far")
+			far.Zone, far.Region = "z2", "r2"
+			table := newTable(near, far)
+			now := start
+			for range test.runs {
+				_, _ = table.Choose(&Query{Service: "s"}, start)
+			}
+			for n := range test.runs {
+				now = start.Add(time.Duration(n) * test.apart)
+				table.Done(&Outcome{Endpoint: "near", Incarnation: 5, End: EndTimeout, Service: "s"}, now)
+			}
+			p, _ := table.Choose(&Query{Service: "s"}, now.Add(test.wait))
+			qt.Check(t, p.ID, qt.Equals, test.want)
+		})
+	}
+}
+
 // TestPlacementPrefersCachedPrompt checks that requests with the same prompt go to the endpoint that processed it
 // before.
 func TestPlacementPrefersCachedPrompt(t *testing.T) {
@@ -206,3 +243,31 @@
 		}
 	})
 }
+
+// TestPlacementSaysPrefillTime checks that only the part of the prompt that isn't cached counts.
+func TestPlacementSaysPrefillTime(t *testing.T) {
+	prompt := routing.Prompt{TokensIn: 2 * 27_000, Blocks: []routing.PrefixBlock{{ID: 1, Tokens: 27_000}, {ID: 2, Tokens: 27_000}}}
+	tests := []struct {
+		name  string
+		model string
+		want  time.Duration
+	}{
+		{"model that knows nothing of it", "m", 2 * time.Second},
+		{"model that has the first block cached", "cached", time.Second},
+		{"plain service", "", 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := newTable(entry("a"))
+			q := Query{Service: "s", Model: "cached", Prompt: prompt}
+			p, _ := table.Choose(&q, start)
+			table.Done(&Outcome{Endpoint: p.ID, Incarnation: 5, End: EndAnswered, Service: "s", Model: q.Model, Prompt: prompt, TTFB: time.Second}, start)
+			q.Model = test.model
+			if test.model == "" {
+				q.Prompt = routing.Prompt{}
+			}
+			p, _ = table.Choose(&q, start)
+			qt.Check(t, p.PrefillTime, qt.Equals, test.want)
+		})
+	}
+}
