Use an endpoint again whose entry comes back unchanged

What callers saw: fewer runners, for good, where an entry lapses and comes back, as when a runner can't reach the store for three heartbeats: each VM that had a run in flight there never sent it another one.

Cause: an endpoint with runs in flight was marked as leaving when its entry disappeared, and an incarnation that is leaving stays so, whatever later entries say. Without a run in flight it was forgotten and used again. The class: one mark for two states, "said that it leaves" and "isn't listed now".

Now the second one has a mark of its own, which the next entry takes away. An incarnation that said that it leaves still stays so.

Before: TestRelistedEndpointIsUsedAgain failed in 2 of its 3 rows (a run in flight; a run that ends meanwhile). After: 3 of 3.

--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -37,6 +37,8 @@
 	// missing says that the entry disappeared while the directory was unreliable, at missingAt.
 	missing   bool
 	missingAt time.Time
+	// withdrawn says that the directory has no usable entry of the endpoint now.
+	withdrawn bool
 	// replaced says that another endpoint answers on the address.
 	replaced bool
 
@@ -85,7 +87,7 @@
 	leaving := r.Leaving && !restarted
 	r.Entry = e
 	r.Leaving = r.Leaving || leaving
-	r.missing = false
+	r.missing, r.withdrawn = false, false
 	if restarted {
 		r.replaced, r.backoffs, r.backoffUntil, r.failureRate, r.latencyRatio = false, 0, time.Time{}, 0, 1
 		r.prefixBlocks, r.peerViews, r.suspectedUntil, r.unreachable = map[blockKey]time.Time{}, map[string]peerView{}, time.Time{}, false
@@ -93,10 +95,13 @@
 	return restarted
 }
 
+// acceptsRuns reports whether the endpoint gets new runs at all.
+func (r *Record) acceptsRuns() bool { return !r.Leaving && !r.withdrawn && !r.replaced }
+
 // eligible reports whether the query may run on the endpoint at all, whatever its backoff and load. Table.best and
 // affinityRanks call it.
 func (r *Record) eligible(q *Query) bool {
-	if r.Leaving || r.replaced || (q.Version != "" && r.Version != q.Version) {
+	if !r.acceptsRuns() || (q.Version != "" && r.Version != q.Version) {
 		return false
 	}
 	for _, v := range q.ExcludedVersions {
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -136,10 +136,10 @@
 	return gone
 }
 
-// remove removes an endpoint; one with runs in flight is only marked as leaving, so that it gets no new ones. After its
-// last run, Done removes it if it is missing, and otherwise the next Retain. Drop, Sweep and Done call it.
+// remove removes an endpoint; one with runs in flight is only withdrawn, so that it gets no new ones unless its entry comes
+// back. After its last run, Sweep removes it if it is missing, and otherwise the next Retain. Drop, Sweep and Done call it.
 func (t *Table) remove(r *Record) {
-	r.Leaving = true
+	r.withdrawn = true
 	if r.InFlight == 0 {
 		delete(t.records, r.ID)
 		t.reindex()
@@ -273,7 +273,7 @@
 func (t *Table) Versions(service string) map[string]int {
 	out := map[string]int{}
 	for _, r := range t.services[service] {
-		if !r.Leaving && !r.replaced {
+		if r.acceptsRuns() {
 			out[r.Version]++
 		}
 	}
--- a/internal/pool/table_test.go
+++ b/internal/pool/table_test.go
@@ -206,3 +206,37 @@
 		}
 	})
 }
+
+// TestRelistedEndpointIsUsedAgain guards against losing an endpoint for good whose entry lapses, as when it can't reach the
+// directory for a while, and comes back unchanged.
+func TestRelistedEndpointIsUsedAgain(t *testing.T) {
+	tests := []struct {
+		name     string
+		inFlight bool
+		// ended says that the run in flight ends before the entry is back.
+		ended bool
+	}{
+		{"idle", false, false},
+		{"with a run in flight", true, false},
+		{"with a run that ends meanwhile", true, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := newTable(entry("a"))
+			if test.inFlight {
+				_, choice := table.Choose(&Query{Service: "s"}, start)
+				qt.Assert(t, choice, qt.Equals, ChoicePlaced)
+			}
+			table.Drop("a", start)
+			if test.ended {
+				table.Done(&Outcome{Endpoint: "a", Incarnation: 5, End: EndAnswered, Service: "s"}, start)
+			}
+			_, choice := table.Choose(&Query{Service: "s"}, start)
+			qt.Check(t, choice, qt.Equals, ChoiceNone)
+			table.Put(entry("a"), start)
+			table.Retain([]string{"a"}, start)
+			_, choice = table.Choose(&Query{Service: "s"}, start)
+			qt.Check(t, choice, qt.Equals, ChoicePlaced)
+		})
+	}
+}
