Withdraw an endpoint whose entry is odd, whatever the store's state

What callers saw: requests to a runner whose entry another writer had overwritten, for up to 2 s after an outage of the store and all through one; or the runner out for good where it had a run in flight; or one that had said that it leaves in use again.

Cause: an entry that couldn't be decoded was handled like one that disappeared. During an outage that means "keep it, the entry may be back", and otherwise "forget it". The class: an answer that says no, handled like no answer.

Now such an entry withdraws its endpoint at once, also one that still says `draining`, and the next sound entry brings it back with what was known of it.

--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -59,6 +59,7 @@
 type (
 	putMessage       struct{ entry Entry }
 	dropMessage      struct{ id string }
+	withdrawMessage  struct{ id string }
 	retainMessage    struct{ ids []string }
 	reachableMessage struct{ ok bool }
 
@@ -110,11 +111,16 @@
 	return c.tellWithTimeout(ctx, putMessage{e})
 }
 
-// Drop removes an entry that was deleted from the directory or cannot be decoded.
+// Drop removes an entry that was deleted from the directory.
 func (c *Controller) Drop(ctx context.Context, id string) error {
 	return c.tellWithTimeout(ctx, dropMessage{id})
 }
 
+// Withdraw stops new runs on an endpoint whose entry cannot be decoded.
+func (c *Controller) Withdraw(ctx context.Context, id string) error {
+	return c.tellWithTimeout(ctx, withdrawMessage{id})
+}
+
 // Retain removes every entry that is not in ids. The decoder calls it after each full scan.
 func (c *Controller) Retain(ctx context.Context, ids []string) error {
 	return c.tellWithTimeout(ctx, retainMessage{ids})
@@ -188,6 +194,11 @@
 	c.table.Drop(m.id, now)
 }
 
+func (m withdrawMessage) handle(_ context.Context, c *Controller) {
+	c.log.Info("endpoint withdrawn until its entry is sound", "endpoint", m.id)
+	c.table.Withdraw(m.id)
+}
+
 // handle removes the entries that the full scan did not find and answers the callers of WaitFirstScan.
 func (m retainMessage) handle(_ context.Context, c *Controller) {
 	c.scanned = true
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -99,6 +99,14 @@
 	t.remove(r)
 }
 
+// Withdraw stops new runs on an endpoint whose entry can't be used, until one that can is put. Unlike a deletion, such an entry
+// is no sign of an outage. The Controller calls it for each entry that can't be decoded.
+func (t *Table) Withdraw(id string) {
+	if r, ok := t.records[id]; ok {
+		r.withdrawn = true
+	}
+}
+
 // Retain drops every entry that is not in ids, the result of a full scan. The Controller calls it after each.
 func (t *Table) Retain(ids []string, now time.Time) {
 	for id := range t.records {
--- a/internal/pool/table_test.go
+++ b/internal/pool/table_test.go
@@ -240,3 +240,49 @@
 		})
 	}
 }
+
+// TestEndpointIsUsedAgainOnceItsEntryIsSound withdraws an endpoint whose entry another writer has overwritten: it gets no run
+// until its entry is sound again, whatever runs it has and whether or not the directory can be read.
+func TestEndpointIsUsedAgainOnceItsEntryIsSound(t *testing.T) {
+	leaving := entry("a")
+	leaving.Leaving = true
+	restarted := entry("a")
+	restarted.Incarnation = 6
+	tests := []struct {
+		name     string
+		inFlight bool
+		down     bool
+		before   Entry
+		after    Entry
+		want     Choice
+	}{
+		{"idle", false, false, entry("a"), entry("a"), ChoicePlaced},
+		{"with a run in flight", true, false, entry("a"), entry("a"), ChoicePlaced},
+		{"during an outage of the directory", false, true, entry("a"), entry("a"), ChoicePlaced},
+		{"during an outage, with a run in flight", true, true, entry("a"), entry("a"), ChoicePlaced},
+		{"restarted", true, false, entry("a"), restarted, ChoicePlaced},
+		{"that was leaving", false, false, leaving, entry("a"), ChoiceNone},
+		{"that is leaving", true, false, entry("a"), leaving, ChoiceNone},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := newTable(entry("a"))
+			if test.inFlight {
+				_, choice := table.Choose(&Query{Service: "s"}, start)
+				qt.Assert(t, choice, qt.Equals, ChoicePlaced)
+			}
+			table.Put(test.before, start)
+			table.SetReachable(true, start)
+			table.SetReachable(!test.down, start)
+			table.Withdraw("a")
+			table.Sweep(start)
+			_, choice := table.Choose(&Query{Service: "s"}, start)
+			qt.Check(t, choice, qt.Equals, ChoiceNone)
+			qt.Check(t, table.Versions("s"), qt.HasLen, 0)
+			table.Put(test.after, start)
+			table.Retain([]string{"a"}, start)
+			_, choice = table.Choose(&Query{Service: "s"}, start)
+			qt.Check(t, choice, qt.Equals, test.want)
+		})
+	}
+}
