Let an odd instance in the catalog hide no other

What callers saw: nothing yet. In `serve`, one instance whose port is a text, or whose meta isn't one of texts, made the whole list fail, each time it was read: endpoints and VMs that came or left weren't noticed.

Cause: the list was decoded as one value.

Now each instance is decoded by itself, and one that can't be used is left out.

--- a/internal/consul/consul.go
+++ b/internal/consul/consul.go
@@ -23,6 +23,8 @@
 	indexHeader = "X-Consul-Index"
 	// watchSlack is added to the wait of a watch to get its timeout, since the platform may answer later than asked.
 	watchSlack = 5 * time.Second
+	// maxPort is the greatest port number.
+	maxPort = 1<<16 - 1
 	// maxResponseBytes is where response bodies are cut off; decoding fails then.
 	maxResponseBytes = 64 << 20
 )
@@ -136,13 +138,30 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	var list []Instance
-	if err := json.Unmarshal(body, &list); err != nil {
+	list, err := decodeInstances(body)
+	if err != nil {
 		return nil, 0, fmt.Errorf("%w: decode instances of %s: %w", ErrUnavailable, service, err)
 	}
 	return list, index, nil
 }
 
+// decodeInstances decodes a list of instances and leaves out those that can't be used, so that one of them hides no other.
+func decodeInstances(body []byte) ([]Instance, error) {
+	var raw []json.RawMessage
+	if err := json.Unmarshal(body, &raw); err != nil {
+		return nil, err
+	}
+	list := make([]Instance, 0, len(raw))
+	for _, data := range raw {
+		var i Instance
+		if json.Unmarshal(data, &i) != nil || i.ID == "" || i.Port < 0 || i.Port > maxPort {
+			continue
+		}
+		list = append(list, i)
+	}
+	return list, nil
+}
+
 // Register adds an instance to the catalog or renews it.
 func (c *Client) Register(ctx context.Context, r Registration) error {
 	data, err := json.Marshal(r)
--- a/internal/consul/consul_test.go
+++ b/internal/consul/consul_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,3 +91,34 @@
 		})
 	}
 }
+
+// TestOddInstanceHidesNoOther checks that an instance that can't be used is left out, and that the others stay.
+func TestOddInstanceHidesNoOther(t *testing.T) {
+	const sound = `{"ServiceID":"a","ServiceName":"s","ServiceAddress":"10.0.0.1","ServicePort":80,"ServiceMeta":{"zone":"z"}}`
+	rows := []struct {
+		name string
+		odd  string
+	}{
+		{"null", "null"},
+		{"a number", "7"},
+		{"no ID", `{"ServicePort":80}`},
+		{"port as text", `{"ServiceID":"b","ServicePort":"80"}`},
+		{"port out of range", `{"ServiceID":"b","ServicePort":70000}`},
+		{"negative port", `{"ServiceID":"b","ServicePort":-1}`},
+		{"port beyond all numbers", `{"ServiceID":"b","ServicePort":1e400}`},
+		{"meta of another type", `{"ServiceID":"b","ServicePort":80,"ServiceMeta":{"zone":7}}`},
+		{"nested deeply", `{"ServiceID":"b","ServiceMeta":` + strings.Repeat("[", 9000) + strings.Repeat("]", 9000) + "}"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			c := qt.New(t)
+			server := httptest.NewServer(respond(http.StatusOK, "["+row.odd+","+sound+"]"))
+			defer server.Close()
+			list, _, err := New(server.URL, server.Client(), testTimeout).Instances(context.Background(), "s", 0, 0)
+			c.Assert(err, qt.IsNil)
+			c.Assert(list, qt.DeepEquals, []Instance{
+				{ID: "a", Service: "s", Address: "10.0.0.1", Port: 80, Meta: map[string]string{"zone": "z"}},
+			})
+		})
+	}
+}
