End a full scan whose pages don't go on

What callers saw: nothing yet. A VM that reads the store afresh would read the same page until its memory is used up, where a page's last key sorts before the key that was asked for: so a key that isn't the same once it is encoded, as one with bytes that aren't UTF-8.

Cause: the scan went on after the last key of a page, wherever that was. The class: a loop whose end depends on another's input.

Now such a page ends the scan like a failed one; the next scan begins after a pause, and the VM keeps what it knows.

Before: TestFullScanEndsWherePagesRepeat failed, "still reading after 1321601 pages" in 2 s. After: it passes, -race. What remains: with hundreds of such keys in a row a VM that starts never gets past them.

--- a/internal/feed/controller.go
+++ b/internal/feed/controller.go
@@ -217,9 +217,12 @@
 	})
 }
 
+// errScanStalled reports a page of a full scan that doesn't lead past the page before.
+var errScanStalled = errors.New("the pages of the full scan don't go on")
+
 // fullScan reads every key of the store and tells the Controller. The pages are no snapshot, and stale ones may differ in
-// age, so the changes since the oldest page are read by a watch afterwards. startRead starts it as a task. A failed page
-// ends the scan; a new one starts after a pause of about retryPause.
+// age, so the changes since the oldest page are read by a watch afterwards. startRead starts it as a task. A failed page, or
+// one that doesn't go on, ends the scan; a new one starts after a pause of about retryPause.
 func (c *Controller) fullScan(ctx context.Context, stale bool) error {
 	all := scanMessage{}
 	after := ""
@@ -235,7 +238,11 @@
 		if !page.More || len(page.Items) == 0 {
 			return c.tell(ctx, all)
 		}
-		after = page.Items[len(page.Items)-1].Key
+		last := page.Items[len(page.Items)-1].Key
+		if last <= after {
+			return c.tell(ctx, scanMessage{err: errScanStalled})
+		}
+		after = last
 	}
 }
 
--- a/internal/feed/history_test.go
+++ b/internal/feed/history_test.go
@@ -76,3 +76,39 @@
 		})
 	}
 }
+
+// endlessSource has one page of keys after every key, as where the keys of a page sort before the one that was asked for.
+type endlessSource struct{ pages chan int }
+
+func (s endlessSource) Range(ctx context.Context, _ string, _ bool) (Page, error) {
+	if ctx.Err() != nil {
+		return Page{}, ctx.Err()
+	}
+	n := <-s.pages
+	s.pages <- n + 1
+	return Page{Items: []Item{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}, More: true, Revision: 2}, nil
+}
+
+func (s endlessSource) Watch(context.Context, uint64, time.Duration) ([]Item, uint64, error) {
+	return nil, 0, errRefused
+}
+
+// TestFullScanEndsWherePagesRepeat guards against a scan that reads the same keys until the memory is used up, as the key of
+// another writer may cause that isn't the same once it is encoded.
+func TestFullScanEndsWherePagesRepeat(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	source := endlessSource{make(chan int, 1)}
+	source.pages <- 0
+	c := New(source, nil, nil, nil, Options{}, logr.Discard())
+	ended := make(chan error, 1)
+	go func() { ended <- c.fullScan(ctx, true) }()
+	select {
+	case m := <-c.mailbox:
+		qt.Check(t, m.(scanMessage).err, qt.Equals, errScanStalled)
+		qt.Check(t, <-ended, qt.IsNil)
+		qt.Check(t, <-source.pages, qt.Equals, 2)
+	case <-ctx.Done():
+		t.Fatalf("the scan is still reading after %d pages", <-source.pages)
+	}
+}
