Test that `serve` keeps calls that may run once off kept connections

A call that isn't idempotent, or resumes a run, has a connection of its own, where no earlier refusal can come and net/http has nothing to send again on.

--- a/internal/endpoint/http_test.go
+++ b/internal/endpoint/http_test.go
@@ -1,10 +1,12 @@
 package endpoint
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -61,3 +63,66 @@
 		})
 	}
 }
+
+// TestNonIdempotentCallIsSentOnceOnItsOwnConnection guards against a refusal that an engine wrote once more on a connection in
+// use before, and against a second send by net/http: a call that may run once has a connection of its own, and a refusal there
+// is its own.
+func TestNonIdempotentCallIsSentOnceOnItsOwnConnection(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	tests := []struct {
+		name string
+		call Call
+		// answer is what the endpoint writes after each request.
+		answer string
+		want   error
+	}{
+		{"refused twice", Call{RunID: "r", Chat: true, Body: []byte("{}")}, refusal + refusal, nil},
+		{"GET, closed without an answer", Call{RunID: "r", Method: http.MethodGet, Path: "/"}, "", ErrBroken},
+		{"POST, closed without an answer", Call{RunID: "r", Method: http.MethodPost, Path: "/", Body: []byte("x")}, "", ErrBroken},
+	}
+	for _, test := range tests {
+		qt.New(t).Run(test.name, func(c *qt.C) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			requests, ends := make(chan int, 64), make(chan task.End, 1)
+			task.Start(context.Background(), "listener", ends, func(context.Context) error {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return nil
+					}
+					buffered := bufio.NewReader(conn)
+					for n := 0; ; n++ {
+						r, err := http.ReadRequest(buffered)
+						if err != nil {
+							break
+						}
+						_, _ = io.Copy(io.Discard, r.Body) // a request that is cut off shows at the next read
+						requests <- n
+						_, _ = io.WriteString(conn, test.answer) // a failed write shows at the next read
+						if test.answer == "" {
+							break
+						}
+					}
+					conn.Close()
+				}
+			})
+			client := NewClient(time.Second, time.Second)
+			for range 3 {
+				_, err := client.Open(context.Background(), Endpoint{Address: l.Addr().String()}, test.call, func() error { return nil })
+				var refused *RefusedError
+				if test.want == nil {
+					c.Check(errors.As(err, &refused), qt.IsTrue, qt.Commentf("%v", err))
+				} else {
+					c.Check(errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
+				}
+				c.Check(<-requests, qt.Equals, 0)
+				c.Check(requests, qt.HasLen, 0)
+			}
+			client.Close()
+			l.Close()
+			c.Check((<-ends).Err, qt.IsNil)
+		})
+	}
+}
