--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -101,6 +101,14 @@
 	t.remove(r)
 }
 
+// Withdraw stops new runs on an endpoint whose entry can't be used, until one that can is put. Unlike a deletion, such an entry
+// is no sign of an outage. The Controller calls it for each entry that can't be decoded.
+func (t *Table) Withdraw(id string) {
+	if r, ok := t.records[id]; ok {
+		r.withdrawn = true
+	}
+}
+
 // Retain drops every entry that is not in ids, the result of a full scan. The Controller calls it after each.
 func (t *Table) Retain(ids []string, now time.Time) {
 	for id := range t.records {
@@ -138,10 +146,10 @@
 	return gone
 }
 
-// remove removes an endpoint; one with runs in flight is only marked as leaving, so that it gets no new ones. After its
-// last run, Done removes it if it is missing, and otherwise the next Retain. Drop, Sweep and Done call it.
+// remove removes an endpoint; one with runs in flight is only withdrawn, so that it gets no new ones unless its entry comes
+// back. After its last run, Sweep removes it if it is missing, and otherwise the next Retain. Drop, Sweep and Done call it.
 func (t *Table) remove(r *Record) {
-	r.Leaving = true
+	r.withdrawn = true
 	if r.InFlight == 0 {
 		delete(t.records, r.ID)
 		t.reindex()
@@ -283,7 +291,7 @@
 func (t *Table) Versions(service string) map[string]int {
 	out := map[string]int{}
 	for _, r := range t.services[service] {
-		if !r.Leaving && !r.replaced {
+		if r.acceptsRuns() {
 			out[r.Version]++
 		}
 	}
