Wait for room when a route table is applied

A configuration that arrived while the mailbox of the routes was full was dropped with a log line. The feed's replica holds it from then on and passes each item on once, so the VM kept the older table until the next configuration or its restart: callers got 404, 401 or the old service from that VM alone.

ApplyTable now waits for room until its context ends. The controller only answers questions and never waits for the feed, so the wait ends.

TestTableIsAppliedWhileTheMailboxIsFull failed with 'mailbox is full' and a nil table in the row 'full'; TestTableIsGivenUpWithItsContext with 'mailbox is full' in place of the context's error.

--- a/internal/routes/controller.go
+++ b/internal/routes/controller.go
@@ -54,9 +54,9 @@
 }
 
 // ApplyTable replaces the table by an indexed one if that is newer. from names its source in the log. The decoder of the
-// feed's items calls it for each configuration; with a full mailbox the table is lost and the error is returned.
-func (c *Controller) ApplyTable(_ context.Context, t *routing.Table, from string) error {
-	return task.Tell(c.mailbox, message(tableMessage{t, from}))
+// feed's items calls it once for each configuration, so it waits for room in the mailbox until ctx ends.
+func (c *Controller) ApplyTable(ctx context.Context, t *routing.Table, from string) error {
+	return task.TellUntil(ctx, c.mailbox, message(tableMessage{t, from}))
 }
 
 // Current returns the newest table, or nil if there is none yet. The Route filter calls it for each request.
