Keep a silent send whose replacement comes too late to be sent

The silence watch checked the time of its last replacement before it asked for one, and not after. If the pool took longer than was left, the silent send was cancelled and the new one refused by the check before the send, which wants 20 ms: the request had neither.

The watch now checks the time again once it has the placement, and gives that back if it is too late.

TestSilentSendGoesOnIfItsReplacementComesTooLate failed in both rows: '3007 deadline_passed: too little time is left before the deadline' in place of the answer, and the ends silent and abandoned in place of unused and answered.

--- a/internal/filter/silence.go
+++ b/internal/filter/silence.go
@@ -22,7 +22,7 @@
 	query pool.Query
 	// first is the silence timeout until the first progress, gap the one between two.
 	first, gap time.Duration
-	// latest is when the last replacement may be asked for; zero means no limit.
+	// latest is when the last replacement may be sent; zero means no limit.
 	latest time.Time
 	cancel context.CancelCauseFunc
 	// progress holds the newest signal.
@@ -70,8 +70,8 @@
 			if p == progressWaiting {
 				timer.Reset(w.gap)
 			}
-		case now := <-timer.C:
-			if !w.latest.IsZero() && now.After(w.latest) {
+		case <-timer.C:
+			if w.tooLate() {
 				return nil
 			}
 			if w.replace(ctx) {
@@ -85,6 +85,9 @@
 	}
 }
 
+// tooLate reports whether latest has passed.
+func (w *silenceWatch) tooLate() bool { return !w.latest.IsZero() && time.Now().After(w.latest) }
+
 // replace tries to reserve a placement for the silent send and reports whether the send is to be cancelled for it. run calls it
 // when the timer fires.
 func (w *silenceWatch) replace(ctx context.Context) bool {
@@ -97,7 +100,7 @@
 		w.err = err
 		return false
 	}
-	if len(w.progress) > 0 || ctx.Err() != nil {
+	if len(w.progress) > 0 || ctx.Err() != nil || w.tooLate() {
 		w.release(ctx, r)
 		return false
 	}
--- a/internal/filter/silence_test.go
+++ b/internal/filter/silence_test.go
@@ -145,6 +145,34 @@
 	}
 }
 
+// TestSilentSendGoesOnIfItsReplacementComesTooLate has the pool take so long to place a replacement that it couldn't be sent any
+// more, while the silent send goes on just in time.
+func TestSilentSendGoesOnIfItsReplacementComesTooLate(t *testing.T) {
+	const silent, step = time.Second, 10 * time.Millisecond
+	tests := []struct {
+		name    string
+		placing time.Duration
+	}{
+		{"after the last send time", 4 * step},
+		{"just after the last send time", 3*step + time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x, sink := routedExchange(routing.KindIdempotent)
+				x.Request.Deadline = x.Arrived.Add(silent + 5*step)
+				ctx, cancel := contextUntil(t, x)
+				defer cancel()
+				sender := &pausingSender{script: []pausingSend{{silent + 9*step/2, []time.Duration{0}, []endpoint.Chunk{last("x")}}}}
+				p := &busyPool{placing: test.placing}
+				qt.Check(t, Forward{p, noShift{}, sender}.Handle(ctx, x, nil), qt.IsNil)
+				qt.Check(t, sink.whole, qt.IsTrue)
+				qt.Check(t, p.ends, qt.DeepEquals, []pool.End{pool.EndUnused, pool.EndAnswered})
+			})
+		})
+	}
+}
+
 // TestAnswerIsKeptIfTheStrongerModelHasNoEndpoint checks that an answer of low confidence isn't dropped for one that can't be had.
 func TestAnswerIsKeptIfTheStrongerModelHasNoEndpoint(t *testing.T) {
 	tests := []struct {
