Take an endpoint whose entry vanishes after lost runs as crashed, and streams that it cut in the middle as bystanders

Cause: each run whose connection broke counted against its request, also a stream that had delivered events for seconds when another request crashed the endpoint.

A run that had delivered more than the event of its beginning no longer counts. An entry that is dropped within 10 s of lost runs, though it wasn't leaving, is a crash. Lost runs no longer count once the same incarnation answered a later run, so that an endpoint that resets some connections isn't taken for one that crashed. A crash names the incarnation, as it does in serve; the expected value of TestNewIncarnationProvesCrash changes from a to a#5 with that and is as strict.

TestCrashProofs is new; its rows of dropped entries can't be compiled on the code before, where Drop returned nothing.

--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -160,7 +160,7 @@
 	x := f.x
 	o := pool.Outcome{
 		Endpoint: place.ID, Incarnation: place.Incarnation, End: s.end, Service: x.Routed.Service, TTFB: s.ttfb,
-		Fingerprint: Fingerprint(x),
+		SentAt: time.Now().Add(-s.duration), Events: s.events, Fingerprint: Fingerprint(x),
 	}
 	a := shift.Outcome{
 		Attempt: f.present, Failed: s.end == pool.EndFailed, TimedOut: s.end == pool.EndTimeout,
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -182,16 +182,16 @@
 	c.reportCrashes(ctx, c.table.Put(m.entry, time.Now()))
 }
 
-func (m dropMessage) handle(_ context.Context, c *Controller) {
+func (m dropMessage) handle(ctx context.Context, c *Controller) {
 	now := time.Now()
 	c.log.Info("endpoint dropped", "endpoint", m.id, "doubtful", c.table.directoryUnreliable(now))
-	c.table.Drop(m.id, now)
+	c.reportCrashes(ctx, c.table.Drop(m.id, now))
 }
 
 // handle removes the entries that the full scan did not find and answers the callers of WaitFirstScan.
-func (m retainMessage) handle(_ context.Context, c *Controller) {
+func (m retainMessage) handle(ctx context.Context, c *Controller) {
 	c.scanned = true
-	c.table.Retain(m.ids, time.Now())
+	c.reportCrashes(ctx, c.table.Retain(m.ids, time.Now()))
 	for _, w := range c.scanWaiters {
 		w <- c.table.Size()
 	}
@@ -251,7 +251,7 @@
 	m.reply <- c.table.Versions(m.service)
 }
 
-// reportCrashes logs the crashes and passes them on to be counted. It is called after each Put and each Done.
+// reportCrashes logs the crashes and passes them on to be counted. It is called after each Put, Drop, Retain and Done.
 func (c *Controller) reportCrashes(ctx context.Context, list []Crash) {
 	for _, crash := range list {
 		c.log.Info("endpoint crashed", "endpoint", crash.Endpoint, "fingerprint", crash.Fingerprint)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -124,6 +124,9 @@
 	TTFB time.Duration
 	// MeanGap is the mean time between two events; 0 if there were too few.
 	MeanGap time.Duration
+	// SentAt is when the run was sent. Events counts the events of its answer that arrived.
+	SentAt time.Time
+	Events int
 	// Fingerprint identifies the content of the request, to count the crashes that it causes.
 	Fingerprint uint64
 }
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 )
 
@@ -23,6 +24,12 @@
 	maxLostRuns = 64
 	// lostRunTTL bounds the wait for a sign that the endpoint crashed.
 	lostRunTTL = 30 * time.Second
+	// dropProofTime is the longest time between the loss of runs and the removal of the endpoint's entry for which the
+	// removal shows that the endpoint crashed.
+	dropProofTime = 10 * time.Second
+	// maxCrashEvents is the number of events that a run may have delivered that crashes its endpoint: a request crashes it
+	// when its run begins, and the event of that moment may still arrive.
+	maxCrashEvents = 1
 )
 
 // Record is the state of one endpoint on this VM.
@@ -67,10 +74,10 @@
 	block uint64
 }
 
-// lostRun is the fingerprint of a request and when it no longer counts.
+// lostRun is the fingerprint of a request and when its run was lost.
 type lostRun struct {
 	fingerprint uint64
-	expiresAt   time.Time
+	lostAt      time.Time
 }
 
 // newRecord makes the Record of an endpoint that is not known yet.
@@ -199,10 +206,21 @@
 func (r *Record) takeCrashes(now time.Time) []uint64 {
 	var list []uint64
 	for _, l := range r.lostRuns {
-		if now.Before(l.expiresAt) {
+		if now.Sub(l.lostAt) < lostRunTTL {
 			list = append(list, l.fingerprint)
 		}
 	}
 	r.lostRuns = nil
 	return list
 }
+
+// noteLoss remembers a run that was lost at its beginning, and forgets those that the endpoint survived: it answered a
+// run that was sent later. Table.Done calls it unless the endpoint has restarted since.
+func (r *Record) noteLoss(o *Outcome, now time.Time) {
+	switch {
+	case o.End == EndAnswered:
+		r.lostRuns = slices.DeleteFunc(r.lostRuns, func(l lostRun) bool { return l.lostAt.Before(o.SentAt) })
+	case o.End == EndLost && o.Events <= maxCrashEvents && len(r.lostRuns) < maxLostRuns:
+		r.lostRuns = append(r.lostRuns, lostRun{o.Fingerprint, now})
+	}
+}
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"cornelmux/internal/endpoint"
@@ -29,7 +30,8 @@
 	ChoiceNoBudget
 )
 
-// Crash says that an endpoint crashed while it ran the request with the fingerprint. Endpoint is its ID.
+// Crash says that an endpoint crashed while it ran the request with the fingerprint. Endpoint is its ID and its incarnation,
+// with '#' between.
 type Crash struct {
 	Fingerprint uint64
 	Endpoint    string
@@ -72,7 +74,7 @@
 		return nil
 	}
 	moved := r.Service != e.Service
-	id := r.ID
+	before := r.Entry
 	restarted := r.update(e)
 	if moved {
 		t.reindex()
@@ -80,32 +82,42 @@
 	if !restarted {
 		return nil
 	}
-	return newCrashes(r.takeCrashes(now), id)
+	return newCrashes(r.takeCrashes(now), before.ID, before.Incarnation)
 }
 
-// Drop removes an entry that was deleted from the directory. While the directory is unreliable, the entry is only
-// marked as missing. The Controller calls it for each deletion, and Retain.
-func (t *Table) Drop(id string, now time.Time) {
+// Drop removes an entry that was deleted from the directory, and returns the crashes that this proves: an endpoint that isn't
+// leaving and lost runs shortly before. While the directory is unreliable, the entry is only marked as missing. The Controller
+// calls it for each deletion, and Retain.
+func (t *Table) Drop(id string, now time.Time) []Crash {
 	r, ok := t.records[id]
 	if !ok {
-		return
+		return nil
 	}
 	if t.directoryUnreliable(now) {
 		if !r.missing {
 			r.missing, r.missingAt = true, now
 		}
-		return
+		return nil
+	}
+	var crashes []Crash
+	if !r.Leaving {
+		r.lostRuns = slices.DeleteFunc(r.lostRuns, func(l lostRun) bool { return now.Sub(l.lostAt) >= dropProofTime })
+		crashes = newCrashes(r.takeCrashes(now), r.ID, r.Incarnation)
 	}
 	t.remove(r)
+	return crashes
 }
 
-// Retain drops every entry that is not in ids, the result of a full scan. The Controller calls it after each.
-func (t *Table) Retain(ids []string, now time.Time) {
+// Retain drops every entry that is not in ids, the result of a full scan, and returns the crashes that this proves. The
+// Controller calls it after each.
+func (t *Table) Retain(ids []string, now time.Time) []Crash {
+	var crashes []Crash
 	for id := range t.records {
 		if !slices.Contains(ids, id) {
-			t.Drop(id, now)
+			crashes = append(crashes, t.Drop(id, now)...)
 		}
 	}
+	return crashes
 }
 
 // SetReachable records whether the directory can be read. The Controller calls it with each change.
@@ -228,22 +240,20 @@
 	r.InFlight = max(r.InFlight-1, 0)
 	r.engineLoad = max(r.engineLoad-cmp.Or(o.Weight, 1), 0)
 	if r.Incarnation != o.Incarnation {
-		if o.End == EndLost {
-			return newCrashes([]uint64{o.Fingerprint}, o.Endpoint)
+		if o.End == EndLost && o.Events <= maxCrashEvents {
+			return newCrashes([]uint64{o.Fingerprint}, o.Endpoint, o.Incarnation)
 		}
 		return nil
 	}
 	key := latencyKey{o.Service, o.Model}
 	r.applyOutcome(o, t.typical[key].TTFB, now)
 	t.updateTypical(key, o)
-	if o.End == EndLost && len(r.lostRuns) < maxLostRuns {
-		r.lostRuns = append(r.lostRuns, lostRun{o.Fingerprint, now.Add(lostRunTTL)})
-	}
+	r.noteLoss(o, now)
 	if r.Leaving && r.InFlight == 0 && r.missing {
 		t.remove(r)
 	}
 	if o.End == EndUnreachable {
-		return newCrashes(r.takeCrashes(now), r.ID)
+		return newCrashes(r.takeCrashes(now), r.ID, r.Incarnation)
 	}
 	return nil
 }
@@ -283,11 +293,11 @@
 // Size returns the number of known endpoints.
 func (t *Table) Size() int { return len(t.records) }
 
-// newCrashes returns a Crash of the endpoint for each fingerprint.
-func newCrashes(fingerprints []uint64, id string) []Crash {
+// newCrashes returns a Crash of the endpoint's incarnation for each fingerprint.
+func newCrashes(fingerprints []uint64, id string, incarnation int64) []Crash {
 	var list []Crash
 	for _, f := range fingerprints {
-		list = append(list, Crash{f, id})
+		list = append(list, Crash{f, id + "#" + strconv.FormatInt(incarnation, 10)})
 	}
 	return list
 }
--- a/internal/pool/table_test.go
+++ b/internal/pool/table_test.go
@@ -114,7 +114,50 @@
 	table.Done(&Outcome{Endpoint: "a", Incarnation: 5, End: EndLost, Service: "s", Fingerprint: 77}, start)
 	again := entry("a")
 	again.Incarnation = 6
-	qt.Assert(t, table.Put(again, start.Add(time.Second)), qt.DeepEquals, []Crash{{77, "a"}})
+	qt.Assert(t, table.Put(again, start.Add(time.Second)), qt.DeepEquals, []Crash{{77, "a#5"}})
+}
+
+// TestCrashProofs loses a run and checks what proves that the endpoint crashed. Whole requests were refused that had merely been
+// in mid-stream at endpoints that others crashed, and crashes went unnoticed where an endpoint came back under a new ID.
+func TestCrashProofs(t *testing.T) {
+	type step struct {
+		after   time.Duration
+		outcome End // 0 means that the entry is dropped
+		events  int
+	}
+	crash := []Crash{{77, "a#5"}}
+	tests := []struct {
+		name  string
+		steps []step
+		want  []Crash
+	}{
+		{"dropped", []step{{0, 0, 0}}, nil},
+		{"lost, then dropped", []step{{0, EndLost, 0}, {3 * time.Second, 0, 0}}, crash},
+		{"lost with the event of its beginning, then dropped", []step{{0, EndLost, 1}, {3 * time.Second, 0, 0}}, crash},
+		{"lost in mid-stream, then dropped", []step{{0, EndLost, 2}, {3 * time.Second, 0, 0}}, nil},
+		{"lost, then dropped long after", []step{{0, EndLost, 0}, {dropProofTime, 0, 0}}, nil},
+		{"lost, later run answered, then dropped", []step{{0, EndLost, 0}, {time.Second, EndAnswered, 5}, {3 * time.Second, 0, 0}}, nil},
+		{"lost, then unreachable", []step{{0, EndLost, 0}, {time.Second, EndUnreachable, 0}}, crash},
+		{"lost in mid-stream, then unreachable", []step{{0, EndLost, 2}, {time.Second, EndUnreachable, 0}}, nil},
+		{"silent, then dropped", []step{{0, EndTimeout, 0}, {time.Second, 0, 0}}, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := newTable(entry("a"))
+			var crashes []Crash
+			for _, s := range test.steps {
+				now := start.Add(s.after)
+				if s.outcome == 0 {
+					crashes = append(crashes, table.Drop("a", now)...)
+					continue
+				}
+				_, _ = table.Choose(&Query{Service: "s"}, now)
+				o := Outcome{Endpoint: "a", Incarnation: 5, End: s.outcome, Service: "s", Fingerprint: 77, Events: s.events, SentAt: now}
+				crashes = append(crashes, table.Done(&o, now)...)
+			}
+			qt.Assert(t, crashes, qt.DeepEquals, test.want)
+		})
+	}
 }
 
 // TestBackoffAfterFailures ends a run at the nearer of two endpoints and checks whether the next run avoids it, and
