Hold back requests whose prompts hold a block that crashes endpoints

Cause: the quarantine knew whole requests only, and learned of crashes by proofs that came up to 3 s late or not at all. Its class: evidence that is kept by request and by VM for a fault that belongs to neither.

The quarantine now also knows prompt blocks. A run that was lost after the head of its answer and before the first event speaks against the shared blocks of its prompt; an answer that came whole clears its blocks and its endpoint. A block is quarantined after three requests at three endpoints on three occasions, if no other block explains these crashes, on the evidence of the whole fleet: lost runs, clearances and quarantines travel in the states of the VMs, with ages, and are passed on by each VM that learns them. Quarantined blocks are checked before every send, also of a retry or a resumed stream. What may have run is never told as not run. Crashes that a block explains are taken off the records of whole requests.

--- a/internal/feed/gossip.go
+++ b/internal/feed/gossip.go
@@ -22,9 +22,9 @@
 	sequence    uint64 // number of the state in that incarnation
 }
 
-// gossip sends the state of the sections to the other VMs of the zone. Evidence and crashes matter in every zone, so states
-// with these also go to some VMs of other zones. Run calls it at each tick; it sends every gossipInterval, and nothing if
-// the state has no endpoints, evidence or crashes. A section that fails is left out.
+// gossip sends the state of the sections to the other VMs of the zone. Evidence, crashes and what is known of prompt blocks
+// matter in every zone, so states with these also go to some VMs of other zones. Run calls it at each tick; it sends every
+// gossipInterval, and nothing if the state has neither these nor endpoints. A section that fails is left out.
 func (c *Controller) gossip(ctx context.Context, now time.Time) {
 	if now.Before(c.nextGossip) || len(c.secret) == 0 || len(c.sections) == 0 {
 		return
@@ -43,11 +43,12 @@
 			c.log.V(1).Info("state section not collected", "error", err.Error())
 		}
 	}
-	if len(s.Endpoints) == 0 && len(s.Evidence) == 0 && len(s.Crashes) == 0 {
+	forAllZones := len(s.Evidence) > 0 || len(s.Crashes) > 0 || len(s.LostRuns) > 0 || len(s.Clearances) > 0 || len(s.BlockQuarantines) > 0
+	if len(s.Endpoints) == 0 && !forAllZones {
 		return
 	}
 	c.sendState(s, ZonePeers(self.VM, self.Zone, c.members))
-	if len(s.Evidence) > 0 || len(s.Crashes) > 0 {
+	if forAllZones {
 		s.Endpoints = nil // loads matter only in their own zone
 		c.sendState(s, c.nextRemotePeers())
 	}
--- a/internal/filter/accesslog.go
+++ b/internal/filter/accesslog.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-logr/logr"
 
+	"cornelmux/internal/quarantine"
 	"cornelmux/pkg/result"
 )
 
@@ -36,6 +37,9 @@
 		"path", x.Request.Path, "session", x.Request.Session, "service", x.Routed.Service, "account", x.Routed.Account,
 		"milliseconds", time.Since(x.Arrived).Milliseconds(), "caller_gone", ctx.Err() != nil, "steps", x.Routed.Trace,
 	}
+	if blocks := x.Routed.Prompt.SharedBlocks(); len(blocks) > 0 {
+		values = append(values, "blocks", quarantine.BlockNames(blocks))
+	}
 	if t, r := x.Routed.Table, x.Routed.Route; t != nil && r != nil {
 		values = append(values, "configuration", t.Version, "route", r.Name)
 	}
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -52,9 +52,10 @@
 // Forward sends a request to an endpoint of its service and passes the answer on. After a failure it retries at another
 // endpoint if the request is idempotent or was not run; a stream resumes there after the last whole event.
 type Forward struct {
-	Pool   Pool
-	Shifts Shifts
-	Sender Sender
+	Pool        Pool
+	Shifts      Shifts
+	Sender      Sender
+	Quarantines Quarantines
 }
 
 // Handle implements Filter. Forward is the last filter of its chain. It returns errEscalate unchanged; Escalate then
@@ -96,11 +97,14 @@
 // errEndpointStatus ends a send that the endpoint answered with an error status; the answer is in errorAnswer.
 var errEndpointStatus = errors.New("the endpoint answered with an error status")
 
-// attempt binds the session to a version, places the run, sends it once and reports the outcome. If the binding or the
-// placement fails, nothing is sent or reported, and there is no retry. Handle calls it for the first send and for each
-// retry.
+// attempt checks the quarantine before a retry, binds the session to a version, places the run, sends it once and reports the
+// outcome. If the check, the binding or the placement fails, nothing is sent or reported, and there is no retry. Handle calls
+// it for the first send and for each retry.
 func (f *forwardRun) attempt(ctx context.Context) error {
 	x := f.x
+	if err := f.checkResend(ctx); err != nil {
+		return err
+	}
 	binding, err := f.Shifts.Bind(ctx, x.Routed.Service, x.Request.Session)
 	if err != nil {
 		return result.Errorf(result.QueueFull, "bind the session to a version: %v", err)
@@ -171,6 +175,7 @@
 		o.Model, o.Prompt, o.Weight = x.Attempt.Model, x.Routed.Prompt, f.weight()
 	}
 	o.MeanGap = s.gaps.mean()
+	f.reportRun(ctx, place, s)
 	_ = f.Pool.Done(ctx, o)           // Done waits for room; if it fails even so, the run stays counted as in flight
 	_ = f.Shifts.AttemptEnded(ctx, a) // a full mailbox loses one answer's evidence
 	step := Step{
--- a/internal/filter/forward_test.go
+++ b/internal/filter/forward_test.go
@@ -220,7 +220,7 @@
 			c := qt.New(t)
 			x, sink := routedExchange(test.kind)
 			sender := &scriptedSender{script: test.script}
-			err := Forward{Pool: &fakePool{}, Shifts: noShift{}, Sender: sender}.Handle(context.Background(), x, nil)
+			err := Forward{Pool: &fakePool{}, Shifts: noShift{}, Sender: sender, Quarantines: noQuarantine{}}.Handle(context.Background(), x, nil)
 			c.Check(sink.text, qt.Equals, test.text)
 			c.Check(len(sender.calls), qt.Equals, test.sends)
 			if test.signed != "" {
@@ -247,7 +247,7 @@
 		{head: head(200, "1"), chunks: []endpoint.Chunk{event("5", "a"), event("6", "b")}, broken: endpoint.ErrBroken},
 		{head: head(200, "2"), chunks: []endpoint.Chunk{end}},
 	}}
-	err := Forward{Pool: &fakePool{}, Shifts: noShift{}, Sender: sender}.Handle(context.Background(), x, nil)
+	err := Forward{Pool: &fakePool{}, Shifts: noShift{}, Sender: sender, Quarantines: noQuarantine{}}.Handle(context.Background(), x, nil)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, sender.calls[0].LastEventID, qt.Equals, "4")
 	qt.Check(t, sender.calls[1].LastEventID, qt.Equals, "6")
@@ -259,7 +259,7 @@
 	x, _ := routedExchange(routing.KindNonIdempotent)
 	x.Request.Deadline = time.Now().Add(minSendTime / 2)
 	sender := &scriptedSender{}
-	err := Forward{Pool: &fakePool{}, Shifts: noShift{}, Sender: sender}.Handle(context.Background(), x, nil)
+	err := Forward{Pool: &fakePool{}, Shifts: noShift{}, Sender: sender, Quarantines: noQuarantine{}}.Handle(context.Background(), x, nil)
 	qt.Check(t, result.From(err).Run, qt.Equals, result.NotRun)
 	qt.Check(t, sender.calls, qt.HasLen, 0)
 }
@@ -289,7 +289,7 @@
 			x, sink := routedExchange(routing.KindStream, "s", "m", "l")
 			x.Request.Model = test.model
 			sender := &scriptedSender{script: test.script}
-			chain := Chain(Escalate{}, Forward{Pool: &fakePool{}, Shifts: noShift{}, Sender: sender})
+			chain := Chain(Escalate{}, Forward{Pool: &fakePool{}, Shifts: noShift{}, Sender: sender, Quarantines: noQuarantine{}})
 			c.Assert(chain(context.Background(), x), qt.IsNil)
 			c.Check(sink.text, qt.Equals, test.text)
 			var models []string
--- a/internal/filter/quarantine.go
+++ b/internal/filter/quarantine.go
@@ -1,11 +1,21 @@
 package filter
 
-import "context"
+import (
+	"context"
+	"net/http"
+	"time"
 
-// Quarantines tracks the requests that crashed endpoints.
+	"cornelmux/internal/pool"
+	"cornelmux/internal/quarantine"
+)
+
+// Quarantines tracks the requests and the prompt blocks that crash endpoints.
 type Quarantines interface {
-	// Check fails with result.RequestQuarantined if requests with the fingerprint are quarantined.
-	Check(ctx context.Context, fingerprint uint64) error
+	// Check fails with result.RequestQuarantined if the request must not be sent.
+	Check(ctx context.Context, q quarantine.Query) error
+	// Lost notes a run that was lost after the head of its answer and before the first event, Answered one that came whole.
+	Lost(ctx context.Context, r quarantine.Run) error
+	Answered(ctx context.Context, r quarantine.Run) error
 }
 
 // Quarantine refuses requests that crashed endpoints before. In a chain with Deduplicate it comes later, so that a
@@ -16,8 +26,41 @@
 
 // Handle implements Filter.
 func (f Quarantine) Handle(ctx context.Context, x *Exchange, next Next) error {
-	if err := f.Quarantines.Check(ctx, Fingerprint(x)); err != nil {
+	if err := f.Quarantines.Check(ctx, quarantineQuery(x)); err != nil {
 		return err
 	}
 	return next(ctx, x)
 }
+
+// quarantineQuery describes the request for a check before a send.
+func quarantineQuery(x *Exchange) quarantine.Query {
+	return quarantine.Query{Fingerprint: Fingerprint(x), Blocks: x.Routed.Prompt.SharedBlocks(), Resend: x.Routed.Attempts > 0}
+}
+
+// checkResend asks the quarantine again before each send but the first, since what is known may have changed while the
+// request ran. attempt calls it.
+func (f *forwardRun) checkResend(ctx context.Context) error {
+	if f.x.Routed.Attempts == 0 {
+		return nil
+	}
+	return f.Quarantines.Check(ctx, quarantineQuery(f.x))
+}
+
+// reportRun tells the quarantine how a run with shared prompt blocks ended, if that says something of them. A run that was
+// lost after its first event doesn't. report calls it.
+func (f *forwardRun) reportRun(ctx context.Context, place pool.Placement, s sendResult) {
+	x := f.x
+	blocks := x.Routed.Prompt.SharedBlocks()
+	if len(blocks) == 0 {
+		return
+	}
+	run := quarantine.Run{
+		Fingerprint: Fingerprint(x), Blocks: blocks, Endpoint: place.ID, Incarnation: place.Incarnation, SentAt: time.Now().Add(-s.duration),
+	}
+	switch {
+	case s.end == pool.EndAnswered && s.err == nil:
+		_ = f.Quarantines.Answered(ctx, run) // a full mailbox leaves the blocks to other answers
+	case s.end == pool.EndLost && s.head.Status == http.StatusOK && s.events == 0:
+		_ = f.Quarantines.Lost(ctx, run) // a full mailbox leaves the blocks to other lost runs
+	}
+}
--- /dev/null
+++ b/internal/filter/quarantine_test.go
@@ -0,0 +1,115 @@
+package filter
+
+import (
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cornelmux/internal/endpoint"
+	"cornelmux/internal/quarantine"
+	"cornelmux/pkg/result"
+	"cornelmux/pkg/routing"
+)
+
+// noQuarantine is a Quarantines that lets every request pass.
+type noQuarantine struct{}
+
+func (noQuarantine) Check(context.Context, quarantine.Query) error  { return nil }
+func (noQuarantine) Lost(context.Context, quarantine.Run) error     { return nil }
+func (noQuarantine) Answered(context.Context, quarantine.Run) error { return nil }
+
+// recordingQuarantine is a Quarantines that records what it is told. It refuses resends once as many runs were lost as refuseAfter
+// says; 0 means never.
+type recordingQuarantine struct {
+	refuseAfter    int
+	lost, answered []quarantine.Run
+}
+
+func (f *recordingQuarantine) Check(_ context.Context, q quarantine.Query) error {
+	if q.Resend && f.refuseAfter > 0 && len(f.lost) >= f.refuseAfter {
+		return result.Errorf(result.RequestQuarantined, "the block crashes endpoints")
+	}
+	return nil
+}
+
+func (f *recordingQuarantine) Lost(_ context.Context, r quarantine.Run) error {
+	f.lost = append(f.lost, r)
+	return nil
+}
+
+func (f *recordingQuarantine) Answered(_ context.Context, r quarantine.Run) error {
+	f.answered = append(f.answered, r)
+	return nil
+}
+
+// TestRunsLostAtTheirStartAreReported ends the first send of a stream in different ways and checks which runs the quarantine of
+// prompt blocks learns of. A stream that lost its connection later must not be held against its prompt.
+func TestRunsLostAtTheirStartAreReported(t *testing.T) {
+	whole := []endpoint.Chunk{event("1", "a"), last("end")}
+	tests := []struct {
+		name     string
+		first    scriptedSend
+		lost     int
+		answered int
+	}{
+		{"whole answer", scriptedSend{head: head(200, "a"), chunks: whole}, 0, 1},
+		{"lost before the head", scriptedSend{err: endpoint.ErrBroken}, 0, 1},
+		{"lost after the head", scriptedSend{head: head(200, "a"), broken: endpoint.ErrBroken}, 1, 1},
+		{"lost after an event", scriptedSend{head: head(200, "a"), chunks: whole[:1], broken: endpoint.ErrBroken}, 0, 1},
+		{"not sent", scriptedSend{err: endpoint.ErrNotSent}, 0, 1},
+		{"refused", scriptedSend{err: &endpoint.RefusedError{}}, 0, 1},
+		{"error status", scriptedSend{head: head(500, "a"), chunks: []endpoint.Chunk{end}}, 0, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := blockExchange()
+			sender := &scriptedSender{script: []scriptedSend{test.first, {head: head(200, "a"), chunks: whole}}}
+			quarantines := &recordingQuarantine{}
+			err := Forward{Pool: &fakePool{}, Shifts: noShift{}, Sender: sender, Quarantines: quarantines}.Handle(context.Background(), x, nil)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, quarantines.lost, qt.HasLen, test.lost)
+			qt.Check(t, quarantines.answered, qt.HasLen, test.answered)
+			for _, r := range append(quarantines.lost, quarantines.answered...) {
+				qt.Check(t, r.Blocks, qt.DeepEquals, []uint64{1, 2})
+				qt.Check(t, r.Fingerprint, qt.Equals, Fingerprint(x))
+				qt.Check(t, r.SentAt.IsZero(), qt.IsFalse)
+			}
+		})
+	}
+}
+
+// TestQuarantinedBlockStopsResends guards against a request that is sent on to one endpoint after the other although its prompt
+// is known to crash them. What the caller is told must not promise that the request didn't run.
+func TestQuarantinedBlockStopsResends(t *testing.T) {
+	tests := []struct {
+		name        string
+		refuseAfter int
+		sends       int
+	}{
+		{"no quarantine", 0, 3},
+		{"after the first run", 1, 1},
+		{"after the second run", 2, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			lost := scriptedSend{head: head(200, "a"), broken: endpoint.ErrBroken}
+			sender := &scriptedSender{script: []scriptedSend{lost, lost, lost}}
+			quarantines := &recordingQuarantine{refuseAfter: test.refuseAfter}
+			err := Forward{Pool: &fakePool{}, Shifts: noShift{}, Sender: sender, Quarantines: quarantines}.Handle(context.Background(), blockExchange(), nil)
+			qt.Check(t, sender.calls, qt.HasLen, test.sends)
+			e := result.From(err)
+			qt.Check(t, e.Run, qt.Equals, result.Unknown)
+			if test.refuseAfter > 0 {
+				qt.Check(t, e.Code, qt.Equals, result.RequestQuarantined)
+			}
+		})
+	}
+}
+
+// blockExchange returns a streaming request whose prompt has the shared blocks 1 and 2, and one of its own.
+func blockExchange() *Exchange {
+	x, _ := routedExchange(routing.KindStream)
+	x.Routed.Prompt.Blocks = []routing.PrefixBlock{{ID: 1}, {ID: 2}, {ID: 3}}
+	return x
+}
--- a/internal/filter/stall_test.go
+++ b/internal/filter/stall_test.go
@@ -79,7 +79,7 @@
 				started := time.Now()
 				ctx, cancel := context.WithDeadline(t.Context(), x.Request.Deadline)
 				defer cancel()
-				err := Forward{&fakePool{}, noShift{}, sender}.Handle(ctx, x, nil)
+				err := Forward{&fakePool{}, noShift{}, sender, noQuarantine{}}.Handle(ctx, x, nil)
 				qt.Check(t, err, qt.IsNil)
 				qt.Check(t, sink.whole, qt.IsTrue)
 				qt.Check(t, sender.sends, qt.Equals, test.sends)
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -55,6 +55,9 @@
 	listDemand
 	listEndpoints
 	listLatencies
+	listLostRuns
+	listClearances
+	listBlockQuarantines
 	listRelayed
 	listCount
 )
@@ -75,7 +78,8 @@
 	}
 	sizes := [][]int{
 		sizesOf(all.Halts), sizesOf(all.Crashes), sizesOf(all.Sessions), sizesOf(all.Evidence),
-		sizesOf(all.Demand), sizesOf(all.Endpoints), sizesOf(all.Latencies), sizesOf(relayed),
+		sizesOf(all.Demand), sizesOf(all.Endpoints), sizesOf(all.Latencies),
+		sizesOf(all.LostRuns), sizesOf(all.Clearances), sizesOf(all.BlockQuarantines), sizesOf(relayed),
 	}
 	for i, list := range sizes {
 		c.start[i] %= max(len(list), 1)
@@ -89,6 +93,9 @@
 	d.Demand = rotate(all.Demand, c.start[listDemand], n[listDemand])
 	d.Endpoints = rotate(all.Endpoints, c.start[listEndpoints], n[listEndpoints])
 	d.Latencies = rotate(all.Latencies, c.start[listLatencies], n[listLatencies])
+	d.LostRuns = rotate(all.LostRuns, c.start[listLostRuns], n[listLostRuns])
+	d.Clearances = rotate(all.Clearances, c.start[listClearances], n[listClearances])
+	d.BlockQuarantines = rotate(all.BlockQuarantines, c.start[listBlockQuarantines], n[listBlockQuarantines])
 	d.Relayed = relayed[:n[listRelayed]]
 	for i := range c.start {
 		c.start[i] += n[i]
@@ -218,6 +225,7 @@
 			Service: l.Service, Kind: l.Kind, Load: uint32(max(l.Load, 0)), Count: uint32(max(l.Count, 0)), MeanUs: uint64(max(l.Mean, 0).Microseconds()),
 		})
 	}
+	blocksToWire(d, s)
 	return d
 }
 
@@ -257,9 +265,46 @@
 			Service: l.Service, Kind: l.Kind, Load: int(l.Load), Count: int(l.Count), Mean: time.Duration(l.MeanUs) * time.Microsecond,
 		})
 	}
+	blocksFromWire(&s, d)
 	return s
 }
 
+// blocksToWire adds the lists about prompt blocks for toWire.
+func blocksToWire(d *wire.Datagram, s State) {
+	for _, r := range s.LostRuns {
+		d.LostRuns = append(d.LostRuns, &wire.LostRun{Request: r.Request, Endpoint: r.Endpoint, Blocks: r.Blocks, AgeMs: toMillis(r.Age)})
+	}
+	for _, c := range s.Clearances {
+		d.Clearances = append(d.Clearances, &wire.Clearance{Key: c.Key, AgeMs: toMillis(c.Age)})
+	}
+	for _, q := range s.BlockQuarantines {
+		d.BlockQuarantines = append(d.BlockQuarantines, &wire.BlockQuarantine{
+			Block: q.Block, Companions: q.Companions, AgeMs: toMillis(q.Age), RemainingMs: toMillis(q.Remaining),
+		})
+	}
+}
+
+// blocksFromWire is the reverse of blocksToWire.
+func blocksFromWire(s *State, d *wire.Datagram) {
+	for _, r := range d.LostRuns {
+		s.LostRuns = append(s.LostRuns, LostRun{Request: r.Request, Endpoint: r.Endpoint, Blocks: r.Blocks, Age: fromMillis(r.AgeMs)})
+	}
+	for _, c := range d.Clearances {
+		s.Clearances = append(s.Clearances, Clearance{Key: c.Key, Age: fromMillis(c.AgeMs)})
+	}
+	for _, q := range d.BlockQuarantines {
+		s.BlockQuarantines = append(s.BlockQuarantines, BlockQuarantine{
+			Block: q.Block, Companions: q.Companions, Age: fromMillis(q.AgeMs), Remaining: fromMillis(q.RemainingMs),
+		})
+	}
+}
+
+// toMillis returns a time in whole milliseconds; a negative one is 0.
+func toMillis(d time.Duration) uint32 { return uint32(max(d.Milliseconds(), 0)) }
+
+// fromMillis is the reverse of toMillis.
+func fromMillis(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
 // demandToWire converts a demand for toWire; a loan without a VM is left out.
 func demandToWire(a AccountDemand) *wire.AccountDemand {
 	d := &wire.AccountDemand{Account: a.Account, RequestsPerSecond: a.RequestsPerSecond, Stamp: a.ID}
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -121,6 +121,7 @@
 // summarize returns the part of a state that is relayed. update calls it.
 func summarize(s State) State {
 	s.Endpoints, s.Sessions, s.Halts, s.Crashes, s.Demand, s.Latencies = nil, nil, nil, nil, nil, nil
+	s.LostRuns, s.Clearances, s.BlockQuarantines = nil, nil, nil
 	s.Evidence = s.Evidence[:min(len(s.Evidence), maxRelayedEvidence)]
 	return s
 }
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -31,6 +31,10 @@
 	Sessions  []SessionSet
 	Halts     []Halt
 	Latencies []LatencyBaseline
+	LostRuns  []LostRun
+	// Clearances and BlockQuarantines say which prompt blocks are sound and which crash endpoints.
+	Clearances       []Clearance
+	BlockQuarantines []BlockQuarantine
 }
 
 // EndpointReport is the load of an endpoint as the sender saw it.
@@ -111,6 +115,35 @@
 	Endpoint    string
 }
 
+// LostRun tells that a run was lost after the head of its answer and before the first event, as by a prompt that crashes the
+// endpoint.
+type LostRun struct {
+	// Request is the fingerprint of the request, Endpoint the hash of the endpoint and its incarnation.
+	Request  uint64
+	Endpoint uint64
+	// Blocks are the IDs of the prompt blocks that other requests may share.
+	Blocks []uint64
+	// Age is the time since the loss.
+	Age time.Duration
+}
+
+// Clearance tells that a run came whole. Key is a prompt block of the run, or its endpoint as in LostRun.
+type Clearance struct {
+	Key uint64
+	// Age is the time since the run was sent.
+	Age time.Duration
+}
+
+// BlockQuarantine tells that requests whose prompts hold the block and its companions are refused.
+type BlockQuarantine struct {
+	Block uint64
+	// Companions are blocks that may be the cause as well.
+	Companions []uint64
+	// Age is the time since the first lost run on which the quarantine rests, Remaining that until its end.
+	Age       time.Duration
+	Remaining time.Duration
+}
+
 // SessionSet is a Bloom filter of the sessions that are active on a version at the sender.
 type SessionSet struct {
 	Model   string
--- /dev/null
+++ b/internal/quarantine/blocks.go
@@ -0,0 +1,319 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxLostRuns bounds the lost runs that are remembered, maxBlocksPerRun the blocks of each, maxQuarantines the blocks in
+	// quarantine.
+	maxLostRuns     = 512
+	maxBlocksPerRun = 16
+	maxQuarantines  = 256
+)
+
+// Blocks holds what a VM knows of prompt blocks that crash endpoints. It takes the time as an argument.
+type Blocks struct {
+	runs []knownRun
+	// lastLoss is the time of the newest lost run, by block and by endpoint.
+	lastLoss   map[uint64]time.Time
+	clearances ClearanceTable
+	// clearancesDue holds in how many more states the clearance of a key is named.
+	clearancesDue map[uint64]int
+	quarantines   map[uint64]*BlockQuarantine
+	// culprits is the last result of Culprits, culpritEndpoints the endpoints that lost runs with one of them.
+	culprits         []Evidence
+	culpritEndpoints map[uint64]bool
+	// round counts the states.
+	round int
+	// explainsMore says that a quarantine began, or a lost run with a quarantined block was added, since TakeExplained.
+	explainsMore bool
+}
+
+// knownRun is a lost run, and in how many more states it is named.
+type knownRun struct {
+	LostRun
+	due int
+}
+
+// BlockQuarantine is the quarantine of one block. After its end the block is on probation for CrashWindow: one more lost run
+// quarantines it again.
+type BlockQuarantine struct {
+	Block uint64
+	// Companions are blocks that may be the cause as well as Block: requests are refused that hold all of them.
+	Companions []uint64
+	// Since is when the first of the lost runs was, on which the quarantine rests: an answer that was sent later and came whole
+	// refutes it.
+	Since time.Time
+	Until time.Time
+	// due is in how many more states it is named at once. found says that this VM found the block by its own evidence.
+	due   int
+	found bool
+}
+
+// Change tells that a quarantine began, or ended before its time.
+type Change struct {
+	Block uint64
+	Began bool
+	// Why is the reason in words, Evidence what it rests on, if this VM has it.
+	Why      string
+	Evidence Evidence
+}
+
+// NewBlocks makes empty Blocks.
+func NewBlocks() *Blocks {
+	return &Blocks{lastLoss: map[uint64]time.Time{}, clearancesDue: map[uint64]int{}, quarantines: map[uint64]*BlockQuarantine{}}
+}
+
+// Quarantined returns the first of the blocks that is in quarantine and for how long.
+func (s *Blocks) Quarantined(blocks []uint64, now time.Time) (block uint64, remaining time.Duration) {
+	for _, b := range blocks {
+		if q := s.quarantines[b]; q != nil && now.Before(q.Until) && q.covers(blocks) {
+			return b, q.Until.Sub(now)
+		}
+	}
+	return 0, 0
+}
+
+// covers reports whether the prompt with the blocks, of which one is q.Block, holds the companions too.
+func (q *BlockQuarantine) covers(blocks []uint64) bool {
+	return !slices.ContainsFunc(q.Companions, func(b uint64) bool { return !slices.Contains(blocks, b) })
+}
+
+// setCompanions replaces the companions, and reports whether they changed. The peers are then told.
+func (q *BlockQuarantine) setCompanions(companions []uint64) bool {
+	if slices.Equal(q.Companions, companions) {
+		return false
+	}
+	q.Companions, q.due = companions, announceRounds
+	return true
+}
+
+// AddLostRun adds a lost run that this VM or a peer saw, and returns the quarantines that begin or end with it. A run that
+// is known, or too old, is ignored.
+func (s *Blocks) AddLostRun(r LostRun, now time.Time) []Change {
+	if len(r.Blocks) == 0 || now.Sub(r.At) >= CrashWindow || s.knows(r) {
+		return nil
+	}
+	r.Blocks = r.Blocks[:min(len(r.Blocks), maxBlocksPerRun)]
+	s.makeRoom(now)
+	s.runs = append(s.runs, knownRun{r, announceRounds})
+	for _, key := range append(slices.Clone(r.Blocks), r.Endpoint) {
+		if s.lastLoss[key].Before(r.At) {
+			s.lastLoss[key] = r.At
+		}
+		if !s.clearances.find(key).at.IsZero() {
+			s.clearancesDue[key] = announceRounds
+		}
+	}
+	_, remaining := s.Quarantined(r.Blocks, now)
+	s.explainsMore = s.explainsMore || remaining > 0
+	return append(s.renew(r, now), s.Decide(now)...)
+}
+
+// knows reports whether the run is known. AddLostRun calls it.
+func (s *Blocks) knows(r LostRun) bool {
+	return slices.ContainsFunc(s.runs, func(k knownRun) bool { return k.Request == r.Request && k.Endpoint == r.Endpoint })
+}
+
+// makeRoom forgets the runs that are too old and, if there are too many, first those that count against no block, then the
+// oldest ones. AddLostRun calls it.
+func (s *Blocks) makeRoom(now time.Time) {
+	if len(s.runs) < maxLostRuns {
+		return
+	}
+	s.runs = slices.DeleteFunc(s.runs, func(k knownRun) bool { return now.Sub(k.At) >= CrashWindow || !s.open(k.LostRun) })
+	slices.SortFunc(s.runs, func(a, b knownRun) int { return a.At.Compare(b.At) })
+	if n := len(s.runs) - maxLostRuns*3/4; n > 0 {
+		s.runs = slices.Delete(s.runs, 0, n)
+	}
+	s.lastLoss = map[uint64]time.Time{}
+	for _, k := range s.runs {
+		for _, key := range append(slices.Clone(k.Blocks), k.Endpoint) {
+			if s.lastLoss[key].Before(k.At) {
+				s.lastLoss[key] = k.At
+			}
+		}
+	}
+}
+
+// open reports whether the run counts against one of its blocks at least.
+func (s *Blocks) open(r LostRun) bool {
+	return r.At.After(s.clearances.ClearedAt(r.Endpoint)) &&
+		slices.ContainsFunc(r.Blocks, func(b uint64) bool { return r.At.After(s.clearances.ClearedAt(b)) })
+}
+
+// renew quarantines the blocks of the run that are on probation. AddLostRun calls it.
+func (s *Blocks) renew(r LostRun, now time.Time) []Change {
+	var changes []Change
+	for _, b := range r.Blocks {
+		q := s.quarantines[b]
+		if q == nil || now.Before(q.Until) || r.At.Before(q.Until) || now.Sub(q.Until) >= CrashWindow || !q.covers(r.Blocks) {
+			continue
+		}
+		s.begin(BlockQuarantine{Block: b, Companions: q.Companions, Since: r.At, Until: now.Add(Duration)})
+		changes = append(changes, Change{Block: b, Began: true, Why: "a run was lost after an earlier quarantine"})
+	}
+	return changes
+}
+
+// begin puts a block in quarantine and has the peers told. renew, Decide and adopt call it.
+func (s *Blocks) begin(q BlockQuarantine) {
+	q.due = announceRounds
+	s.quarantines[q.Block] = &q
+	s.explainsMore = true
+}
+
+// Decide quarantines the blocks that crash endpoints, and ends the quarantines of those whose lost runs another block
+// explains. AddLostRun calls it, and the Controller for each state, since answers that came whole add to the evidence.
+func (s *Blocks) Decide(now time.Time) []Change {
+	if len(s.runs) < minRequests {
+		return nil
+	}
+	runs := make([]LostRun, len(s.runs))
+	for i, k := range s.runs {
+		runs[i] = k.LostRun
+	}
+	s.culprits = Culprits(runs, &s.clearances)
+	s.culpritEndpoints = map[uint64]bool{}
+	for _, r := range runs {
+		if slices.ContainsFunc(s.culprits, func(e Evidence) bool { return slices.Contains(r.Blocks, e.Block) }) {
+			s.culpritEndpoints[r.Endpoint] = true
+		}
+	}
+	var changes []Change
+	for _, e := range s.culprits {
+		since := e.First
+		if q := s.quarantines[e.Block]; q != nil {
+			if now.Before(q.Until) && q.found && q.setCompanions(e.Companions) {
+				changes = append(changes, Change{Block: e.Block, Began: true, Why: "other blocks may be the cause as well", Evidence: e})
+			}
+			if now.Before(q.Until) || !e.Last.After(q.Until) {
+				continue
+			}
+			since = q.Until
+		}
+		if len(s.quarantines) >= maxQuarantines {
+			s.dropEnded(now)
+		}
+		if len(s.quarantines) >= maxQuarantines {
+			break
+		}
+		s.begin(BlockQuarantine{Block: e.Block, Companions: e.Companions, Since: since, Until: now.Add(Duration), found: true})
+		changes = append(changes, Change{Block: e.Block, Began: true, Why: "requests with it lost their runs", Evidence: e})
+	}
+	return append(changes, s.dropExplained(now)...)
+}
+
+// dropEnded forgets the quarantines whose probation is over. Decide calls it if there are too many.
+func (s *Blocks) dropEnded(now time.Time) {
+	for b, q := range s.quarantines {
+		if now.Sub(q.Until) >= CrashWindow {
+			delete(s.quarantines, b)
+		}
+	}
+}
+
+// dropExplained ends the quarantines of blocks that were merely there when culprits crashed the endpoints. Decide calls it.
+func (s *Blocks) dropExplained(now time.Time) []Change {
+	var changes []Change
+	for b, q := range s.quarantines {
+		if now.Before(q.Until) && s.explained(b) {
+			delete(s.quarantines, b)
+			changes = append(changes, Change{Block: b, Why: "another block explains its lost runs"})
+		}
+	}
+	return changes
+}
+
+// explained reports whether all the endpoints that lost runs with the block lost one with a culprit too, and the block is none.
+func (s *Blocks) explained(block uint64) bool {
+	if slices.ContainsFunc(s.culprits, func(e Evidence) bool { return e.Block == block }) {
+		return false
+	}
+	held := 0
+	for _, k := range s.runs {
+		if !slices.Contains(k.Blocks, block) {
+			continue
+		}
+		if held++; !s.culpritEndpoints[k.Endpoint] {
+			return false
+		}
+	}
+	return held >= minRequests
+}
+
+// AddAnswer notes that a run with the blocks, sent at a time to an endpoint, came whole. The Controller calls it for the runs
+// of this VM.
+func (s *Blocks) AddAnswer(blocks []uint64, endpoint uint64, sentAt time.Time) []Change {
+	var changes []Change
+	for _, key := range append(slices.Clone(blocks[:min(len(blocks), maxBlocksPerRun)]), endpoint) {
+		changes = append(changes, s.clear(key, clearance{at: sentAt}, "an answer with it came whole")...)
+	}
+	return changes
+}
+
+// clear notes a clearance, tells the peers if it matters to them, and ends the quarantine of the block if that began before.
+func (s *Blocks) clear(key uint64, c clearance, why string) []Change {
+	before := s.clearances.ClearedAt(key)
+	if !s.clearances.add(key, c) {
+		return nil
+	}
+	if loss, ok := s.lastLoss[key]; ok && before.Before(loss) {
+		s.clearancesDue[key] = announceRounds
+	}
+	for _, q := range s.quarantines {
+		q.setCompanions(slices.DeleteFunc(slices.Clone(q.Companions), func(b uint64) bool { return b == key }))
+	}
+	q := s.quarantines[key]
+	if q == nil || !s.clearances.ClearedAt(key).After(q.Since) {
+		return nil
+	}
+	delete(s.quarantines, key)
+	s.clearancesDue[key] = announceRounds
+	return []Change{{Block: key, Why: why}}
+}
+
+// Explains reports whether a run with a block in quarantine was lost at the endpoint, so that its crash has a cause.
+func (s *Blocks) Explains(endpoint uint64, now time.Time) bool {
+	return slices.ContainsFunc(s.runs, func(k knownRun) bool {
+		_, remaining := s.Quarantined(k.Blocks, now)
+		return k.Endpoint == endpoint && remaining > 0
+	})
+}
+
+// TakeExplained returns the endpoints that Explains, if there may be new ones since the last call; otherwise nil.
+func (s *Blocks) TakeExplained(now time.Time) map[uint64]bool {
+	if !s.explainsMore {
+		return nil
+	}
+	s.explainsMore = false
+	endpoints := map[uint64]bool{}
+	for _, k := range s.runs {
+		if _, remaining := s.Quarantined(k.Blocks, now); remaining > 0 {
+			endpoints[k.Endpoint] = true
+		}
+	}
+	return endpoints
+}
+
+// HoldsBack reports whether the request must not be sent again: it lost runs at two endpoints, or one, and another request
+// lost one with a block of it that isn't known to be sound.
+func (s *Blocks) HoldsBack(request uint64, blocks []uint64) bool {
+	endpoints := map[uint64]bool{}
+	for _, k := range s.runs {
+		if k.Request == request && s.open(k.LostRun) {
+			endpoints[k.Endpoint] = true
+		}
+	}
+	if len(endpoints) != 1 {
+		return len(endpoints) > 1
+	}
+	return slices.ContainsFunc(s.runs, func(k knownRun) bool {
+		return k.Request != request && s.open(k.LostRun) && slices.ContainsFunc(blocks, func(b uint64) bool {
+			cleared := s.clearances.ClearedAt(b)
+			return slices.Contains(k.Blocks, b) && (cleared.IsZero() || k.At.Sub(cleared) >= soundPeriod)
+		})
+	})
+}
--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"cornelmux/internal/peer"
@@ -22,13 +24,16 @@
 	// those in one gossiped state.
 	maxAnnouncements   = 64
 	maxReportsPerState = 8
+	// holdBackRetryAfter is the Retry-After of a request that isn't sent again because it may crash endpoints.
+	holdBackRetryAfter = time.Second
 )
 
-// Controller owns the records of crashes and announces the crashes that this VM saw to its peers.
+// Controller owns the records of crashes and what is known of prompt blocks. It tells its peers what it learned.
 type Controller struct {
 	mailbox chan message
 	log     logr.Logger
 	records Records
+	blocks  *Blocks
 	// announcements are ordered by the time at which they expire.
 	announcements []announcement
 }
@@ -41,7 +46,7 @@
 
 // New makes a Controller; Run starts it.
 func New(log logr.Logger) *Controller {
-	return &Controller{mailbox: make(chan message, mailboxSize), log: log, records: Records{}}
+	return &Controller{mailbox: make(chan message, mailboxSize), log: log, records: Records{}, blocks: NewBlocks()}
 }
 
 // message is handled by the goroutine of Run, which owns the state.
@@ -49,14 +54,49 @@
 
 type (
 	checkMessage struct {
-		fingerprint uint64
-		reply       chan<- time.Duration
+		query Query
+		reply chan<- refusal
 	}
 	crashMessage   struct{ report peer.CrashReport }
-	receiveMessage struct{ reports []peer.CrashReport }
-	collectMessage struct{ reply chan<- []peer.CrashReport }
+	lostMessage    struct{ run Run }
+	wholeMessage   struct{ run Run }
+	receiveMessage struct{ state peer.State }
+	collectMessage struct{ reply chan<- peer.State }
 )
 
+// Query describes a request that is about to be sent.
+type Query struct {
+	Fingerprint uint64
+	// Blocks are the IDs of the prompt blocks that other requests may share.
+	Blocks []uint64
+	// Resend says that the request was sent before.
+	Resend bool
+}
+
+// Run is one run of a request at an endpoint, that ended.
+type Run struct {
+	Fingerprint uint64
+	Blocks      []uint64
+	// Endpoint is the ID of the endpoint, Incarnation that of its process.
+	Endpoint    string
+	Incarnation int64
+	SentAt      time.Time
+}
+
+// endpoint returns the hash of the endpoint and its incarnation.
+func (r *Run) endpoint() uint64 {
+	return hashEndpoint(r.Endpoint + "#" + strconv.FormatInt(r.Incarnation, 10))
+}
+
+// hashEndpoint returns the hash of an endpoint as reports of crashes name it: its ID, '#' and its incarnation.
+func hashEndpoint(name string) uint64 { return xxhash.Sum64String(name) }
+
+// refusal says why a request isn't sent; empty if it may be.
+type refusal struct {
+	why       string
+	remaining time.Duration
+}
+
 // Run handles messages and removes old crashes until ctx ends. The VM runs it as a task.
 func (c *Controller) Run(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
@@ -73,42 +113,124 @@
 	}
 }
 
-// Check implements filter.Quarantines. It returns an error, and the request is refused, if the request is in quarantine
-// or the Controller doesn't reply. Filter Quarantine calls it for each request.
-func (c *Controller) Check(ctx context.Context, fingerprint uint64) error {
-	remaining, err := task.Ask(ctx, c.mailbox, func(reply chan<- time.Duration) message { return checkMessage{fingerprint, reply} })
+// Check implements filter.Quarantines. It returns an error, and the request isn't sent, if the request or a block of its
+// prompt is in quarantine, or the Controller doesn't reply. Filter Quarantine calls it for each request, and filter Forward
+// before each further send.
+func (c *Controller) Check(ctx context.Context, q Query) error {
+	r, err := task.Ask(ctx, c.mailbox, func(reply chan<- refusal) message { return checkMessage{q, reply} })
 	if err != nil {
 		return result.Errorf(result.QueueFull, "check quarantine: %v", err).WithRetryAfter(time.Second)
 	}
-	if remaining > 0 {
-		return result.Errorf(result.RequestQuarantined, "request crashed endpoints while they ran it").WithRetryAfter(remaining)
+	if r.why != "" {
+		return result.Errorf(result.RequestQuarantined, "%s", r.why).WithRetryAfter(r.remaining)
 	}
 	return nil
 }
 
+// Lost implements filter.Quarantines: it notes that a run of this VM was lost after the head of its answer and before the
+// first event. If the mailbox is full, it fails and the run isn't noted.
+func (c *Controller) Lost(_ context.Context, r Run) error {
+	return task.Tell(c.mailbox, message(lostMessage{r}))
+}
+
+// Answered implements filter.Quarantines: it notes that a run of this VM came whole. If the mailbox is full, it fails and the
+// run isn't noted.
+func (c *Controller) Answered(_ context.Context, r Run) error {
+	return task.Tell(c.mailbox, message(wholeMessage{r}))
+}
+
 // Crashed implements endpoint.Crashes and pool.Crashes: it counts a crash that this VM saw. If the mailbox is full, it
 // fails and the crash isn't counted.
 func (c *Controller) Crashed(_ context.Context, fingerprint uint64, endpoint string) error {
 	return task.Tell(c.mailbox, message(crashMessage{peer.CrashReport{Fingerprint: fingerprint, Endpoint: endpoint}}))
 }
 
-// Collect implements peer.Section. It adds the crashes that are announced to the state.
+// Collect implements peer.Section. It adds what is announced to the state.
 func (c *Controller) Collect(ctx context.Context, s *peer.State) error {
-	reports, err := task.Ask(ctx, c.mailbox, func(reply chan<- []peer.CrashReport) message { return collectMessage{reply} })
-	s.Crashes = append(s.Crashes, reports...)
+	part, err := task.Ask(ctx, c.mailbox, func(reply chan<- peer.State) message { return collectMessage{reply} })
+	s.Crashes = append(s.Crashes, part.Crashes...)
+	s.LostRuns = append(s.LostRuns, part.LostRuns...)
+	s.Clearances = append(s.Clearances, part.Clearances...)
+	s.BlockQuarantines = append(s.BlockQuarantines, part.BlockQuarantines...)
 	return err
 }
 
-// Receive implements peer.Section. It counts the crashes in a peer's state.
+// Receive implements peer.Section. It applies what a peer's state says of crashes and of prompt blocks.
 func (c *Controller) Receive(_ context.Context, s peer.State) error {
-	if len(s.Crashes) == 0 {
+	if len(s.Crashes) == 0 && len(s.LostRuns) == 0 && len(s.Clearances) == 0 && len(s.BlockQuarantines) == 0 {
 		return nil
 	}
-	return task.Tell(c.mailbox, message(receiveMessage{s.Crashes}))
+	return task.Tell(c.mailbox, message(receiveMessage{s}))
 }
 
+// handle answers whether the request may be sent.
 func (m checkMessage) handle(c *Controller) {
-	m.reply <- c.records.Remaining(m.fingerprint, time.Now())
+	now := time.Now()
+	block, remaining := c.blocks.Quarantined(m.query.Blocks, now)
+	requestRemaining := c.records.Remaining(m.query.Fingerprint, now)
+	switch {
+	case remaining > 0:
+		m.reply <- refusal{"prompt block " + blockName(block) + " crashed endpoints", remaining}
+	case requestRemaining > 0:
+		m.reply <- refusal{"request crashed endpoints while they ran it", requestRemaining}
+	case m.query.Resend && c.blocks.HoldsBack(m.query.Fingerprint, m.query.Blocks):
+		m.reply <- refusal{"request was lost at the start of its answer, and may have crashed the endpoint", holdBackRetryAfter}
+	default:
+		m.reply <- refusal{}
+	}
+}
+
+// handle logs the run, since such runs are what quarantines of blocks rest on.
+func (m lostMessage) handle(c *Controller) {
+	now := time.Now()
+	c.log.Info("run lost at the start of its answer", "fingerprint", m.run.Fingerprint, "endpoint", m.run.Endpoint, "blocks", BlockNames(m.run.Blocks))
+	c.applyChanges(c.blocks.AddLostRun(LostRun{m.run.Fingerprint, m.run.endpoint(), m.run.Blocks, now}, now), now)
+}
+
+func (m wholeMessage) handle(c *Controller) {
+	c.applyChanges(c.blocks.AddAnswer(m.run.Blocks, m.run.endpoint(), m.run.SentAt), time.Now())
+}
+
+// applyChanges logs the changes. It removes the crashes that lost runs with a quarantined block explain. It is called after
+// each change of c.blocks.
+func (c *Controller) applyChanges(changes []Change, now time.Time) {
+	for _, ch := range changes {
+		if !ch.Began {
+			c.log.Info("prompt block released", "block", blockName(ch.Block), "why", ch.Why)
+			continue
+		}
+		e := ch.Evidence
+		c.log.Info("prompt block quarantined", "block", blockName(ch.Block), "companions", BlockNames(e.Companions), "why", ch.Why, "requests", e.Requests, "endpoints", e.Endpoints,
+			"occasions", e.Occasions, "first_ms", sinceMillis(e.First, now), "last_ms", sinceMillis(e.Last, now),
+			"cleared_ms", sinceMillis(e.ClearedAt, now), "seconds", Duration.Seconds())
+	}
+	explained := c.blocks.TakeExplained(now)
+	if len(explained) == 0 {
+		return
+	}
+	for _, fingerprint := range c.records.Forgive(func(endpoint string) bool { return explained[hashEndpoint(endpoint)] }) {
+		c.log.Info("request released", "fingerprint", fingerprint, "why", "a prompt block explains its crashes")
+	}
+}
+
+// sinceMillis returns the time since at, in milliseconds; -1 if at is zero.
+func sinceMillis(at, now time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Milliseconds()
+}
+
+// blockName returns the ID of a prompt block as callers write it.
+func blockName(block uint64) string { return strconv.FormatUint(block, 16) }
+
+// BlockNames returns the IDs of prompt blocks as callers write them, for logs.
+func BlockNames(blocks []uint64) []string {
+	out := make([]string, len(blocks))
+	for i, b := range blocks {
+		out[i] = blockName(b)
+	}
+	return out
 }
 
 func (m crashMessage) handle(c *Controller) {
@@ -120,29 +242,37 @@
 }
 
 func (m receiveMessage) handle(c *Controller) {
-	for _, r := range m.reports {
-		c.addCrash(r, time.Now())
+	now := time.Now()
+	c.applyChanges(c.blocks.Receive(m.state, now), now)
+	for _, r := range m.state.Crashes {
+		c.addCrash(r, now)
 	}
 }
 
-// addCrash adds a crash and logs it if it quarantines the request. It is called for crashes that this VM or a peer saw.
+// addCrash adds a crash, unless a prompt block explains it, and logs it if it quarantines the request. It is called for
+// crashes that this VM or a peer saw.
 func (c *Controller) addCrash(r peer.CrashReport, now time.Time) {
+	if c.blocks.Explains(hashEndpoint(r.Endpoint), now) {
+		return
+	}
 	before := c.records.Remaining(r.Fingerprint, now)
 	if c.records.AddCrash(r, now) && before == 0 && c.records.Remaining(r.Fingerprint, now) > 0 {
 		c.log.Info("request quarantined", "fingerprint", r.Fingerprint, "endpoint", r.Endpoint, "seconds", Duration.Seconds())
 	}
 }
 
-// handle drops the expired announcements and answers with the oldest of the others. Collect sends the message for each
-// gossiped state.
+// handle drops the expired announcements and answers with the oldest of the others and what is known of blocks. Collect sends
+// the message for each gossiped state.
 func (m collectMessage) handle(c *Controller) {
 	now := time.Now()
+	c.applyChanges(c.blocks.Decide(now), now)
 	for len(c.announcements) > 0 && !now.Before(c.announcements[0].until) {
 		c.announcements = c.announcements[1:]
 	}
-	var reports []peer.CrashReport
+	var s peer.State
 	for _, a := range c.announcements[:min(len(c.announcements), maxReportsPerState)] {
-		reports = append(reports, a.report)
+		s.Crashes = append(s.Crashes, a.report)
 	}
-	m.reply <- reports
+	c.blocks.Collect(&s, now)
+	m.reply <- s
 }
--- a/internal/quarantine/records.go
+++ b/internal/quarantine/records.go
@@ -1,8 +1,9 @@
-// Package quarantine refuses requests that crashed endpoints, for a limited time. Crashes are counted over all entry
-// VMs.
+// Package quarantine refuses requests that crashed endpoints, and requests whose prompts hold a block that crashes endpoints,
+// for a limited time. Crashes and lost runs are counted over all entry VMs.
 package quarantine
 
 import (
+	"maps"
 	"time"
 
 	"cornelmux/internal/peer"
@@ -86,3 +87,25 @@
 		}
 	}
 }
+
+// Forgive removes the crashes of the endpoints for which explained returns true, and ends the quarantines that no longer have
+// enough crashes. It returns the fingerprints of the requests that it released. The Controller calls it after each change of
+// what it knows of prompt blocks.
+func (rs Records) Forgive(explained func(endpoint string) bool) []uint64 {
+	var released []uint64
+	for fingerprint, rec := range rs {
+		n := len(rec.Crashes)
+		maps.DeleteFunc(rec.Crashes, func(endpoint string, _ time.Time) bool { return explained(endpoint) })
+		if len(rec.Crashes) == n || len(rec.Crashes) >= CrashThreshold {
+			continue
+		}
+		if !rec.QuarantinedUntil.IsZero() {
+			rec.QuarantinedUntil = time.Time{}
+			released = append(released, fingerprint)
+		}
+		if len(rec.Crashes) == 0 {
+			delete(rs, fingerprint)
+		}
+	}
+	return released
+}
--- a/pkg/routing/prompt.go
+++ b/pkg/routing/prompt.go
@@ -28,6 +28,17 @@
 	return p.Blocks[len(p.Blocks)-2].ID
 }
 
+// SharedBlocks returns the IDs of the blocks that other requests may share, from the beginning.
+func (p Prompt) SharedBlocks() []uint64 {
+	var ids []uint64
+	for i, b := range p.Blocks {
+		if i < len(p.Blocks)-1 {
+			ids = append(ids, b.ID)
+		}
+	}
+	return ids
+}
+
 // SharedPrefixTokens returns the length of the prefix that other requests may share, in tokens.
 func (p Prompt) SharedPrefixTokens() int {
 	n := 0
