Weigh a crash once, however many runs it took, and let answers refute a quarantine on every VM

TestFleetFindsDeadlyBlocks plays random fleets with deadly blocks beside crashes and lost answers. On the code before it found sound blocks refused for the whole five minutes on every VM: a bystander that was lost with a guilty run gave its block one request more than the guilty one; a block that stood in the prompts of two guilty ones explained both; a released block took the evidence against the guilty one with it, since the release was told as a whole answer; and a block whose whole answers were heard of too late stayed.

A crash is now one piece of evidence whatever number of runs it took, the last three of these follow from the evidence as it is known, and a report of a quarantine carries what it rests on, so that a VM that knows of whole answers can refuse it. Sound blocks need five requests at five endpoints. Where several blocks were in all the prompts, requests are refused that hold all of them. A crash at an endpoint that lost another request's run at its start is no longer held against a request that merely stood there.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -280,6 +280,7 @@
 	for _, q := range s.BlockQuarantines {
 		d.BlockQuarantines = append(d.BlockQuarantines, &wire.BlockQuarantine{
 			Block: q.Block, Companions: q.Companions, AgeMs: toMillis(q.Age), RemainingMs: toMillis(q.Remaining),
+			Requests: uint32(max(q.Requests, 0)), Endpoints: uint32(max(q.Endpoints, 0)), SpanMs: toMillis(q.Span),
 		})
 	}
 }
@@ -295,6 +296,7 @@
 	for _, q := range d.BlockQuarantines {
 		s.BlockQuarantines = append(s.BlockQuarantines, BlockQuarantine{
 			Block: q.Block, Companions: q.Companions, Age: fromMillis(q.AgeMs), Remaining: fromMillis(q.RemainingMs),
+			Requests: int(q.Requests), Endpoints: int(q.Endpoints), Span: fromMillis(q.SpanMs),
 		})
 	}
 }
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -142,6 +142,10 @@
 	// Age is the time since the first lost run on which the quarantine rests, Remaining that until its end.
 	Age       time.Duration
 	Remaining time.Duration
+	// Requests and Endpoints count those that lost runs, over Span.
+	Requests  int
+	Endpoints int
+	Span      time.Duration
 }
 
 // SessionSet is a Bloom filter of the sessions that are active on a version at the sender.
--- a/internal/quarantine/blocks.go
+++ b/internal/quarantine/blocks.go
@@ -27,7 +27,7 @@
 	culpritEndpoints map[uint64]bool
 	// round counts the states.
 	round int
-	// explainsMore says that a quarantine began, or a lost run with a quarantined block was added, since TakeExplained.
+	// explainsMore says that a quarantine began, or a lost run was added, since TakeExplainsMore.
 	explainsMore bool
 }
 
@@ -47,6 +47,10 @@
 	// refutes it.
 	Since time.Time
 	Until time.Time
+	// Requests and Endpoints count those that lost runs, over Span.
+	Requests  int
+	Endpoints int
+	Span      time.Duration
 	// due is in how many more states it is named at once. found says that this VM found the block by its own evidence.
 	due   int
 	found bool
@@ -81,6 +85,15 @@
 	return !slices.ContainsFunc(q.Companions, func(b uint64) bool { return !slices.Contains(blocks, b) })
 }
 
+// refutedBy reports whether a run with the block that was sent at the time and came whole ends the quarantine: one after the
+// first lost run, or one so shortly before that the lost runs don't suffice against a sound block.
+func (q *BlockQuarantine) refutedBy(clearedAt time.Time) bool {
+	e := Evidence{
+		Requests: q.Requests, Endpoints: q.Endpoints, Occasions: minOccasions, First: q.Since, Last: q.Since.Add(q.Span), ClearedAt: clearedAt,
+	}
+	return clearedAt.After(q.Since) || !e.conclusive()
+}
+
 // setCompanions replaces the companions, and reports whether they changed. The peers are then told.
 func (q *BlockQuarantine) setCompanions(companions []uint64) bool {
 	if slices.Equal(q.Companions, companions) {
@@ -103,12 +116,11 @@
 		if s.lastLoss[key].Before(r.At) {
 			s.lastLoss[key] = r.At
 		}
-		if !s.clearances.find(key).at.IsZero() {
+		if c := s.clearances.ClearedAt(key); !c.IsZero() && (key != r.Endpoint || c.After(r.At)) {
 			s.clearancesDue[key] = announceRounds
 		}
 	}
-	_, remaining := s.Quarantined(r.Blocks, now)
-	s.explainsMore = s.explainsMore || remaining > 0
+	s.explainsMore = true
 	return append(s.renew(r, now), s.Decide(now)...)
 }
 
@@ -152,7 +164,9 @@
 		if q == nil || now.Before(q.Until) || r.At.Before(q.Until) || now.Sub(q.Until) >= CrashWindow || !q.covers(r.Blocks) {
 			continue
 		}
-		s.begin(BlockQuarantine{Block: b, Companions: q.Companions, Since: r.At, Until: now.Add(Duration)})
+		s.begin(BlockQuarantine{
+			Block: b, Companions: q.Companions, Since: r.At, Until: now.Add(Duration), Requests: q.Requests, Endpoints: q.Endpoints, Span: q.Span,
+		})
 		changes = append(changes, Change{Block: b, Began: true, Why: "a run was lost after an earlier quarantine"})
 	}
 	return changes
@@ -186,6 +200,7 @@
 	for _, e := range s.culprits {
 		since := e.First
 		if q := s.quarantines[e.Block]; q != nil {
+			q.Requests, q.Endpoints, q.Span = max(q.Requests, e.Requests), max(q.Endpoints, e.Endpoints), max(q.Span, e.Last.Sub(e.First))
 			if now.Before(q.Until) && q.found && q.setCompanions(e.Companions) {
 				changes = append(changes, Change{Block: e.Block, Began: true, Why: "other blocks may be the cause as well", Evidence: e})
 			}
@@ -200,7 +215,10 @@
 		if len(s.quarantines) >= maxQuarantines {
 			break
 		}
-		s.begin(BlockQuarantine{Block: e.Block, Companions: e.Companions, Since: since, Until: now.Add(Duration), found: true})
+		s.begin(BlockQuarantine{
+			Block: e.Block, Companions: e.Companions, Since: since, Until: now.Add(Duration), Requests: e.Requests, Endpoints: e.Endpoints,
+			Span: e.Last.Sub(e.First), found: true,
+		})
 		changes = append(changes, Change{Block: e.Block, Began: true, Why: "requests with it lost their runs", Evidence: e})
 	}
 	return append(changes, s.dropExplained(now)...)
@@ -219,7 +237,7 @@
 func (s *Blocks) dropExplained(now time.Time) []Change {
 	var changes []Change
 	for b, q := range s.quarantines {
-		if now.Before(q.Until) && s.explained(b) {
+		if now.Before(q.Until) && s.explained(b, now) {
 			delete(s.quarantines, b)
 			changes = append(changes, Change{Block: b, Why: "another block explains its lost runs"})
 		}
@@ -228,7 +246,8 @@
 }
 
 // explained reports whether all the endpoints that lost runs with the block lost one with a culprit too, and the block is none.
-func (s *Blocks) explained(block uint64) bool {
+// For a block that was in whole answers, quarantined ones that never were count as culprits.
+func (s *Blocks) explained(block uint64, now time.Time) bool {
 	if slices.ContainsFunc(s.culprits, func(e Evidence) bool { return e.Block == block }) {
 		return false
 	}
@@ -237,13 +256,27 @@
 		if !slices.Contains(k.Blocks, block) {
 			continue
 		}
-		if held++; !s.culpritEndpoints[k.Endpoint] {
+		if held++; !s.culpritEndpoints[k.Endpoint] && !s.explainedByWorse(block, k.Endpoint, now) {
 			return false
 		}
 	}
 	return held >= minRequests
 }
 
+// explainedByWorse reports whether the block was in whole answers, and the endpoint lost a run with a quarantined one that never
+// was. explained calls it.
+func (s *Blocks) explainedByWorse(block, endpoint uint64, now time.Time) bool {
+	if s.clearances.ClearedAt(block).IsZero() {
+		return false
+	}
+	return slices.ContainsFunc(s.runs, func(k knownRun) bool {
+		return k.Endpoint == endpoint && slices.ContainsFunc(k.Blocks, func(b uint64) bool {
+			q := s.quarantines[b]
+			return q != nil && now.Before(q.Until) && s.clearances.ClearedAt(b).IsZero()
+		})
+	})
+}
+
 // AddAnswer notes that a run with the blocks, sent at a time to an endpoint, came whole. The Controller calls it for the runs
 // of this VM.
 func (s *Blocks) AddAnswer(blocks []uint64, endpoint uint64, sentAt time.Time) []Change {
@@ -267,7 +300,7 @@
 		q.setCompanions(slices.DeleteFunc(slices.Clone(q.Companions), func(b uint64) bool { return b == key }))
 	}
 	q := s.quarantines[key]
-	if q == nil || !s.clearances.ClearedAt(key).After(q.Since) {
+	if q == nil || !q.refutedBy(s.clearances.ClearedAt(key)) {
 		return nil
 	}
 	delete(s.quarantines, key)
@@ -275,27 +308,35 @@
 	return []Change{{Block: key, Why: why}}
 }
 
-// Explains reports whether a run with a block in quarantine was lost at the endpoint, so that its crash has a cause.
-func (s *Blocks) Explains(endpoint uint64, now time.Time) bool {
-	return slices.ContainsFunc(s.runs, func(k knownRun) bool {
-		_, remaining := s.Quarantined(k.Blocks, now)
-		return k.Endpoint == endpoint && remaining > 0
-	})
+// Explanation tells of the runs that an endpoint lost at their start.
+type Explanation struct {
+	// ByBlock says that one of their prompts held a quarantined block.
+	ByBlock bool
+	// Requests are the fingerprints of their requests.
+	Requests []uint64
 }
 
-// TakeExplained returns the endpoints that Explains, if there may be new ones since the last call; otherwise nil.
-func (s *Blocks) TakeExplained(now time.Time) map[uint64]bool {
-	if !s.explainsMore {
-		return nil
-	}
-	s.explainsMore = false
-	endpoints := map[uint64]bool{}
+// Explains reports whether the endpoint's crash has another cause than the request, which lost a run there too.
+func (e Explanation) Explains(request uint64) bool {
+	return e.ByBlock || (len(e.Requests) > 0 && !slices.Contains(e.Requests, request))
+}
+
+// Explanations returns what is known of each endpoint that lost runs at their start.
+func (s *Blocks) Explanations(now time.Time) map[uint64]Explanation {
+	out := map[uint64]Explanation{}
 	for _, k := range s.runs {
-		if _, remaining := s.Quarantined(k.Blocks, now); remaining > 0 {
-			endpoints[k.Endpoint] = true
-		}
+		_, remaining := s.Quarantined(k.Blocks, now)
+		e := out[k.Endpoint]
+		out[k.Endpoint] = Explanation{e.ByBlock || remaining > 0, append(e.Requests, k.Request)}
 	}
-	return endpoints
+	return out
+}
+
+// TakeExplainsMore reports whether Explanations may explain more than at the last call.
+func (s *Blocks) TakeExplainsMore() bool {
+	more := s.explainsMore
+	s.explainsMore = false
+	return more
 }
 
 // HoldsBack reports whether the request must not be sent again: it lost runs at two endpoints, or one, and another request
--- a/internal/quarantine/clearances.go
+++ b/internal/quarantine/clearances.go
@@ -21,12 +21,8 @@
 // one is full, it becomes the older one.
 type ClearanceTable struct {
 	young, old map[uint64]clearance
-	newest     time.Time
 }
 
-// Newest implements Clearances.
-func (t *ClearanceTable) Newest() time.Time { return t.newest }
-
 // find returns the clearance of a key; zero if there is none.
 func (t *ClearanceTable) find(key uint64) clearance {
 	if c, ok := t.young[key]; ok {
@@ -51,9 +47,6 @@
 	if c.reported {
 		at = at.Add(-reportDelay)
 	}
-	if at.After(t.newest) {
-		t.newest = at
-	}
 	if !at.After(before) {
 		return false
 	}
--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -191,7 +191,7 @@
 	c.applyChanges(c.blocks.AddAnswer(m.run.Blocks, m.run.endpoint(), m.run.SentAt), time.Now())
 }
 
-// applyChanges logs the changes. It removes the crashes that lost runs with a quarantined block explain. It is called after
+// applyChanges logs the changes. It removes the crashes of requests of which another cause is known now. It is called after
 // each change of c.blocks.
 func (c *Controller) applyChanges(changes []Change, now time.Time) {
 	for _, ch := range changes {
@@ -204,12 +204,15 @@
 			"occasions", e.Occasions, "first_ms", sinceMillis(e.First, now), "last_ms", sinceMillis(e.Last, now),
 			"cleared_ms", sinceMillis(e.ClearedAt, now), "seconds", Duration.Seconds())
 	}
-	explained := c.blocks.TakeExplained(now)
-	if len(explained) == 0 {
+	if !c.blocks.TakeExplainsMore() {
 		return
 	}
-	for _, fingerprint := range c.records.Forgive(func(endpoint string) bool { return explained[hashEndpoint(endpoint)] }) {
-		c.log.Info("request released", "fingerprint", fingerprint, "why", "a prompt block explains its crashes")
+	explanations := c.blocks.Explanations(now)
+	released := c.records.Forgive(func(fingerprint uint64, endpoint string) bool {
+		return explanations[hashEndpoint(endpoint)].Explains(fingerprint)
+	})
+	for _, fingerprint := range released {
+		c.log.Info("request released", "fingerprint", fingerprint, "why", "its crashes have another cause")
 	}
 }
 
@@ -249,10 +252,10 @@
 	}
 }
 
-// addCrash adds a crash, unless a prompt block explains it, and logs it if it quarantines the request. It is called for
+// addCrash adds a crash, unless another cause of it is known, and logs it if it quarantines the request. It is called for
 // crashes that this VM or a peer saw.
 func (c *Controller) addCrash(r peer.CrashReport, now time.Time) {
-	if c.blocks.Explains(hashEndpoint(r.Endpoint), now) {
+	if c.blocks.Explanations(now)[hashEndpoint(r.Endpoint)].Explains(r.Fingerprint) {
 		return
 	}
 	before := c.records.Remaining(r.Fingerprint, now)
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -17,12 +17,11 @@
 	occasionGap = 100 * time.Millisecond
 	minSpan     = 400 * time.Millisecond
 	// soundPeriod is how long a block counts as sound after an answer came whole. Its losses are likely to have another cause,
-	// so it is quarantined only once answers without it come whole whose runs were sent soundSpan later than its first loss, or
-	// if none does, once longRequests requests with it lost runs at as many endpoints over longSpan.
-	soundPeriod  = 10 * time.Second
-	soundSpan    = 2 * time.Second
-	longRequests = 5
-	longSpan     = time.Second
+	// so soundEndpoints are needed for it, and either as many requests over soundSpan or longSpan without such an answer.
+	soundPeriod    = 10 * time.Second
+	soundEndpoints = 5
+	soundSpan      = time.Second
+	longSpan       = 4 * time.Second
 )
 
 // LostRun is a run that was lost after the head of its answer and before the first event.
@@ -38,8 +37,6 @@
 // Clearances tells when the newest run was sent that came whole with a block, or at an endpoint; zero if there was none.
 type Clearances interface {
 	ClearedAt(key uint64) time.Time
-	// Newest tells when the newest run was sent that came whole, whatever its blocks.
-	Newest() time.Time
 }
 
 // Evidence sums up the lost runs with a block since the newest run with it that came whole.
@@ -71,7 +68,7 @@
 		if len(unexplained) < minRequests {
 			continue
 		}
-		if e := weigh(s.Block, unexplained, s.ClearedAt); !e.conclusive(c.Newest()) {
+		if e := weigh(s.Block, unexplained, s.ClearedAt); !e.conclusive() {
 			continue
 		}
 		s.Companions = companions(s, open, c)
@@ -113,7 +110,7 @@
 		if len(runs) < minRequests {
 			continue
 		}
-		if e := weigh(b, runs, c.ClearedAt(b)); e.conclusive(c.Newest()) {
+		if e := weigh(b, runs, c.ClearedAt(b)); e.conclusive() {
 			out = append(out, suspect{e, runs, endpointsOf(runs)})
 		}
 	}
@@ -130,14 +127,15 @@
 	return endpoints
 }
 
-// dropCovered removes the suspects all of whose endpoints lost runs with other suspects too, the weakest first. Culprits calls
-// it.
+// dropCovered removes the suspects all of whose endpoints lost runs with other suspects too, the weakest first. Sound blocks
+// don't cover others. Culprits calls it.
 func dropCovered(suspects []suspect) []suspect {
 	for i := len(suspects) - 1; i >= 0; i-- {
 		others := slices.Delete(slices.Clone(suspects), i, i+1)
+		covering := slices.DeleteFunc(slices.Clone(others), func(s suspect) bool { return s.sound() && !suspects[i].sound() })
 		covered := true
 		for endpoint := range suspects[i].endpoints {
-			covered = covered && slices.ContainsFunc(others, func(s suspect) bool { return s.endpoints[endpoint] })
+			covered = covered && slices.ContainsFunc(covering, func(s suspect) bool { return s.endpoints[endpoint] })
 		}
 		if covered {
 			suspects = others
@@ -190,16 +188,13 @@
 	return !e.ClearedAt.IsZero() && e.First.Sub(e.ClearedAt) < soundPeriod
 }
 
-// conclusive reports whether the evidence is enough to quarantine the block. newest is that of the Clearances.
-func (e *Evidence) conclusive(newest time.Time) bool {
+// conclusive reports whether the evidence is enough to quarantine the block.
+func (e *Evidence) conclusive() bool {
 	if e.Requests < minRequests || e.Endpoints < minEndpoints || e.Occasions < minOccasions || e.Last.Sub(e.First) < minSpan {
 		return false
 	}
-	if !e.sound() {
-		return true
-	}
-	long := min(e.Requests, e.Endpoints) >= longRequests && e.Last.Sub(e.First) >= longSpan
-	return long || newest.Sub(e.First) >= soundSpan
+	span := e.Last.Sub(e.First)
+	return !e.sound() || (e.Endpoints >= soundEndpoints && (span >= longSpan || (e.Requests >= soundEndpoints && span >= soundSpan)))
 }
 
 // compare returns a positive number if the evidence is stronger than the other, and a negative one if it is weaker. Where
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -13,7 +14,7 @@
 	announceRounds = 10
 	// maxRunsPerState, maxClearancesPerState and maxQuarantinesPerState bound the lists of one state.
 	maxRunsPerState        = 8
-	maxClearancesPerState  = 12
+	maxClearancesPerState  = 24
 	maxQuarantinesPerState = 8
 	// repeatRounds is the number of states from one to the next that names a quarantine in force, for VMs that have just
 	// started or were cut off.
@@ -41,17 +42,21 @@
 // came whole or by another block that explains its lost runs. The
 // companions of one that this VM didn't find itself are the peer's. Receive calls it.
 func (s *Blocks) adopt(r peer.BlockQuarantine, now time.Time) []Change {
-	since, remaining := now.Add(-r.Age), min(r.Remaining, Duration)
+	q := BlockQuarantine{
+		Block: r.Block, Companions: r.Companions[:min(len(r.Companions), maxBlocksPerRun)], Since: now.Add(-r.Age),
+		Until: now.Add(min(r.Remaining, Duration)), Requests: r.Requests, Endpoints: r.Endpoints, Span: r.Span,
+	}
 	known := s.quarantines[r.Block]
-	companions := r.Companions[:min(len(r.Companions), maxBlocksPerRun)]
 	if known != nil && now.Before(known.Until) && !known.found {
-		known.Companions = companions
+		known.Companions = q.Companions
+	}
+	if known != nil && !q.Since.After(known.Until) {
+		return nil
 	}
-	ended := known != nil && !since.After(known.Until)
-	if ended || remaining < minRemaining || s.explained(r.Block) || s.clearances.find(r.Block).at.After(since) || len(s.quarantines) >= maxQuarantines {
+	if r.Remaining < minRemaining || s.explained(r.Block, now) || q.refutedBy(s.clearances.ClearedAt(r.Block)) || len(s.quarantines) >= maxQuarantines {
 		return nil
 	}
-	s.begin(BlockQuarantine{Block: r.Block, Companions: companions, Since: since, Until: now.Add(remaining)})
+	s.begin(q)
 	return []Change{{Block: r.Block, Began: true, Why: "a peer quarantined it"}}
 }
 
@@ -62,10 +67,7 @@
 		k.due--
 		st.LostRuns = append(st.LostRuns, peer.LostRun{Request: k.Request, Endpoint: k.Endpoint, Blocks: k.Blocks, Age: now.Sub(k.At)})
 	}
-	for key := range s.clearancesDue {
-		if len(st.Clearances) >= maxClearancesPerState {
-			break
-		}
+	for _, key := range s.dueClearances() {
 		st.Clearances = append(st.Clearances, peer.Clearance{Key: key, Age: now.Sub(s.clearances.find(key).at)})
 		if s.clearancesDue[key]--; s.clearancesDue[key] <= 0 {
 			delete(s.clearancesDue, key)
@@ -77,10 +79,30 @@
 			continue
 		}
 		q.due--
-		st.BlockQuarantines = append(st.BlockQuarantines, peer.BlockQuarantine{Block: q.Block, Companions: q.Companions, Age: now.Sub(q.Since), Remaining: remaining})
+		st.BlockQuarantines = append(st.BlockQuarantines, peer.BlockQuarantine{
+			Block: q.Block, Companions: q.Companions, Age: now.Sub(q.Since), Remaining: remaining,
+			Requests: q.Requests, Endpoints: q.Endpoints, Span: q.Span,
+		})
 	}
 }
 
+// dueClearances returns the keys whose clearances to name in the next state: first those with which most runs were lost.
+// Collect calls it.
+func (s *Blocks) dueClearances() []uint64 {
+	losses := map[uint64]int{}
+	for _, k := range s.runs {
+		for _, b := range k.Blocks {
+			losses[b]++
+		}
+		losses[k.Endpoint]++
+	}
+	keys := slices.Collect(maps.Keys(s.clearancesDue))
+	slices.SortFunc(keys, func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(losses[b], losses[a]), cmp.Compare(a, b))
+	})
+	return keys[:min(len(keys), maxClearancesPerState)]
+}
+
 // dueRuns returns the lost runs to name in the next state: first those whose blocks have most lost runs, then the newest.
 // Collect calls it.
 func (s *Blocks) dueRuns() []*knownRun {
--- a/internal/quarantine/records.go
+++ b/internal/quarantine/records.go
@@ -88,14 +88,14 @@
 	}
 }
 
-// Forgive removes the crashes of the endpoints for which explained returns true, and ends the quarantines that no longer have
+// Forgive removes the crashes of requests at endpoints for which explained returns true, and ends the quarantines that no longer have
 // enough crashes. It returns the fingerprints of the requests that it released. The Controller calls it after each change of
 // what it knows of prompt blocks.
-func (rs Records) Forgive(explained func(endpoint string) bool) []uint64 {
+func (rs Records) Forgive(explained func(fingerprint uint64, endpoint string) bool) []uint64 {
 	var released []uint64
 	for fingerprint, rec := range rs {
 		n := len(rec.Crashes)
-		maps.DeleteFunc(rec.Crashes, func(endpoint string, _ time.Time) bool { return explained(endpoint) })
+		maps.DeleteFunc(rec.Crashes, func(endpoint string, _ time.Time) bool { return explained(fingerprint, endpoint) })
 		if len(rec.Crashes) == n || len(rec.Crashes) >= CrashThreshold {
 			continue
 		}
