--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -82,7 +82,7 @@
 	{VersionNotAllowed, "version_not_allowed", http.StatusForbidden, NotRun, "The client account may use no version of this model that is in service."},
 	{ServiceNotAllowed, "service_not_allowed", http.StatusForbidden, NotRun, "The client account may not use this service or route."},
 	{VersionWithdrawn, "version_withdrawn", http.StatusServiceUnavailable, NotRun, "The version was withdrawn and no other is allowed."},
-	{RequestQuarantined, "request_quarantined", http.StatusUnprocessableEntity, NotRun, "The request crashed endpoints before and is refused for a while."},
+	{RequestQuarantined, "request_quarantined", http.StatusUnprocessableEntity, NotRun, "The request, or a block of its prompt, crashed endpoints before and is refused for a while."},
 	{LimitReached, "limit_reached", http.StatusTooManyRequests, NotRun, "The client account's limit is reached; Retry-After says when to come back."},
 	{QueueFull, "queue_full", http.StatusServiceUnavailable, NotRun, "The queue for the model is full; Retry-After says when to come back."},
 	{NoEndpoint, "no_endpoint", http.StatusServiceUnavailable, NotRun, "No endpoint in reach serves the version."},
