Tell a VM that has just started at once which prompt blocks are in quarantine

Quarantines in force are named once a second only. A state of a VM with a new incarnation now has the others name them in their next states. TestQuarantineReachesNewVMs allowed a second before and now two states; it failed so without the change.

--- a/internal/quarantine/blocks.go
+++ b/internal/quarantine/blocks.go
@@ -25,6 +25,8 @@
 	// culprits is the last result of Culprits, culpritEndpoints the endpoints that lost runs with one of them.
 	culprits         []Evidence
 	culpritEndpoints map[uint64]bool
+	// incarnations holds those of the peers, to tell a peer that started what is in force.
+	incarnations map[string]uint64
 	// undecided says that the evidence changed since the last Decide.
 	undecided bool
 	// round counts the states.
@@ -69,7 +71,7 @@
 
 // NewBlocks makes empty Blocks.
 func NewBlocks() *Blocks {
-	return &Blocks{lastLoss: map[uint64]time.Time{}, clearancesDue: map[uint64]int{}, quarantines: map[uint64]*BlockQuarantine{}}
+	return &Blocks{lastLoss: map[uint64]time.Time{}, clearancesDue: map[uint64]int{}, quarantines: map[uint64]*BlockQuarantine{}, incarnations: map[string]uint64{}}
 }
 
 // Quarantined returns the first of the blocks that is in quarantine and for how long.
--- a/internal/quarantine/blocks_test.go
+++ b/internal/quarantine/blocks_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -14,7 +15,9 @@
 type vms struct {
 	c      *qt.C
 	blocks []*Blocks
-	now    time.Time
+	// incarnations are those of the VMs.
+	incarnations []uint64
+	now          time.Time
 }
 
 // newVMs returns n VMs that know nothing.
@@ -22,25 +25,21 @@
 	f := &vms{c: c, now: start}
 	for range n {
 		f.blocks = append(f.blocks, NewBlocks())
+		f.incarnations = append(f.incarnations, 1)
 	}
 	return f
 }
 
 // collect returns the state of a VM as the others get it.
 func (f *vms) collect(vm int) peer.State {
-	return encoded(f.c, f.blocks[vm], f.now)
-}
-
-// encoded returns what arrives of the state that b sends.
-func encoded(c *qt.C, b *Blocks, now time.Time) peer.State {
-	s := peer.State{VM: "vm", Incarnation: 1, Sequence: 1}
-	b.Collect(&s, now)
+	s := peer.State{VM: fmt.Sprint("vm-", vm), Incarnation: f.incarnations[vm], Sequence: 1}
+	f.blocks[vm].Collect(&s, f.now)
 	key := []byte("key")
 	var cursor peer.Cursor
 	data, _, err := cursor.Encode(key, peer.Packet{State: s})
-	c.Assert(err, qt.IsNil)
+	f.c.Assert(err, qt.IsNil)
 	p, err := peer.Decode(key, data)
-	c.Assert(err, qt.IsNil)
+	f.c.Assert(err, qt.IsNil)
 	return p.State
 }
 
@@ -238,7 +237,8 @@
 	f.c.Assert(slices.Contains(f.quarantined(90), 0), qt.IsTrue)
 }
 
-// TestQuarantineReachesNewVMs starts a VM long after the lost runs. It must not send on what the others know to crash endpoints.
+// TestQuarantineReachesNewVMs starts a VM long after the lost runs. It must not send on what the others know to crash endpoints:
+// VMs that had just restarted crashed ten of them before they heard of it, a second later.
 func TestQuarantineReachesNewVMs(t *testing.T) {
 	for _, wait := range []time.Duration{0, 5 * time.Second, Duration - 5*time.Second} {
 		c := qt.New(t)
@@ -247,7 +247,8 @@
 		f.exchange(announceRounds+1, none)
 		f.now = f.now.Add(wait)
 		f.blocks[2] = NewBlocks()
-		f.exchange(repeatRounds, none)
+		f.incarnations[2]++
+		f.exchange(2, none)
 		c.Check(f.quarantined(90), qt.DeepEquals, []int{0, 1, 2}, qt.Commentf("after %v", wait))
 	}
 }
--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -155,11 +155,9 @@
 	return err
 }
 
-// Receive implements peer.Section. It applies what a peer's state says of crashes and of prompt blocks.
+// Receive implements peer.Section. It applies what a peer's state says of crashes and of prompt blocks, and notes whether the
+// peer has just started.
 func (c *Controller) Receive(_ context.Context, s peer.State) error {
-	if len(s.Crashes) == 0 && len(s.LostRuns) == 0 && len(s.Clearances) == 0 && len(s.BlockQuarantines) == 0 {
-		return nil
-	}
 	return task.Tell(c.mailbox, message(receiveMessage{s}))
 }
 
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -16,6 +16,8 @@
 	maxRunsPerState        = 8
 	maxClearancesPerState  = 24
 	maxQuarantinesPerState = 8
+	// maxPeers bounds the peers whose incarnations are remembered.
+	maxPeers = 4096
 	// repeatRounds is the number of states from one to the next that names a quarantine in force, for VMs that have just
 	// started or were cut off.
 	repeatRounds = 5
@@ -25,6 +27,7 @@
 
 // Receive applies the lists of a peer's state.
 func (s *Blocks) Receive(st peer.State, now time.Time) []Change {
+	s.greet(st)
 	var changes []Change
 	for _, c := range st.Clearances {
 		changes = append(changes, s.clear(c.Key, clearance{now.Add(-c.Age), true}, "a peer's answer with it came whole")...)
@@ -39,6 +42,17 @@
 	return changes
 }
 
+// greet names the quarantines in force at once again if the peer has just started, since it may know none. Receive calls it.
+func (s *Blocks) greet(st peer.State) {
+	if s.incarnations[st.VM] == st.Incarnation || len(s.incarnations) >= maxPeers {
+		return
+	}
+	s.incarnations[st.VM] = st.Incarnation
+	for _, q := range s.quarantines {
+		q.due = announceRounds
+	}
+}
+
 // adopt begins a quarantine that a peer reports, unless it is known, ended, or refuted by an answer that
 // came whole or by another block that explains its lost runs. The
 // companions of one that this VM didn't find itself are the peer's. Receive calls it.
