--- a/internal/feed/gossip_test.go
+++ b/internal/feed/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 
 func (s fixedSection) Collect(_ context.Context, to *peer.State) error {
 	to.Endpoints, to.Crashes = s.state.Endpoints, s.state.Crashes
+	to.LostRuns, to.Clearances, to.BlockQuarantines = s.state.LostRuns, s.state.Clearances, s.state.BlockQuarantines
 	return nil
 }
 
@@ -28,7 +30,8 @@
 	return nil
 }
 
-// TestStatesReachPeers checks that loads reach the VMs of the zone, and crashes those of other zones too.
+// TestStatesReachPeers checks that loads reach the VMs of the zone, and crashes and what is known of prompt blocks those of other
+// zones too.
 func TestStatesReachPeers(t *testing.T) {
 	tests := []struct {
 		name      string
@@ -36,12 +39,17 @@
 		state     peer.State
 		endpoints int
 		crashes   int
+		// blocks is the number of lost runs, clearances and quarantines.
+		blocks int
 	}{
-		{"a load in the zone", "z", peer.State{Endpoints: []peer.EndpointReport{{Endpoint: "e", Running: 2}}}, 1, 0},
-		{"a crash in the zone", "z", peer.State{Crashes: []peer.CrashReport{{Fingerprint: 7, Endpoint: "e"}}}, 0, 1},
+		{"a load in the zone", "z", peer.State{Endpoints: []peer.EndpointReport{{Endpoint: "e", Running: 2}}}, 1, 0, 0},
+		{"a crash in the zone", "z", peer.State{Crashes: []peer.CrashReport{{Fingerprint: 7, Endpoint: "e"}}}, 0, 1, 0},
 		{"a crash in another zone", "y", peer.State{
 			Endpoints: []peer.EndpointReport{{Endpoint: "e"}}, Crashes: []peer.CrashReport{{Fingerprint: 7, Endpoint: "e"}},
-		}, 0, 1},
+		}, 0, 1, 0},
+		{"a lost run in another zone", "y", peer.State{LostRuns: []peer.LostRun{{Request: 7, Blocks: []uint64{1}}}}, 0, 0, 1},
+		{"a clearance in another zone", "y", peer.State{Clearances: []peer.Clearance{{Key: 1}}}, 0, 0, 1},
+		{"a quarantine in another zone", "y", peer.State{BlockQuarantines: []peer.BlockQuarantine{{Block: 1}}}, 0, 0, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -72,9 +80,39 @@
 				qt.Check(t, got.VM, qt.Equals, "sender")
 				qt.Check(t, got.Endpoints, qt.HasLen, test.endpoints)
 				qt.Check(t, got.Crashes, qt.HasLen, test.crashes)
+				qt.Check(t, len(got.LostRuns)+len(got.Clearances)+len(got.BlockQuarantines), qt.Equals, test.blocks)
 			case <-ctx.Done():
 				t.Fatal("no state arrived")
 			}
 		})
 	}
 }
+
+// TestStatesReachAllZonesSoon guards against VMs of a zone that all send to the same VMs elsewhere: what they learned reached the
+// second of two other zones only after each VM of the first had got it, 2.5 s later with 22 VMs a zone.
+func TestStatesReachAllZonesSoon(t *testing.T) {
+	const vmsPerZone, rounds = 22, 3
+	members := map[string]Member{}
+	zoneOf := map[string]string{}
+	for _, zone := range []string{"a", "b", "c"} {
+		for i := range vmsPerZone {
+			m := Member{VM: fmt.Sprint(zone, i), Zone: zone, Address: fmt.Sprintf("%s-%02d", zone, i)}
+			members[m.VM] = m
+			zoneOf[m.Address] = zone
+		}
+	}
+	reached := map[string]bool{}
+	for _, m := range members {
+		if m.Zone != "a" {
+			continue
+		}
+		c := New(nil, nil, nil, nil, Options{Self: m}, logr.Discard())
+		c.members = members
+		for range rounds {
+			for _, address := range c.nextRemotePeers() {
+				reached[zoneOf[address]] = true
+			}
+		}
+	}
+	qt.Assert(t, reached, qt.DeepEquals, map[string]bool{"b": true, "c": true})
+}
--- a/internal/filter/accesslog.go
+++ b/internal/filter/accesslog.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-logr/logr"
 
+	"cornelmux/internal/quarantine"
 	"cornelmux/pkg/result"
 )
 
@@ -37,6 +38,9 @@
 		"milliseconds", time.Since(x.Arrived).Milliseconds(), "caller_gone", ctx.Err() != nil,
 		"prompt_tokens", x.Routed.Prompt.TokensIn, "steps", x.Routed.Trace,
 	}
+	if blocks := x.Routed.Prompt.SharedBlocks(); len(blocks) > 0 {
+		values = append(values, "blocks", quarantine.BlockNames(blocks))
+	}
 	if t, r := x.Routed.Table, x.Routed.Route; t != nil && r != nil {
 		values = append(values, "configuration", t.Version, "route", r.Name)
 	}
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -59,15 +59,16 @@
 // Forward sends a request to an endpoint of its service and passes the answer on. After a failure it retries at another
 // endpoint if the request is idempotent or was not run; a stream resumes there after the last whole event.
 type Forward struct {
-	Pool   Pool
-	Shifts Shifts
-	Sender Sender
+	Pool        Pool
+	Shifts      Shifts
+	Sender      Sender
+	Quarantines Quarantines
 }
 
 // Handle implements Filter. Forward is the last filter of its chain. It returns errEscalate unchanged; Escalate then
 // calls it again with the stronger model.
 func (f Forward) Handle(ctx context.Context, x *Exchange, _ Next) error {
-	run := &forwardRun{placer: placer{f.Pool, f.Shifts, x.Request.Session}, sender: f.Sender, x: x, lastEventID: x.Routed.LastEventID}
+	run := &forwardRun{placer: placer{f.Pool, f.Shifts, x.Request.Session}, sender: f.Sender, quarantines: f.Quarantines, x: x, lastEventID: x.Routed.LastEventID}
 	run.reserved, x.Routed.Stronger = x.Routed.Stronger, nil
 	defer func() { run.release(ctx, run.reserved) }()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -90,8 +91,9 @@
 // forwardRun is one request on its way through Forward.
 type forwardRun struct {
 	placer
-	sender Sender
-	x      *Exchange
+	sender      Sender
+	quarantines Quarantines
+	x           *Exchange
 	// giveUp cancels the request unless a part of the answer is relayed before; nil without a deadline of the caller.
 	giveUp *time.Timer
 	// reserved is the placement of the next send, if there is one already.
@@ -129,10 +131,14 @@
 // errEndpointStatus ends a send that the endpoint answered with an error status; the answer is in errorAnswer.
 var errEndpointStatus = errors.New("the endpoint answered with an error status")
 
-// attempt places the run unless a placement is reserved, sends it once and reports the outcome. If the placement fails,
-// nothing is sent or reported, and there is no retry. Handle calls it for the first send and for each retry.
+// attempt checks the quarantine before a retry, places the run unless a placement is reserved, sends it once and reports the
+// outcome. If the check or the placement fails, nothing is sent or reported, and there is no retry. Handle calls it for the first
+// send and for each retry.
 func (f *forwardRun) attempt(ctx context.Context) error {
 	x := f.x
+	if err := f.checkResend(ctx); err != nil {
+		return err
+	}
 	r := f.reserved
 	f.reserved = nil
 	if r == nil {
@@ -205,7 +211,7 @@
 	x := f.x
 	o := pool.Outcome{
 		Endpoint: place.ID, Incarnation: place.Incarnation, End: s.end, Service: x.Routed.Service, TTFB: s.ttfb,
-		Fingerprint: Fingerprint(x),
+		SentAt: time.Now().Add(-s.duration), Events: s.events, Fingerprint: Fingerprint(x),
 	}
 	a := shift.Outcome{
 		Attempt: f.present, Failed: s.end == pool.EndFailed, TimedOut: s.end == pool.EndTimeout,
@@ -216,6 +222,7 @@
 		o.Model, o.Prompt, o.Weight = x.Attempt.Model, x.Routed.Prompt, f.weight(x.Attempt.Model)
 	}
 	o.MeanGap = s.gaps.mean()
+	f.reportRun(ctx, place, s)
 	_ = f.Pool.Done(ctx, o)           // Done waits for room; if it fails even so, the run stays counted as in flight
 	_ = f.Shifts.AttemptEnded(ctx, a) // a full mailbox loses one answer's evidence
 	step := Step{
--- a/internal/filter/reservation_test.go
+++ b/internal/filter/reservation_test.go
@@ -161,7 +161,7 @@
 			x.Routed.CallerTimeout, x.Request.Deadline = timeout, x.Arrived.Add(timeout)
 			ctx, cancel := context.WithTimeout(tt.Context(), min(left, timeout))
 			defer cancel()
-			err := Chain(Escalate{}, Forward{p, noShift{}, sender})(ctx, x)
+			err := Chain(Escalate{}, Forward{p, noShift{}, sender, noQuarantine{}})(ctx, x)
 			problems = randomRunProblems(x, &sink.textSink, p, sender, err)
 			if took := time.Since(x.Arrived); took > min(left, timeout)+slow+maxPlacing {
 				problems = append(problems, fmt.Sprintf("it took %v", took))
