Check an escalation against the retry budget when it is placed

Since an answer of low confidence is kept if the stronger model has no placement, it can be refused without loss.

--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -244,7 +244,7 @@
 // final. Handle calls it after each failed attempt.
 func (f *forwardRun) shouldRetry(ctx context.Context, err error) bool {
 	x := f.x
-	if ctx.Err() != nil || errors.Is(err, errCallerGone) || x.Routed.attemptsLeft() <= 0 {
+	if ctx.Err() != nil || x.Routed.callerLeft() || errors.Is(err, errCallerGone) || x.Routed.attemptsLeft() <= 0 {
 		return false
 	}
 	var coded *result.Error
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -134,7 +134,7 @@
 // send. It counts the send and marks the request as sent.
 func (f *forwardRun) sendCheck(ctx context.Context) endpoint.SendCheck {
 	return func() error {
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || f.x.Routed.callerLeft() {
 			return result.Errorf(result.DeadlinePassed, "the deadline passed or the caller disconnected before the send")
 		}
 		if d := f.x.Request.Deadline; !d.IsZero() && time.Until(d) < minSendTime {
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -34,6 +34,8 @@
 	Attempts int
 	// Unreached counts those of them to whose endpoint no connection could be made.
 	Unreached int
+	// CallerLeft is closed when the caller of a run that goes on without it has left; nil for other runs.
+	CallerLeft <-chan struct{}
 	// MayHaveRun reports that an endpoint ran the request, or may have.
 	MayHaveRun bool
 	// Stronger is reserved for the strongest model, whose answer is to replace one that was dropped.
@@ -46,6 +48,16 @@
 // nothing was sent there.
 func (r *Routed) attemptsLeft() int { return r.Route.MaxAttempts - (r.Attempts - r.Unreached) }
 
+// callerLeft reports whether CallerLeft is closed.
+func (r *Routed) callerLeft() bool {
+	select {
+	case <-r.CallerLeft:
+		return true
+	default:
+		return false
+	}
+}
+
 // Step describes one send of a request and its outcome, for the log.
 type Step struct {
 	Endpoint string `json:"endpoint"`
@@ -139,8 +151,10 @@
 	if x.Request.Deadline.IsZero() {
 		return next(ctx, x)
 	}
-	run, cancel := runContext(ctx, x)
-	defer cancel()
+	run := ctx
+	if r.Kind == routing.KindNonIdempotent {
+		run, x.Routed.CallerLeft = context.WithoutCancel(ctx), ctx.Done() // a run that can't be repeated is not broken off
+	}
 	run, stop := context.WithDeadline(run, x.Request.Deadline)
 	defer stop()
 	return next(run, x)
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -231,6 +231,9 @@
 	switch {
 	case !m.query.Retry:
 		budget.CountRequest(now)
+	case m.query.Escalation && !budget.AllowsEscalation(now):
+		m.reply <- chooseReply{choice: ChoiceNoBudget}
+		return
 	case m.query.Escalation:
 		budget.CountRetry(now)
 	case m.query.Silent != "" && !c.table.TakeMove(m.query.Silent, now):
