--- a/internal/filter/send.go
+++ b/internal/filter/send.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// runContext returns the context of a run, for Send and Route. The run of a non-idempotent request continues after its
+// runContext returns the context of a run, for Send. The run of a non-idempotent request continues after its
 // caller has disconnected, so that a resend gets its answer.
 func runContext(ctx context.Context, x *Exchange) (context.Context, context.CancelFunc) {
 	if x.Idempotent {
