Add the delay of a late state to the ages that it carries

A VM that was paused reads the states of that time at once, after the pause, and took their clearances for new ones. It told the others so, each VM ended the quarantine of a block that crashes endpoints, and the lost runs before the false time no longer counted.

Evidence: TestLateStatesDontRefuteAQuarantine failed before: of four VMs none refused the block after one of them had read states 3 s late.

A state now says when it was sent by its sender's monotonic clock; the receiver compares with the fastest state of that VM and adds what it took longer to all ages. States of an older version, without the field, count as before.

--- a/internal/feed/controller.go
+++ b/internal/feed/controller.go
@@ -103,7 +103,10 @@
 	reassemblers map[string]*Reassembler
 	// lastStates identifies the newest state of each VM. cursor, incarnation and sequence belong to this VM's own
 	// state: incarnation is when the Controller was made, in Unix nanoseconds, sequence the number of the last state.
-	lastStates  map[string]stateID
+	lastStates map[string]stateID
+	// transits tells how long the states of each VM take. started is the time of incarnation.
+	transits    map[string]*transit
+	started     time.Time
 	cursor      peer.Cursor
 	incarnation uint64
 	sequence    uint64
@@ -143,11 +146,12 @@
 
 // New returns a Controller; Run starts it.
 func New(source Source, registrar Registrar, transport Transport, receiver Receiver, o Options, log logr.Logger, sections ...peer.Section) *Controller {
+	now := time.Now()
 	return &Controller{
 		mailbox: make(chan message, mailboxSize), source: source, registrar: registrar, transport: transport, receiver: receiver,
 		opts: o, timing: NewTiming(o.PropagationBound), log: log, zoneRank: -1, leases: make(chan uint64, 1), ends: make(chan task.End, 4), members: map[string]Member{}, replica: NewReplica(),
-		reassemblers: map[string]*Reassembler{}, sections: sections, lastStates: map[string]stateID{},
-		incarnation: uint64(time.Now().UnixNano()), messageNumber: rand.Uint64(), nextRemote: rand.IntN(maxRemoteStart),
+		reassemblers: map[string]*Reassembler{}, sections: sections, lastStates: map[string]stateID{}, transits: map[string]*transit{},
+		started: now, incarnation: uint64(now.UnixNano()), messageNumber: rand.Uint64(), nextRemote: rand.IntN(maxRemoteStart),
 	}
 }
 
--- a/internal/feed/gossip.go
+++ b/internal/feed/gossip.go
@@ -18,12 +18,33 @@
 	maxRemoteStart = 1 << 20
 )
 
+// maxClockDrift is the greatest difference that the monotonic clocks of two VMs gather, as a share of the time.
+const maxClockDrift = 0.001
+
 // stateID identifies the newest state that was received of a VM.
 type stateID struct {
 	incarnation uint64 // start of the VM's process, in Unix nanoseconds
 	sequence    uint64 // number of the state in that incarnation
 }
 
+// transit tells how long the states of a VM take, on two clocks of which only the difference of differences counts.
+type transit struct {
+	shortest time.Duration
+	readAt   time.Time
+}
+
+// delay returns how much longer a state took than the fastest one, and notes it. A VM that was paused reads states late.
+func (t *transit) delay(took time.Duration, now time.Time) time.Duration {
+	drift := time.Duration(maxClockDrift * float64(now.Sub(t.readAt)))
+	if t.readAt.IsZero() || took < t.shortest+drift {
+		t.shortest = took
+	} else {
+		t.shortest += drift
+	}
+	t.readAt = now
+	return took - t.shortest
+}
+
 // gossip sends the state of the sections to the other VMs of the zone. Evidence, crashes and what is known of prompt blocks
 // matter in every zone, so states with these also go to some VMs of other zones. Run calls it at each tick; it sends every
 // gossipInterval, and nothing if the state has neither these nor endpoints. A section that fails is left out.
@@ -37,7 +58,7 @@
 		return
 	}
 	c.sequence++
-	s := peer.State{VM: self.VM, Incarnation: c.incarnation, Sequence: c.sequence, Zone: self.Zone, PeerAddress: self.Address}
+	s := peer.State{VM: self.VM, Incarnation: c.incarnation, Sequence: c.sequence, Zone: self.Zone, PeerAddress: self.Address, SentAt: time.Since(c.started)}
 	limited, cancel := context.WithTimeout(ctx, collectTimeout)
 	defer cancel()
 	for _, section := range c.sections {
@@ -94,7 +115,14 @@
 	if p.Incarnation < last.incarnation || (p.Incarnation == last.incarnation && p.Sequence <= last.sequence) {
 		return
 	}
+	if p.Incarnation != last.incarnation {
+		c.transits[p.VM] = &transit{}
+	}
 	c.lastStates[p.VM] = stateID{p.Incarnation, p.Sequence}
+	if p.SentAt > 0 {
+		now := time.Now()
+		p.Delay = c.transits[p.VM].delay(now.Sub(c.started)-p.SentAt, now)
+	}
 	for _, section := range c.sections {
 		if err := section.Receive(ctx, p.State); err != nil {
 			c.log.V(1).Info("state not applied", "vm", p.VM, "error", err.Error())
--- a/internal/feed/gossip_test.go
+++ b/internal/feed/gossip_test.go
@@ -116,3 +116,45 @@
 	}
 	qt.Assert(t, reached, qt.DeepEquals, map[string]bool{"b": true, "c": true})
 }
+
+// TestLateStatesCarryTheirDelay guards against the states that a VM reads after a pause, whose ages would pass for new ones.
+func TestLateStatesCarryTheirDelay(t *testing.T) {
+	tests := []struct {
+		name string
+		// sentAt is when each state was sent, by the sender's clock; all are read at once.
+		sentAt []time.Duration
+		want   time.Duration
+	}{
+		{"first state", []time.Duration{time.Hour}, 0},
+		{"sent at the same time", []time.Duration{time.Hour, time.Hour}, 0},
+		{"sent earlier", []time.Duration{time.Hour, time.Hour - 3*time.Second}, 3 * time.Second},
+		{"first state was late", []time.Duration{time.Hour - 3*time.Second, time.Hour}, 0},
+		{"sender without the field", []time.Duration{time.Hour, 0}, 0},
+	}
+	for _, test := range tests {
+		qt.New(t).Run(test.name, func(c *qt.C) {
+			received := make(chan peer.State, len(test.sentAt))
+			k := New(nil, nil, nil, nil, Options{}, logr.Discard(), fixedSection{received: received})
+			k.secret = []byte("secret")
+			var got peer.State
+			for i, at := range test.sentAt {
+				var cursor peer.Cursor
+				data, _, err := cursor.Encode(k.secret, peer.Packet{State: peer.State{VM: "vm", Incarnation: 1, Sequence: uint64(i + 1), SentAt: at}})
+				c.Assert(err, qt.IsNil)
+				k.receiveState(context.Background(), data)
+				got = <-received
+			}
+			c.Check(got.Delay.Round(time.Second), qt.Equals, test.want)
+		})
+	}
+}
+
+// TestTransitFollowsClockDrift checks that clocks of different speed don't add up to a delay.
+func TestTransitFollowsClockDrift(t *testing.T) {
+	var tr transit
+	now, took := time.Unix(1000, 0), time.Second
+	for range 10_000 {
+		now, took = now.Add(time.Second), took+100*time.Microsecond
+		qt.Assert(t, tr.delay(took, now) <= time.Millisecond, qt.IsTrue)
+	}
+}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -189,6 +189,7 @@
 	return &wire.Datagram{
 		Vm: s.VM, Incarnation: s.Incarnation, Sequence: s.Sequence, Region: s.Region, Zone: s.Zone,
 		ControlAddress: s.ControlAddress, PeerAddress: s.PeerAddress, Revision: s.Revision, Leaving: s.Leaving,
+		SentMs: uint64(max(s.SentAt.Milliseconds(), 0)),
 	}
 }
 
@@ -234,6 +235,7 @@
 	s := State{
 		VM: d.Vm, Incarnation: d.Incarnation, Sequence: d.Sequence, Region: d.Region, Zone: d.Zone,
 		ControlAddress: d.ControlAddress, PeerAddress: d.PeerAddress, Revision: d.Revision, Leaving: d.Leaving,
+		SentAt: time.Duration(d.SentMs) * time.Millisecond,
 	}
 	for _, e := range d.Endpoints {
 		s.Endpoints = append(s.Endpoints, EndpointReport{
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -14,8 +14,12 @@
 	Incarnation uint64
 	// Sequence grows with each datagram of an incarnation.
 	Sequence uint64
-	Region   string
-	Zone     string
+	// SentAt is the time since Incarnation by the sender's monotonic clock; 0 if unknown. Delay is how much later than usual
+	// the state was read; the receiver sets it.
+	SentAt time.Duration
+	Delay  time.Duration
+	Region string
+	Zone   string
 	// ControlAddress is where the VM serves connect calls of other entry VMs, as host:port.
 	ControlAddress string
 	// PeerAddress is where the VM receives datagrams, as host:port.
--- a/internal/quarantine/blocks_test.go
+++ b/internal/quarantine/blocks_test.go
@@ -321,3 +321,31 @@
 	b.Collect(&s, now)
 	qt.Check(t, len(s.LostRuns), qt.Equals, maxRunsPerState)
 }
+
+// TestLateStatesDontRefuteAQuarantine guards against a VM that was paused, reads the states of that time late, takes old answers
+// for new ones and tells all the others so.
+func TestLateStatesDontRefuteAQuarantine(t *testing.T) {
+	c := qt.New(t)
+	f := newVMs(c, 4)
+	f.blocks[0].AddAnswer([]uint64{90, 1}, 1009, f.now)
+	paused := func(from, to int) bool { return from == 3 || to == 3 }
+	type datagram struct {
+		state  peer.State
+		sentAt time.Time
+	}
+	var late []datagram
+	for i := range 6 {
+		f.now = f.now.Add(300 * time.Millisecond)
+		f.blocks[i%3].AddLostRun(LostRun{uint64(i + 1), uint64(1001 + i), []uint64{90, uint64(10 + i)}, f.now}, f.now)
+		late = append(late, datagram{f.collect(i % 3), f.now})
+		f.exchange(1, paused)
+	}
+	f.exchange(4, paused)
+	c.Assert(f.quarantined(90), qt.DeepEquals, []int{0, 1, 2})
+	for _, d := range late {
+		d.state.Delay = f.now.Sub(d.sentAt)
+		f.blocks[3].Receive(d.state, f.now)
+	}
+	f.exchange(6, none)
+	c.Check(f.quarantined(90), qt.DeepEquals, []int{0, 1, 2, 3})
+}
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -23,17 +23,19 @@
 	minRemaining = 2 * time.Second
 )
 
-// Receive applies the lists of a peer's state.
+// Receive applies the lists of a peer's state. Their ages are those at the time at which it was due.
 func (s *Blocks) Receive(st peer.State, now time.Time) []Change {
 	var changes []Change
+	due := now.Add(-st.Delay)
 	for _, c := range st.Clearances {
-		changes = append(changes, s.clear(c.Key, clearance{now.Add(-c.Age), true}, "a peer's answer with it came whole")...)
+		changes = append(changes, s.clear(c.Key, clearance{due.Add(-c.Age), true}, "a peer's answer with it came whole")...)
 	}
 	for _, r := range st.LostRuns {
-		changes = append(changes, s.addRun(LostRun{r.Request, r.Endpoint, r.Blocks, now.Add(-r.Age)}, now)...)
+		changes = append(changes, s.addRun(LostRun{r.Request, r.Endpoint, r.Blocks, due.Add(-r.Age)}, now)...)
 	}
 	changes = append(changes, s.Decide(now)...)
 	for _, q := range st.BlockQuarantines {
+		q.Age, q.Remaining = q.Age+st.Delay, q.Remaining-st.Delay
 		changes = append(changes, s.adopt(q, now)...)
 	}
 	return changes
