Forget ended quarantines of blocks before refusing to take over a peer's

A VM that remembered 256 quarantines, all ended long ago, took over none any more, since only its own evidence made room. TestQuarantinesAreAdoptedAfterManyEndedOnes failed before: the block that a peer named wasn't refused.

--- a/internal/quarantine/blocks.go
+++ b/internal/quarantine/blocks.go
@@ -233,7 +233,7 @@
 	return append(changes, s.dropExplained(now)...)
 }
 
-// dropEnded forgets the quarantines whose probation is over. Decide calls it if there are too many.
+// dropEnded forgets the quarantines whose probation is over. Decide and adopt call it if there are too many.
 func (s *Blocks) dropEnded(now time.Time) {
 	for b, q := range s.quarantines {
 		if now.Sub(q.Until) >= CrashWindow {
--- a/internal/quarantine/blocks_test.go
+++ b/internal/quarantine/blocks_test.go
@@ -349,3 +349,22 @@
 	f.exchange(6, none)
 	c.Check(f.quarantined(90), qt.DeepEquals, []int{0, 1, 2, 3})
 }
+
+// TestQuarantinesAreAdoptedAfterManyEndedOnes guards against a VM that takes over no quarantine any more because it remembers
+// ones that ended long ago.
+func TestQuarantinesAreAdoptedAfterManyEndedOnes(t *testing.T) {
+	c := qt.New(t)
+	b := NewBlocks()
+	adopt := func(block uint64, now time.Time) {
+		b.Receive(peer.State{BlockQuarantines: []peer.BlockQuarantine{{
+			Block: block, Age: time.Second, Remaining: Duration, Requests: 3, Endpoints: 3, Span: time.Second,
+		}}}, now)
+	}
+	for i := range uint64(maxQuarantines) {
+		adopt(1000+i, start)
+	}
+	now := start.Add(Duration + CrashWindow + time.Second)
+	adopt(90, now)
+	_, remaining := b.Quarantined([]uint64{90}, now)
+	c.Check(remaining > 0, qt.IsTrue)
+}
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -56,6 +56,9 @@
 	if known != nil && !q.Since.After(known.Until) {
 		return nil
 	}
+	if len(s.quarantines) >= maxQuarantines {
+		s.dropEnded(now)
+	}
 	if r.Remaining < minRemaining || s.explained(r.Block, now) || q.refutedBy(s.clearances.ClearedAt(r.Block)) || len(s.quarantines) >= maxQuarantines {
 		return nil
 	}
