Name first the lost runs of blocks that lose runs again and again

A VM names eight lost runs a state, those of the blocks with most lost runs first. When many endpoints fail at one moment, every VM names their runs for a minute, and those of a block that crashes endpoints wait behind them: its evidence stayed on the VMs that saw it, one crash each.

Runs are now ordered by the number of occasions on which their blocks lost runs, as the verdict weighs them: one moment is one.

--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -109,28 +109,19 @@
 	return keys[:min(len(keys), maxClearancesPerState)]
 }
 
-// dueRuns returns the lost runs to name in the next state: first those whose blocks have most lost runs, then the newest.
+// dueRuns returns the lost runs to name in the next state: first those whose blocks lost runs on most occasions, then the newest.
 // Collect calls it.
 func (s *Blocks) dueRuns() []*knownRun {
 	var list []*knownRun
-	suspicion := map[uint64]int{}
 	for i := range s.runs {
-		k := &s.runs[i]
-		if !s.open(k.LostRun) {
-			continue
-		}
-		for _, b := range k.Blocks {
-			if k.At.After(s.clearances.ClearedAt(b)) {
-				suspicion[b]++
-			}
-		}
-		if k.due > 0 {
+		if k := &s.runs[i]; k.due > 0 && s.open(k.LostRun) {
 			list = append(list, k)
 		}
 	}
+	occasions := s.occasions()
 	strength := func(k *knownRun) (n int) {
 		for _, b := range k.Blocks {
-			n = max(n, suspicion[b])
+			n = max(n, occasions[b])
 		}
 		return n
 	}
@@ -139,3 +130,24 @@
 	})
 	return list[:min(len(list), maxRunsPerState)]
 }
+
+// occasions returns on how many occasions each block lost runs that count against it. Many runs that endpoints lost at the same
+// moment are one occasion. dueRuns calls it.
+func (s *Blocks) occasions() map[uint64]int {
+	type occasion struct {
+		block  uint64
+		number int64
+	}
+	seen := map[occasion]bool{}
+	counts := map[uint64]int{}
+	for _, k := range s.runs {
+		for _, b := range k.Blocks {
+			o := occasion{b, k.At.UnixNano() / int64(occasionGap)}
+			if !seen[o] && s.open(k.LostRun) && k.At.After(s.clearances.ClearedAt(b)) {
+				seen[o] = true
+				counts[b]++
+			}
+		}
+	}
+	return counts
+}
