--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -238,7 +238,7 @@
 
 func (m crashMessage) handle(c *Controller) {
 	now := time.Now()
-	c.addCrash(m.report, now)
+	c.addCrashes([]peer.CrashReport{m.report}, now)
 	if len(c.announcements) < maxAnnouncements {
 		c.announcements = append(c.announcements, announcement{m.report, now.Add(announceTime)})
 	}
@@ -247,20 +247,24 @@
 func (m receiveMessage) handle(c *Controller) {
 	now := time.Now()
 	c.applyChanges(c.blocks.Receive(m.state, now), now)
-	for _, r := range m.state.Crashes {
-		c.addCrash(r, now)
-	}
+	c.addCrashes(m.state.Crashes, now)
 }
 
-// addCrash adds a crash, unless another cause of it is known, and logs it if it quarantines the request. It is called for
-// crashes that this VM or a peer saw.
-func (c *Controller) addCrash(r peer.CrashReport, now time.Time) {
-	if c.blocks.Explanations(now)[hashEndpoint(r.Endpoint)].Explains(r.Fingerprint) {
+// addCrashes adds crashes that this VM or a peer saw, except those of which another cause is known, and logs the requests that
+// they quarantine.
+func (c *Controller) addCrashes(list []peer.CrashReport, now time.Time) {
+	if len(list) == 0 {
 		return
 	}
-	before := c.records.Remaining(r.Fingerprint, now)
-	if c.records.AddCrash(r, now) && before == 0 && c.records.Remaining(r.Fingerprint, now) > 0 {
-		c.log.Info("request quarantined", "fingerprint", r.Fingerprint, "endpoint", r.Endpoint, "seconds", Duration.Seconds())
+	explanations := c.blocks.Explanations(now)
+	for _, r := range list {
+		if explanations[hashEndpoint(r.Endpoint)].Explains(r.Fingerprint) {
+			continue
+		}
+		before := c.records.Remaining(r.Fingerprint, now)
+		if c.records.AddCrash(r, now) && before == 0 && c.records.Remaining(r.Fingerprint, now) > 0 {
+			c.log.Info("request quarantined", "fingerprint", r.Fingerprint, "endpoint", r.Endpoint, "seconds", Duration.Seconds())
+		}
 	}
 }
 
