--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -25,18 +25,20 @@
 	minRemaining = 2 * time.Second
 )
 
-// Receive applies the lists of a peer's state.
+// Receive applies the lists of a peer's state. Their ages are those at the time at which it was due.
 func (s *Blocks) Receive(st peer.State, now time.Time) []Change {
 	s.greet(st)
 	var changes []Change
+	due := now.Add(-st.Delay)
 	for _, c := range st.Clearances {
-		changes = append(changes, s.clear(c.Key, clearance{now.Add(-c.Age), true}, "a peer's answer with it came whole")...)
+		changes = append(changes, s.clear(c.Key, clearance{due.Add(-c.Age), true}, "a peer's answer with it came whole")...)
 	}
 	for _, r := range st.LostRuns {
-		changes = append(changes, s.addRun(LostRun{r.Request, r.Endpoint, r.Blocks, now.Add(-r.Age)}, now)...)
+		changes = append(changes, s.addRun(LostRun{r.Request, r.Endpoint, r.Blocks, due.Add(-r.Age)}, now)...)
 	}
 	changes = append(changes, s.Decide(now)...)
 	for _, q := range st.BlockQuarantines {
+		q.Age, q.Remaining = q.Age+st.Delay, q.Remaining-st.Delay
 		changes = append(changes, s.adopt(q, now)...)
 	}
 	return changes
@@ -68,6 +70,9 @@
 	if known != nil && !q.Since.After(known.Until) {
 		return nil
 	}
+	if len(s.quarantines) >= maxQuarantines {
+		s.dropEnded(now)
+	}
 	if r.Remaining < minRemaining || s.explained(r.Block, now) || q.refutedBy(s.clearances.ClearedAt(r.Block)) || len(s.quarantines) >= maxQuarantines {
 		return nil
 	}
@@ -118,28 +123,19 @@
 	return keys[:min(len(keys), maxClearancesPerState)]
 }
 
-// dueRuns returns the lost runs to name in the next state: first those whose blocks have most lost runs, then the newest.
+// dueRuns returns the lost runs to name in the next state: first those whose blocks lost runs on most occasions, then the newest.
 // Collect calls it.
 func (s *Blocks) dueRuns() []*knownRun {
 	var list []*knownRun
-	suspicion := map[uint64]int{}
 	for i := range s.runs {
-		k := &s.runs[i]
-		if !s.open(k.LostRun) {
-			continue
-		}
-		for _, b := range k.Blocks {
-			if k.At.After(s.clearances.ClearedAt(b)) {
-				suspicion[b]++
-			}
-		}
-		if k.due > 0 {
+		if k := &s.runs[i]; k.due > 0 && s.open(k.LostRun) {
 			list = append(list, k)
 		}
 	}
+	occasions := s.occasions()
 	strength := func(k *knownRun) (n int) {
 		for _, b := range k.Blocks {
-			n = max(n, suspicion[b])
+			n = max(n, occasions[b])
 		}
 		return n
 	}
@@ -148,3 +144,24 @@
 	})
 	return list[:min(len(list), maxRunsPerState)]
 }
+
+// occasions returns on how many occasions each block lost runs that count against it. Many runs that endpoints lost at the same
+// moment are one occasion. dueRuns calls it.
+func (s *Blocks) occasions() map[uint64]int {
+	type occasion struct {
+		block  uint64
+		number int64
+	}
+	seen := map[occasion]bool{}
+	counts := map[uint64]int{}
+	for _, k := range s.runs {
+		for _, b := range k.Blocks {
+			o := occasion{b, k.At.UnixNano() / int64(occasionGap)}
+			if !seen[o] && s.open(k.LostRun) && k.At.After(s.clearances.ClearedAt(b)) {
+				seen[o] = true
+				counts[b]++
+			}
+		}
+	}
+	return counts
+}
