Don't ask the stronger model where the request has just failed

Cause: an escalation starts with an empty list of tried endpoints. Endpoints that refused or failed the request stay left out now; the one that answered may be asked again, and if no other is left the answer is kept.

TestStrongerModelIsNotAskedWhereTheRequestFailed: the two rows with a refusal before the first answer failed on the code before.

--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -68,7 +69,7 @@
 // Handle implements Filter. Forward is the last filter of its chain. It returns errEscalate unchanged; Escalate then
 // calls it again with the stronger model.
 func (f Forward) Handle(ctx context.Context, x *Exchange, _ Next) error {
-	run := &forwardRun{placer: placer{f.Pool, f.Shifts, x.Request.Session}, sender: f.Sender, quarantines: f.Quarantines, x: x, lastEventID: x.Routed.LastEventID}
+	run := &forwardRun{placer: placer{f.Pool, f.Shifts, x.Request.Session}, sender: f.Sender, quarantines: f.Quarantines, x: x, tried: slices.Clone(x.Routed.Failed), lastEventID: x.Routed.LastEventID}
 	run.reserved, x.Routed.Stronger = x.Routed.Stronger, nil
 	defer func() { run.release(ctx, run.reserved) }()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -98,7 +99,7 @@
 	giveUp *time.Timer
 	// reserved is the placement of the next send, if there is one already.
 	reserved *Reservation
-	// tried lists the IDs of the endpoints that this run has used.
+	// tried lists the IDs of the endpoints that this run has used, and of those that failed it at an earlier model.
 	tried []string
 	// present is the present attempt; trial says that its progress is to be told.
 	present shift.Attempt
@@ -190,7 +191,8 @@
 	q := f.query()
 	q.Model, q.StrongerModel = models[len(models)-1], ""
 	q.Weight = f.weight(q.Model)
-	q.Exclude, q.Retry, q.Escalation = nil, true, true
+	f.x.Routed.Failed = f.tried[:len(f.tried)-1]
+	q.Exclude, q.Retry, q.Escalation = f.x.Routed.Failed, true, true
 	r, err := f.reserve(ctx, q)
 	f.x.Routed.Stronger = r
 	return err == nil
--- a/internal/filter/forward_test.go
+++ b/internal/filter/forward_test.go
@@ -144,6 +144,11 @@
 
 var end = endpoint.Chunk{Last: true}
 
+// answered is a send whose whole answer has the confidence.
+func answered(confidence int, text string) scriptedSend {
+	return scriptedSend{head: rated(text, confidence), chunks: []endpoint.Chunk{event("1", text), end}}
+}
+
 func last(text string) endpoint.Chunk { return endpoint.Chunk{Data: []byte(text), Last: true} }
 
 // TestForward checks which failures are retried, what the caller gets, and that an error says "not run" only if no
@@ -275,9 +280,6 @@
 
 // TestEscalate checks which models are asked, and whose answer the caller gets.
 func TestEscalate(t *testing.T) {
-	answered := func(confidence int, text string) scriptedSend {
-		return scriptedSend{head: rated(text, confidence), chunks: []endpoint.Chunk{event("1", text), end}}
-	}
 	tests := []struct {
 		name   string
 		model  string
@@ -309,3 +311,41 @@
 		})
 	}
 }
+
+// excludePool is a fakePool that records which endpoints each placement left out.
+type excludePool struct {
+	fakePool
+	excluded [][]string
+}
+
+func (p *excludePool) Choose(ctx context.Context, q pool.Query) (pool.Placement, error) {
+	p.excluded = append(p.excluded, append([]string{}, q.Exclude...))
+	return p.fakePool.Choose(ctx, q)
+}
+
+// TestStrongerModelIsNotAskedWhereTheRequestFailed guards against an escalation that goes back to an endpoint which has just refused
+// the request; the one that answered may be asked again.
+func TestStrongerModelIsNotAskedWhereTheRequestFailed(t *testing.T) {
+	refused := scriptedSend{err: &endpoint.RefusedError{Status: 503}}
+	tests := []struct {
+		name     string
+		script   []scriptedSend
+		excluded [][]string
+	}{
+		{"answered at once", []scriptedSend{answered(10, "small"), answered(10, "large")}, [][]string{{}, {}}},
+		{"refused before", []scriptedSend{refused, answered(10, "small"), answered(10, "large")}, [][]string{{}, {"e1"}, {"e1"}}},
+		{"stronger model refused", []scriptedSend{answered(10, "small"), refused, answered(10, "large")}, [][]string{{}, {}, {"e2"}}},
+		{"both refused", []scriptedSend{refused, answered(10, "small"), refused, answered(10, "large")}, [][]string{{}, {"e1"}, {"e1"}, {"e1", "e3"}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x, sink := routedExchange(routing.KindStream, "s", "l")
+			x.Routed.Route.MaxAttempts = len(test.script)
+			p := &excludePool{}
+			chain := Chain(Escalate{}, Forward{p, noShift{}, &scriptedSender{script: test.script}, noQuarantine{}})
+			qt.Assert(t, chain(t.Context(), x), qt.IsNil)
+			qt.Check(t, sink.text, qt.Equals, "large")
+			qt.Check(t, p.excluded, qt.DeepEquals, test.excluded)
+		})
+	}
+}
