Spread the datagrams of updates and request the missing ones

Cause: an update of 88 KB is 10 datagrams, 130 for the zone, sent in one burst in the order of the addresses. On a scratch copy that logged it, no send or write failed, but frontend-vest-b-7 received 1 to 4 of each 10, and never a whole update: it had nothing to request and waited for its silence timeout (3.04 s), then read ten versions at once (664 KB, 0.78 s). The bound on a reply counted bytes before compression, so that peers couldn't repair what was noticed.

Change: at most 32 datagrams of updates between two ticks; changes that come while some wait are forwarded as one update; a VM that got a part of an update requests the missing datagrams by index, and reads the store after three requests without success; a reply is bounded by its datagrams and encoded once for all VMs that lack the same. The upper half of a message number tells its sender.

Test: TestZoneKeepsUpWithStormOfBigConfigurations, over links of 10 Mbit/s that hold 64 datagrams and lose 3%. Before: three of five rows failed, worst 6.05 s (100 KB, with and without random loss) and 4.87 s (350 KB) for a bound of 4 s. After: 1.95 s, 2.2 s and 1.45 s; near 1 MB, one change in 5 s: 3.96 s.

--- a/internal/feed/controller.go
+++ b/internal/feed/controller.go
@@ -78,8 +78,7 @@
 	nextRead time.Time
 	// lastUpdateAt is when the replica was last known to be current; zero if an update is missing.
 	lastUpdateAt time.Time
-	// missingSince is when an update first showed that earlier changes are missing, lastRequestAt when the VM last asked
-	// a peer for them.
+	// missingSince is when an update first showed that changes are missing, lastRequestAt when they were last asked for.
 	missingSince  time.Time
 	lastRequestAt time.Time
 	// fleetRank is the VM's rank among all VMs, zoneRank that in its zone; zoneRank is -1 before the first scan.
@@ -101,6 +100,8 @@
 	forwarded []forwardedRevision
 	// reassemblers holds the incomplete updates, by the bytes of their number.
 	reassemblers map[string]*Reassembler
+	// applied holds the numbers of the last updates that were applied, whose datagrams may come again.
+	applied []uint64
 	// lastStates identifies the newest state of each VM. cursor, incarnation and sequence belong to this VM's own
 	// state: incarnation is when the Controller was made, in Unix nanoseconds, sequence the number of the last state.
 	lastStates  map[string]stateID
@@ -110,8 +111,10 @@
 	nextGossip  time.Time
 	// nextRemote counts the states sent to other zones, to take their VMs in turn.
 	nextRemote int
-	// messageNumber is the number of the last update sent; it starts at random.
+	// messageNumber is the number of the last message sent; its lower part starts at random.
 	messageNumber uint64
+	// outbox holds the datagrams of updates that wait to be sent.
+	outbox Outbox
 	// rejected counts datagrams that were not accepted.
 	rejected int
 }
@@ -146,7 +149,7 @@
 		mailbox: make(chan message, mailboxSize), source: source, registrar: registrar, transport: transport, receiver: receiver,
 		opts: o, timing: NewTiming(o.PropagationBound), log: log, zoneRank: -1, leases: make(chan uint64, 1), ends: make(chan task.End, 4), members: map[string]Member{}, replica: NewReplica(),
 		reassemblers: map[string]*Reassembler{}, sections: sections, lastStates: map[string]stateID{},
-		incarnation: uint64(time.Now().UnixNano()), messageNumber: rand.Uint64(),
+		incarnation: uint64(time.Now().UnixNano()), messageNumber: messageBase(o.Self.VM) | uint64(rand.Uint32()>>1), outbox: Outbox{budget: sendBurst},
 	}
 }
 
@@ -179,6 +182,8 @@
 			c.startRead(ctx, now)
 			c.createSecretIfDue(ctx, now)
 			c.gossip(ctx, now)
+			c.sendWaiting(now)
+			c.requestParts(ctx, now)
 		case <-ctx.Done():
 			return task.Stop(cancel, c.ends, c.runningTasks)
 		}
--- a/internal/feed/exchange.go
+++ b/internal/feed/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"slices"
 	"time"
 
 	"cornelmux/internal/peer"
@@ -12,10 +14,12 @@
 	resendWindow = 6 * time.Second
 	// maxResendBytes bounds the keys and values of an update that repeats earlier changes.
 	maxResendBytes = 6 << 10
-	// maxReplyBytes bounds the keys and values of a reply; a VM that lacks more reads the store.
-	maxReplyBytes = 64 << 10
 	// requestInterval is the shortest time between two requests of a VM for missing changes.
 	requestInterval = 200 * time.Millisecond
+	// partTimeout is the time without a further datagram after which the missing ones of an update are requested.
+	partTimeout = 150 * time.Millisecond
+	// maxPartRequests is the number of requests for the datagrams of one update; after them the VM reads the store.
+	maxPartRequests = 3
 	// maxReassemblers is the maximum number of incomplete updates; when it is reached, all of them are dropped.
 	maxReassemblers = 64
 )
@@ -28,8 +32,9 @@
 
 // forward sends the changes after the revision to the other VMs of the zone, if this VM is the reader or a backup reader.
 // The changes of earlier updates are sent again with them, back to where the oldest update of the last resendWindow began,
-// if they fit maxResendBytes. It is called after each watch. If the replica no longer has all the changes, nothing is sent,
-// and the other VMs watch the store after their silence timeout.
+// if they fit maxResendBytes. It is called after each watch, and by sendWaiting: while an earlier update is still being sent,
+// the changes wait, and are sent as one. If the replica no longer has all the changes, nothing is sent, and the other VMs watch
+// the store after their silence timeout.
 func (c *Controller) forward(from uint64, now time.Time) {
 	if c.zoneRank > rankLastBackup {
 		return
@@ -38,6 +43,10 @@
 	if len(peers) == 0 || len(c.secret) == 0 {
 		return
 	}
+	from, ready := c.outbox.Collect(from)
+	if !ready {
+		return
+	}
 	items, complete := c.replica.Since(from)
 	if !complete {
 		return
@@ -63,26 +72,28 @@
 	return n
 }
 
-// send sends an update, a reply or a request to the addresses; a VM that misses an update asks for the changes later.
-// forward, reply and requestMissing call it. Failures are only logged; without a secret nothing is sent.
+// send sends an update or a request to the addresses; a VM that misses an update asks for the changes later. forward and the
+// requests call it. Failures are only logged; without a secret nothing is sent.
 func (c *Controller) send(u Update, addresses ...string) {
+	if m, ok := c.encode(u); ok {
+		c.outbox.Add(m, addresses...)
+		c.outbox.Flush(c.transport, c.log)
+	}
+}
+
+// encode returns the next message, with the update. It fails without a secret, and for an update that is too large.
+func (c *Controller) encode(u Update) (SentMessage, bool) {
 	if len(c.secret) == 0 {
-		return
+		return SentMessage{}, false
 	}
 	c.messageNumber++
 	u.VM, u.Address = c.opts.Self.VM, c.opts.Self.Address
 	packets, err := Encode(c.secret, c.messageNumber, u)
 	if err != nil {
 		c.log.Info("update not sent", "error", err.Error())
-		return
-	}
-	for _, address := range addresses {
-		for _, p := range packets {
-			if err := c.transport.Send(address, p); err != nil {
-				c.log.V(1).Info("update not sent", "to", address, "error", err.Error())
-			}
-		}
+		return SentMessage{}, false
 	}
+	return SentMessage{c.messageNumber, u.From, u.To, packets}, true
 }
 
 // handle applies a peer's state or update, or replies to its request. The first byte of a datagram tells a state from an
@@ -96,6 +107,8 @@
 	}
 	u, ok := c.reassemble(m.data)
 	switch {
+	case ok && u.Request && len(u.Parts) > 0:
+		c.resendParts(u)
 	case !ok || (!c.completed && c.scanKeys == nil):
 	case u.Request:
 		if c.completed && c.scanKeys == nil {
@@ -104,6 +117,7 @@
 	case u.From > c.revision:
 		c.requestMissing(ctx, u)
 	case u.To >= c.revision:
+		c.noteApplied(u.Number)
 		c.apply(ctx, u.Items)
 		c.revision = u.To
 		if c.scanKeys != nil {
@@ -116,13 +130,16 @@
 // reassemble adds a datagram to those of its update, and returns the update once it is complete. It is called for each
 // datagram that isn't a state. A rejected datagram drops the parts of its update that came before.
 func (c *Controller) reassemble(data []byte) (Update, bool) {
-	key := string(data[min(len(data), 1+macBytes):min(len(data), 9+macBytes)])
+	key := string(data[min(len(data), 1+macBytes):min(len(data), 1+macBytes+numberBytes)])
 	r, ok := c.reassemblers[key]
 	if !ok {
+		if len(key) == numberBytes && slices.Contains(c.applied, binary.BigEndian.Uint64([]byte(key))) {
+			return Update{}, false
+		}
 		if len(c.reassemblers) >= maxReassemblers {
 			c.reassemblers = map[string]*Reassembler{}
 		}
-		r = &Reassembler{}
+		r = &Reassembler{since: time.Now()}
 		c.reassemblers[key] = r
 	}
 	u, complete, err := r.Add(c.secret, data)
@@ -132,8 +149,68 @@
 	}
 	if err != nil || complete {
 		delete(c.reassemblers, key)
+		return u, complete && err == nil
+	}
+	r.at = time.Now()
+	return u, false
+}
+
+// requestParts asks the senders of incomplete updates for the datagrams that are missing, a while after the last one came. An
+// update is given up after maxPartRequests, or if its sender isn't known; the store is read then. Run calls it at each tick.
+func (c *Controller) requestParts(ctx context.Context, now time.Time) {
+	for key, r := range c.reassemblers {
+		if now.Sub(r.at) < partTimeout {
+			continue
+		}
+		address := c.senderAddress(r.number)
+		if r.requests >= maxPartRequests || address == "" || len(c.secret) == 0 {
+			delete(c.reassemblers, key)
+			c.readUnlessUpdated(ctx, r.since, now)
+			continue
+		}
+		r.requests++
+		r.at = now
+		c.send(Update{Request: true, Number: r.number, Parts: r.Missing()}, address)
+	}
+}
+
+// readUnlessUpdated has the store read unless an update was applied since a time.
+func (c *Controller) readUnlessUpdated(ctx context.Context, since, now time.Time) {
+	if c.lastUpdateAt.Before(since) {
+		c.lastUpdateAt = time.Time{}
+		c.startRead(ctx, now)
+	}
+}
+
+// resendParts sends a VM the datagrams that it requested. The handler of packetMessage calls it.
+func (c *Controller) resendParts(u Update) {
+	if c.outbox.WaitsFor(u.Address) {
+		return // they may be among those that wait
+	}
+	kept := c.outbox.AddParts(u.Number, u.Parts, u.Address)
+	c.outbox.Flush(c.transport, c.log)
+	c.log.V(1).Info("parts of an update requested", "vm", u.VM, "parts", len(u.Parts), "kept", kept)
+}
+
+// senderAddress returns the address of the zone's VM that sent a message number, or none if no member sent it.
+func (c *Controller) senderAddress(number uint64) string {
+	for _, m := range c.members {
+		if m.VM != c.opts.Self.VM && m.Zone == c.opts.Self.Zone && messageBase(m.VM) == number&^messageCountMask {
+			return m.Address
+		}
+	}
+	return ""
+}
+
+// noteApplied notes that a message was applied, and drops the incomplete ones that its sender sent before.
+func (c *Controller) noteApplied(number uint64) {
+	c.applied = append(c.applied, number)
+	c.applied = c.applied[max(len(c.applied)-maxSentMessages, 0):]
+	for key, r := range c.reassemblers {
+		if r.number&^messageCountMask == number&^messageCountMask && r.number < number {
+			delete(c.reassemblers, key)
+		}
 	}
-	return u, complete && err == nil
 }
 
 // requestMissing asks the sender of an update for the changes before it, and has the store read if no reply comes
@@ -155,14 +232,24 @@
 }
 
 // reply sends a VM the changes that it requested, unless they are incomplete or too large; that VM then reads the store. The
-// handler of packetMessage calls it.
+// VMs that lack the same changes get the same message. The handler of packetMessage calls it.
 func (c *Controller) reply(u Update) {
-	items, complete := c.replica.Since(u.From)
-	if !complete || totalBytes(items) > maxReplyBytes {
-		c.log.Info("update request not answered", "vm", u.VM, "from", u.From, "bytes", totalBytes(items), "whole", complete)
-		return
+	if c.outbox.WaitsFor(u.Address) {
+		return // what it asks for may wait already, and it asks again
+	}
+	m, encoded := c.outbox.Reply(u.From, c.revision)
+	if !encoded {
+		items, complete := c.replica.Since(u.From)
+		if complete {
+			m, encoded = c.encode(Update{From: u.From, To: c.revision, Items: items})
+		}
+		if !complete || !encoded || len(m.packets) > maxReplyDatagrams {
+			c.log.Info("update request not answered", "vm", u.VM, "from", u.From, "bytes", totalBytes(items), "datagrams", len(m.packets), "whole", complete)
+			return
+		}
 	}
-	c.send(Update{From: u.From, To: c.revision, Items: items}, u.Address)
+	c.outbox.Add(m, u.Address)
+	c.outbox.Flush(c.transport, c.log)
 }
 
 // markCurrent notes that an update made the replica current. It reports the store as reachable through a peer, unless the VM
--- a/internal/feed/update.go
+++ b/internal/feed/update.go
@@ -10,10 +10,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 )
 
 // Update is a message between VMs: the changes after revision From up to To. If Request is set, it asks for the changes
-// after From instead.
+// after From instead, or for the Parts of message Number if there are any.
 type Update struct {
 	VM string `json:"vm"`
 	// Address is where the sender receives datagrams, as host:port.
@@ -22,15 +23,25 @@
 	To      uint64 `json:"to"`
 	Request bool   `json:"wants,omitempty"`
 	Items   []Item `json:"items,omitempty"`
+	// Number is the message number; in a request, that of the message whose Parts are missing.
+	Number uint64   `json:"number,omitempty"`
+	Parts  []uint16 `json:"parts,omitempty"`
 }
 
+// messageCountMask masks the part of a message number that counts; the rest tells the sender.
+const messageCountMask = 1<<32 - 1
+
+// messageBase returns the part of message numbers that tells the sender, by the hash of its name.
+func messageBase(vm string) uint64 { return nameHash(vm) &^ messageCountMask }
+
 // Layout of a datagram: format version (1 byte), MAC of the rest, message number (8), part index (2), number of parts
 // (2), and the part: a section of the gzipped JSON of an Update. The version differs from peer.FormatVersion, which
 // tells the two kinds of datagrams apart.
 const (
 	updateFormatVersion = 2
 	macBytes            = 16 // of the truncated HMAC-SHA256
-	headerBytes         = 1 + macBytes + 8 + 2 + 2
+	numberBytes         = 8
+	headerBytes         = 1 + macBytes + numberBytes + 2 + 2
 	maxDatagramBytes    = 1200
 	maxPartBytes        = maxDatagramBytes - headerBytes
 	// maxParts is the maximum number of datagrams of one update; maxUpdateBytes bounds its JSON after decompression,
@@ -91,6 +102,22 @@
 	parts [][]byte
 	// missing is the number of parts that haven't arrived.
 	missing int
+	// since is when the first datagram came.
+	since time.Time
+	// at is when the last datagram came or the last request for missing ones was sent; requests counts these.
+	at       time.Time
+	requests int
+}
+
+// Missing returns the indexes of the parts that haven't arrived.
+func (r *Reassembler) Missing() []uint16 {
+	var out []uint16
+	for i, p := range r.parts {
+		if p == nil {
+			out = append(out, uint16(i))
+		}
+	}
+	return out
 }
 
 // Add checks a datagram and adds it to its update, and returns the update if that completes it. A datagram that came before
@@ -119,6 +146,9 @@
 		return Update{}, false, nil
 	}
 	u, err := decompress(bytes.Join(r.parts, nil))
+	if !u.Request {
+		u.Number = number
+	}
 	return u, err == nil, err
 }
 
