--- a/internal/feed/controller.go
+++ b/internal/feed/controller.go
@@ -4,9 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -228,88 +226,11 @@
 	})
 }
 
-// errScanStalled reports a page of a full scan that doesn't lead past the page before.
-var errScanStalled = errors.New("the pages of the full scan don't go on")
-
-// fullScan reads every key of the store and tells the Controller. The pages are no snapshot, and stale ones may differ in
-// age, so the changes since the oldest page are read by a watch afterwards. startRead starts it as a task. A failed page, or
-// one that doesn't go on, ends the scan; a new one starts after a pause of about retryPause.
-func (c *Controller) fullScan(ctx context.Context, stale bool) error {
-	all := scanMessage{}
-	after := ""
-	for {
-		page, err := c.source.Range(ctx, after, stale)
-		if err != nil {
-			return c.tell(ctx, scanMessage{err: err})
-		}
-		if after == "" || page.Revision < all.revision {
-			all.revision = page.Revision
-		}
-		all.items = append(all.items, page.Items...)
-		if !page.More || len(page.Items) == 0 {
-			return c.tell(ctx, all)
-		}
-		last := page.Items[len(page.Items)-1].Key
-		if last <= after {
-			return c.tell(ctx, scanMessage{err: errScanStalled})
-		}
-		after = last
-	}
-}
-
 // tell puts m into the controller's mailbox; the controller's tasks call it.
 func (c *Controller) tell(ctx context.Context, m message) error {
 	return task.TellUntil(ctx, c.mailbox, m)
 }
 
-// handle applies the items of a full scan and starts the watch that completes it, or schedules a retry. The VM's member key
-// gives the lease that its registration starts with. fullScan sends the message at its end.
-func (m scanMessage) handle(ctx context.Context, c *Controller) {
-	now := time.Now()
-	c.reading, c.readFailed = false, m.err != nil
-	c.receiver.SetReachable(ctx, m.err == nil, m.err)
-	if m.err != nil {
-		c.nextRead = now.Add(jitter(retryPause))
-		return
-	}
-	c.scanKeys = make([]string, 0, len(m.items))
-	lease := uint64(0)
-	for _, i := range m.items {
-		c.scanKeys = append(c.scanKeys, i.Key)
-		c.applyItem(ctx, i)
-		if i.Key == memberPrefix+c.opts.Self.VM && c.members[c.opts.Self.VM] == c.opts.Self {
-			lease = i.Lease
-		}
-	}
-	_ = task.Tell(c.leases, lease) // only the first lease is used
-	// Stale pages may be older than the replica, so the changes since the scan are read in any case.
-	c.synced, c.revision, c.nextRead = true, m.revision, now
-	c.updateRanks(ctx)
-	c.startRead(ctx, now)
-}
-
-// finishScan completes a full scan with the changes since then: it drops keys that the store no longer has, tells the
-// receiver and, if there is no secret, schedules its creation. It is called after the first watch or peer's update that
-// brings the changes.
-func (c *Controller) finishScan(ctx context.Context, items []Item) {
-	deleted := map[string]bool{}
-	for _, i := range items {
-		deleted[i.Key] = i.Deleted
-		if !i.Deleted {
-			c.scanKeys = append(c.scanKeys, i.Key)
-		}
-	}
-	keys := slices.DeleteFunc(c.scanKeys, func(key string) bool { return deleted[key] })
-	c.replica.KeepOnly(keys, c.revision)
-	maps.DeleteFunc(c.members, func(vm string, _ Member) bool { return !slices.Contains(keys, memberPrefix+vm) })
-	c.updateRanks(ctx)
-	c.receiver.ApplyFullScan(ctx, keys)
-	c.scanKeys, c.requireFresh, c.completed = nil, false, true
-	if len(c.secret) == 0 && c.secretDueAt.IsZero() {
-		c.secretDueAt = time.Now().Add(rand.N(secretDelay))
-	}
-}
-
 // createSecretIfDue creates the secret if there is still none after the delay. Every VM but the zone's reader waits
 // secretDelay longer. Run calls it at each tick.
 func (c *Controller) createSecretIfDue(ctx context.Context, now time.Time) {
