--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -69,7 +69,10 @@
 // Handle implements Filter. Forward is the last filter of its chain. It returns errEscalate unchanged; Escalate then
 // calls it again with the stronger model.
 func (f Forward) Handle(ctx context.Context, x *Exchange, _ Next) error {
-	run := &forwardRun{placer: placer{f.Pool, f.Shifts, x.Request.Session}, sender: f.Sender, quarantines: f.Quarantines, x: x, tried: slices.Clone(x.Routed.Failed), lastEventID: x.Routed.LastEventID}
+	run := &forwardRun{
+		placer: placer{f.Pool, f.Shifts, x.Request.Session}, sender: f.Sender, quarantines: f.Quarantines, x: x,
+		tried: slices.Clone(x.Routed.Failed), lastEventID: x.Routed.LastEventID,
+	}
 	run.reserved, x.Routed.Stronger = x.Routed.Stronger, nil
 	defer func() { run.release(ctx, run.reserved) }()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -229,7 +232,8 @@
 	_ = f.Shifts.AttemptEnded(ctx, a) // a full mailbox loses one answer's evidence
 	step := Step{
 		Endpoint: place.ID, Model: x.Attempt.Model, Version: place.Version, End: s.end.String(), Load: place.Load,
-		TTFB: s.ttfb, Duration: s.duration, Events: s.events, MeanGap: o.MeanGap, Silent: s.silent, Refused: s.refused, RefusedErr: s.refusedErr, Confidence: -1,
+		TTFB: s.ttfb, Duration: s.duration, Events: s.events, MeanGap: o.MeanGap, Silent: s.silent, Refused: s.refused,
+		RefusedErr: s.refusedErr, Confidence: -1,
 		Verdict: x.Attempt.Verdict.String(),
 	}
 	if s.head.HasConfidence {
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -270,7 +270,8 @@
 }
 
 // classifyEnd returns how the send ended for the endpoint, and sets MayHaveRun if the endpoint may have run the
-// request, or counts one that wasn't reached. ctx is the context of the request, run that of the send, which the silence timeout cancels. send calls it.
+// request, or counts one that wasn't reached. ctx is the context of the request, run that of the send, which the silence watch
+// cancels. send calls it.
 func (f *forwardRun) classifyEnd(ctx, run context.Context, err error) pool.End {
 	var refused *endpoint.RefusedError
 	var coded *result.Error
--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -34,7 +34,7 @@
 // CountRequest counts the first attempt of a request.
 func (b *RetryBudget) CountRequest(now time.Time) { b.requests[b.advance(now)]++ }
 
-// CountRetry counts a retry without a check. The Controller calls it for an escalation, which was checked before.
+// CountRetry counts a retry without a check. The Controller calls it for an escalation, which AllowsEscalation has checked.
 func (b *RetryBudget) CountRetry(now time.Time) { b.retries[b.advance(now)]++ }
 
 // TakeRetry reports whether a retry is allowed now, and if so counts it.
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -223,8 +223,8 @@
 	c.scanWaiters = append(c.scanWaiters, m.reply)
 }
 
-// handle counts the run in the retry budget and places it; a retry that isn't placed isn't counted. An escalation is counted but never refused, since the budget
-// was checked before. Choose sends the message.
+// handle counts the run in the retry budget and places it; a retry that isn't placed isn't counted. An escalation leaves a part of
+// the budget to retries after failures. Choose sends the message.
 func (m chooseMessage) handle(_ context.Context, c *Controller) {
 	now := time.Now()
 	budget := c.budget(m.query.Service)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -54,7 +54,7 @@
 	Silent string
 	// Retry says that the request was sent before, so that this send counts against the retry budget.
 	Retry bool
-	// Escalation says that the retry goes to a stronger model. The budget was checked before, so it is not refused.
+	// Escalation says that the retry goes to a stronger model; it leaves a part of the budget to other retries.
 	Escalation bool
 }
 
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -132,7 +132,7 @@
 func dropCovered(suspects []suspect) []suspect {
 	for i := len(suspects) - 1; i >= 0; i-- {
 		others := slices.Delete(slices.Clone(suspects), i, i+1)
-		covering := slices.DeleteFunc(slices.Clone(others), func(s suspect) bool { return s.sound() && !suspects[i].sound() })
+		covering := slices.DeleteFunc(slices.Clone(others), func(s suspect) bool { return s.recentlyCleared() && !suspects[i].recentlyCleared() })
 		covered := true
 		for endpoint := range suspects[i].endpoints {
 			covered = covered && slices.ContainsFunc(covering, func(s suspect) bool { return s.endpoints[endpoint] })
@@ -183,8 +183,8 @@
 	return e
 }
 
-// sound reports whether an answer with the block came whole shortly before the first lost run.
-func (e *Evidence) sound() bool {
+// recentlyCleared reports whether an answer with the block came whole shortly before the first lost run.
+func (e *Evidence) recentlyCleared() bool {
 	return !e.ClearedAt.IsZero() && e.First.Sub(e.ClearedAt) < soundPeriod
 }
 
@@ -194,14 +194,14 @@
 		return false
 	}
 	span := e.Last.Sub(e.First)
-	return !e.sound() || (e.Endpoints >= soundEndpoints && (span >= longSpan || (e.Requests >= soundEndpoints && span >= soundSpan)))
+	return !e.recentlyCleared() || (e.Endpoints >= soundEndpoints && (span >= longSpan || (e.Requests >= soundEndpoints && span >= soundSpan)))
 }
 
 // compare returns a positive number if the evidence is stronger than the other, and a negative one if it is weaker. Where
 // nothing else decides, the later block of a prompt is the likelier cause, because fewer requests share it.
 func (e *Evidence) compare(other *Evidence) int {
-	if e.sound() != other.sound() {
-		if e.sound() {
+	if e.recentlyCleared() != other.recentlyCleared() {
+		if e.recentlyCleared() {
 			return -1
 		}
 		return 1
