Take no request on a kept connection long after the stop began

Cause: reads once more from a connection that becomes idle, to catch requests that cross the stop, however long ago that began. A kept connection now ends with its answer unless the stop began within lastWait.

TestRequestAfterTheAnswerOfAStoppedServerIsNotTaken failed 3 of 3 times before (the request was answered).

--- a/internal/task/listener.go
+++ b/internal/task/listener.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -18,6 +19,12 @@
 // errDrained ends Accept once a server is drained.
 var errDrained = errors.New("the server accepts no connections any more")
 
+// drainCause is the cause of the end of the context of a server's connections.
+type drainCause struct{ began time.Time }
+
+// Error implements error.
+func (drainCause) Error() string { return "the server is drained" }
+
 // Serve returns a task that serves HTTP on the TCP listener until its context ends, and then drains the server within the grace
 // period; a grace of 0 closes all connections at once. The VMs of packages entry and platform serve with it.
 func Serve(server *http.Server, l net.Listener, grace time.Duration) func(context.Context) error {
@@ -47,8 +54,8 @@
 type Server struct {
 	http     *http.Server
 	listener *listener
-	// drain ends the context of the listener.
-	drain context.CancelFunc
+	// drain ends the context of the listener and its connections by a drainCause.
+	drain context.CancelCauseFunc
 	// changes tells the task of opened (1) and closed (-1) connections.
 	changes chan int
 	// drained is closed once no connection is open after Drain, stopped when the task ends.
@@ -57,7 +64,7 @@
 
 // NewServer returns a server for the TCP listener; Run starts it. It sets the ConnState of server.
 func NewServer(server *http.Server, l net.Listener) *Server {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	s := &Server{
 		http: server, listener: &listener{l.(*net.TCPListener), ctx, server.ReadHeaderTimeout, time.Time{}}, drain: cancel,
 		changes: make(chan int, connectionsMailboxSize), drained: make(chan struct{}), stopped: make(chan struct{}),
@@ -68,7 +75,7 @@
 
 // Run serves until ctx ends, and then closes all connections that are open.
 func (s *Server) Run(ctx context.Context) error {
-	defer s.drain()
+	defer func() { s.drain(drainCause{time.Now()}) }()
 	ends := make(chan End, 1)
 	Start(ctx, "listener", ends, func(context.Context) error { return s.http.Serve(s.listener) })
 	open, accepting, drained := 0, true, false
@@ -102,7 +109,7 @@
 
 // Drain takes no new connections and requests, and waits until those in flight have ended, at most until ctx ends.
 func (s *Server) Drain(ctx context.Context) error {
-	s.drain()
+	s.drain(drainCause{time.Now()})
 	select {
 	case <-s.drained:
 		return nil
@@ -120,7 +127,8 @@
 	case http.StateNew:
 		change = 1
 	case http.StateIdle:
-		conn.(*connection).begun = false
+		c := conn.(*connection)
+		c.begun, c.kept = false, true
 	case http.StateHijacked, http.StateClosed:
 		change = -1
 	}
@@ -169,8 +177,9 @@
 	*net.TCPConn
 	draining      context.Context
 	headerTimeout time.Duration
-	// begun says that a byte of the present request was read. net/http reads one call at a time.
-	begun bool
+	// begun says that a byte of the present request was read, kept that a request was answered before. net/http reads one call at
+	// a time.
+	begun, kept bool
 }
 
 // Read implements net.Conn.
@@ -178,6 +187,9 @@
 	if c.begun {
 		return c.TCPConn.Read(p)
 	}
+	if c.kept && c.drainedLongAgo() {
+		return 0, io.EOF
+	}
 	interrupted := interrupt(c.draining, c.SetReadDeadline)
 	n, err := c.TCPConn.Read(p)
 	if interrupted() {
@@ -191,6 +203,12 @@
 	return n, err
 }
 
+// drainedLongAgo reports whether draining ended more than lastWait ago, so that no further request is taken.
+func (c *connection) drainedLongAgo() bool {
+	cause, ok := context.Cause(c.draining).(drainCause)
+	return ok && time.Since(cause.began) > lastWait
+}
+
 // deadlineAfter returns the time after d, or none if d is 0.
 func deadlineAfter(d time.Duration) time.Time {
 	if d == 0 {
--- a/internal/task/listener_test.go
+++ b/internal/task/listener_test.go
@@ -150,3 +150,20 @@
 		})
 	}
 }
+
+// TestRequestAfterTheAnswerOfAStoppedServerIsNotTaken guards against a kept connection whose answer ends long after the stop began and
+// whose caller sends its next request at once: that request couldn't end before the server has to.
+func TestRequestAfterTheAnswerOfAStoppedServerIsNotTaken(t *testing.T) {
+	const request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n"
+	address, stop, ends := echoServer(t)
+	c := dialCaller(t, address)
+	c.write(t, request+"hel")
+	time.Sleep(10 * time.Millisecond)
+	stop()
+	time.Sleep(2 * lastWait)
+	c.write(t, "lo")
+	qt.Check(t, c.answer(), qt.Equals, "hello")
+	_, _ = io.WriteString(c.conn, request+"again") // fails if the connection is closed already
+	qt.Check(t, c.answer(), qt.Equals, "no answer")
+	<-ends
+}
