Review case 3: streams are taken from a sound runner for one that is full

Cause: the silence watch cancels a silent send once another placement is reserved, before the other endpoint has accepted the request.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -148,5 +148,5 @@
 
 // newClient returns a client with channels of its own.
 func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 10 * time.Second, DisableCompression: true}}
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: 10 * time.Second, DisableCompression: true}}
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,7 +26,7 @@
 
 // cases are the cases by name. trouble says that the disruption is played.
 var cases = map[string]func(ctx context.Context, f *fleet, trouble bool) (verdict, error){
-	"model": playModel, "leaving": playLeaving, "upload": playUpload, "prompt": playPrompt,
+	"model": playModel, "leaving": playLeaving, "upload": playUpload, "prompt": playPrompt, "pause": playPause,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -43,6 +43,11 @@
 	state    string
 	sequence int
 	stopped  bool
+	// full says that it turns requests away. pauseAfter is the event after which every other stream pauses for pause; 0 is none.
+	full       bool
+	pauseAfter int
+	pause      time.Duration
+	streams    int
 }
 
 // startRunner starts a runner on a free port and keeps its entry in the store until ctx ends.
@@ -108,6 +113,19 @@
 	return n.state == "draining"
 }
 
+// setFull sets whether the runner is full with the requests of others.
+func (n *runner) setFull(full bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.full = full
+}
+
+func (n *runner) isFull() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.full
+}
+
 // ServeHTTP answers as PROTOCOL.md says of runners.
 func (n *runner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
@@ -132,6 +150,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if n.isFull() {
+		h.Set("Cornelmux-Not-Executed", "1")
+		n.rec.line("runner %s is full and turns %s away: 503, not run", n.id, id)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	at := time.Now()
 	size, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
@@ -141,7 +165,7 @@
 	n.rec.run(n.id, id, at, int(size))
 	h.Set("Cornelmux-Response-Signature", n.id+"."+id)
 	if len(n.models) > 0 {
-		n.stream(w, id)
+		n.stream(w, r, id)
 		return
 	}
 	time.Sleep(n.work)
@@ -153,16 +177,31 @@
 	_, _ = io.WriteString(w, text) // fails only if the VM has disconnected
 }
 
-// stream writes the events of an answer.
-func (n *runner) stream(w http.ResponseWriter, id string) {
+// stream writes the events of an answer, those after Last-Event-Id if there is one. It drops a request whose channel closes.
+func (n *runner) stream(w http.ResponseWriter, r *http.Request, id string) {
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cornelmux-Confidence", "95")
 	flush := http.NewResponseController(w)
-	for i := 1; i <= events; i++ {
-		time.Sleep(eventPause)
+	n.mu.Lock()
+	n.streams++
+	preempted := n.pauseAfter > 0 && n.streams%2 == 0
+	n.mu.Unlock()
+	for i := after + 1; i <= events; i++ {
+		pause := eventPause
+		if preempted && i == n.pauseAfter+1 {
+			pause += n.pause
+		}
+		select {
+		case <-time.After(pause):
+		case <-r.Context().Done():
+			n.rec.line("runner %s: the channel of %s was closed before event %d of %d", n.id, id, i, events)
+			return
+		}
 		_, _ = io.WriteString(w, event(id, i)) // fails only if the VM has disconnected
 		_ = flush.Flush()
 	}
+	n.rec.line("runner %s has sent the whole answer to %s", n.id, id)
 }
 
 // plainAnswer is the body of the answer to a request that isn't streaming.
