--- a/review/standin/pause.go
+++ b/review/standin/pause.go
@@ -15,7 +15,7 @@
 	preemption     = 1500 * time.Millisecond
 	preemptedAfter = 3
 	// fullFor is how long the other runners are full.
-	fullFor = 8 * time.Second
+	fullFor = 5 * time.Second
 	// allowed is how many requests the rule lets a machine lose.
 	allowed = 3
 )
