--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -101,7 +101,7 @@
 func (f *fleet) configure() {
 	streaming := route("chat", "streaming", "models", 8000, 3)
 	streaming["sizes"] = models
-	f.store.put("op/config", map[string]any{
+	f.store.put(wire.Configuration, map[string]any{
 		"version": 7,
 		"routes": []any{
 			streaming, route("book", "unsafe", "app", 1200, 1), route("read", "safe", "app", 1200, 2),
@@ -111,7 +111,7 @@
 			map[string]any{
 				"name": "models", "health_check_path": "/health", "connection_limit": 360, "protocol": "h1", "tls": false,
 				"engine": map[string]any{
-					"slots": 64, "kv_cache_tokens": 563950, "stride": 4,
+					"slots": 64, wire.CacheTokens: 563950, "stride": 4,
 					"models": []any{
 						map[string]any{"name": "small", "cost": 0.018}, map[string]any{"name": "middle", "cost": 0.14}, map[string]any{"name": "large", "cost": 0.27},
 					},
