--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"time"
 )
@@ -42,9 +43,11 @@
 	signature string
 	leaving   bool
 	wait      string
-	whole     bool
-	right     bool
-	err       string
+	// kept says that the channel had carried a request before.
+	kept  bool
+	whole bool
+	right bool
+	err   string
 }
 
 // ok reports whether the request was served.
@@ -58,6 +61,9 @@
 	if a.signature != "" {
 		text += ", signature " + a.signature
 	}
+	if a.kept {
+		text += ", kept channel"
+	}
 	if a.leaving {
 		text += ", Server-Leaving"
 	}
@@ -96,6 +102,7 @@
 	f.rec.line("client sends %s (%s, %s%s) to %s", c.id, c.kind, c.path, modelNote(c.model), v.name)
 	ctx, cancel := context.WithTimeout(ctx, c.budget)
 	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { a.kept = i.Reused }})
 	method := http.MethodPost
 	if c.kind == "safe" {
 		method = http.MethodGet
