Say at a stop which requests are in flight, and where they stand

An operator reported that requests which came late in the grace period were cut with no answer.

internal/drain is a controller that owns the requests in flight. The request's goroutine tells it of its entry, the end of its body, each send, the first part of its answer, and its exit. At half of a stop's time and just before the connections are closed it logs each request with ID, route, stage, sends, age, arrival relative to SIGTERM and time left; 64 at most, and the number of the rest. Reading the body becomes a filter of its own, since the requests in flight are tracked between the route and the body.

--- /dev/null
+++ b/internal/drain/controller.go
@@ -0,0 +1,172 @@
+// Package drain tracks the requests in flight of a VM, and what becomes of them at a graceful shutdown.
+package drain
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"cornelmux/internal/task"
+)
+
+// mailboxSize bounds the messages that wait for the Controller; requests wait while it is full.
+const mailboxSize = 4096
+
+// Stage is where a request in flight stands.
+type Stage int
+
+// The values of Stage.
+const (
+	// StageReading means that the body is being read.
+	StageReading Stage = iota + 1
+	// StagePlacing means that the request waits to be sent; nothing was sent yet.
+	StagePlacing
+	// StageSent means that it was sent, once or more, and that nothing of an answer was passed on.
+	StageSent
+	// StageAnswering means that a part of the answer was passed on.
+	StageAnswering
+)
+
+// String returns the stage's name in the log.
+func (s Stage) String() string {
+	switch s {
+	case StageReading:
+		return "reading"
+	case StagePlacing:
+		return "placing"
+	case StageSent:
+		return "sent"
+	case StageAnswering:
+		return "answering"
+	default:
+		return "unknown"
+	}
+}
+
+// Request is what the Controller knows of a request in flight.
+type Request struct {
+	// ID is the request ID.
+	ID    string
+	Route string
+	// Arrived is when the front end received the request, Deadline when its caller or its route gives it up; zero if unknown.
+	Arrived  time.Time
+	Deadline time.Time
+	Stage    Stage
+	// Sends counts how often a first byte was sent to an endpoint.
+	Sends int
+}
+
+// Ticket identifies a request in flight; each has its own.
+type Ticket struct {
+	// Cancel ends the request's context.
+	Cancel context.CancelCauseFunc
+}
+
+// Stop is the timetable of a graceful shutdown.
+type Stop struct {
+	// Began is when the shutdown began, CutAt when the connections of the requests that are left are closed.
+	Began time.Time
+	CutAt time.Time
+}
+
+// Controller owns the requests in flight. The goroutine of a request tells it how that goes on, by messages.
+type Controller struct {
+	mailbox chan message
+	// stopped is closed when the task ends.
+	stopped  chan struct{}
+	log      logr.Logger
+	requests map[*Ticket]*Request
+	// stop is set once the VM is leaving; halfway fires at half of its time.
+	stop    *Stop
+	halfway *time.Timer
+}
+
+// New makes a Controller; Run starts it.
+func New(log logr.Logger) *Controller {
+	halfway := time.NewTimer(time.Hour)
+	halfway.Stop()
+	return &Controller{
+		mailbox: make(chan message, mailboxSize), stopped: make(chan struct{}), log: log,
+		requests: map[*Ticket]*Request{}, halfway: halfway,
+	}
+}
+
+// Run is the task that owns the state; it handles messages until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	defer close(c.stopped)
+	defer c.halfway.Stop()
+	for {
+		select {
+		case m := <-c.mailbox:
+			m.handle(c)
+		case now := <-c.halfway.C:
+			c.report("halfway", now)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// message is handled by the goroutine of Run, which owns the state.
+type message interface{ handle(*Controller) }
+
+type (
+	enterMessage struct {
+		ticket  *Ticket
+		request Request
+	}
+	progressMessage struct {
+		ticket *Ticket
+		stage  Stage
+		sends  int
+	}
+	exitMessage   struct{ ticket *Ticket }
+	leaveMessage  struct{ stop Stop }
+	reportMessage struct{ reply chan<- int }
+)
+
+func (m enterMessage) handle(c *Controller) { c.requests[m.ticket] = &m.request }
+
+func (m progressMessage) handle(c *Controller) {
+	if r := c.requests[m.ticket]; r != nil {
+		r.Stage, r.Sends = m.stage, m.sends
+	}
+}
+
+func (m exitMessage) handle(c *Controller) { delete(c.requests, m.ticket) }
+
+func (m leaveMessage) handle(c *Controller) {
+	c.stop = &m.stop
+	c.halfway.Reset(time.Until(m.stop.Began.Add(m.stop.CutAt.Sub(m.stop.Began) / 2)))
+}
+
+func (m reportMessage) handle(c *Controller) {
+	c.report("end", time.Now())
+	m.reply <- len(c.requests)
+}
+
+// tell puts a message into the mailbox. It waits while that is full, unless the task has ended.
+func (c *Controller) tell(m message) {
+	select {
+	case c.mailbox <- m:
+	case <-c.stopped:
+	}
+}
+
+// Enter counts a request as in flight until Exit.
+func (c *Controller) Enter(t *Ticket, r Request) { c.tell(enterMessage{t, r}) }
+
+// Progress tells where the request stands and how often it was sent.
+func (c *Controller) Progress(t *Ticket, s Stage, sends int) { c.tell(progressMessage{t, s, sends}) }
+
+// Exit ends the count of a request.
+func (c *Controller) Exit(t *Ticket) { c.tell(exitMessage{t}) }
+
+// Leave begins a graceful shutdown.
+func (c *Controller) Leave(s Stop) { c.tell(leaveMessage{s}) }
+
+// ReportEnd logs the requests that are in flight when their connections are to be closed, and returns their number.
+func (c *Controller) ReportEnd(ctx context.Context) (int, error) {
+	return task.Ask(ctx, c.mailbox, func(reply chan<- int) message { return reportMessage{reply} })
+}
--- /dev/null
+++ b/internal/drain/controller_test.go
@@ -0,0 +1,115 @@
+package drain
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr/funcr"
+
+	"cornelmux/internal/task"
+)
+
+// startController starts a controller that stops with the test. Its lines are written to lines, which has room for them.
+func startController(t *testing.T, lines chan<- string) *Controller {
+	log := funcr.New(func(_, args string) { lines <- args }, funcr.Options{})
+	c := New(log)
+	ctx, cancel := context.WithCancel(t.Context())
+	ends := make(chan task.End, 1)
+	task.Start(ctx, "drain", ends, c.Run)
+	t.Cleanup(func() {
+		cancel()
+		<-ends
+	})
+	return c
+}
+
+// takeLines returns the lines since the last call that hold text.
+func takeLines(lines <-chan string, text string) (taken []string) {
+	for {
+		select {
+		case l := <-lines:
+			if strings.Contains(l, text) {
+				taken = append(taken, l)
+			}
+		default:
+			return taken
+		}
+	}
+}
+
+// TestStopTellsOfEachRequestInFlight checks the lines at half of a stop's time and at its end.
+func TestStopTellsOfEachRequestInFlight(t *testing.T) {
+	tests := []struct {
+		name    string
+		request Request
+		// progress is what the request tells after its entry, exited that it ended.
+		progress []Request
+		exited   bool
+		want     []string
+	}{
+		{"body is being read", Request{Stage: StageReading}, nil, false, []string{`"stage"="reading"`, `"sends"=0`, `"arrived_ms"=-1000`, `"age_ms"=3000`, `"left_ms"=2000`}},
+		{"waits to be sent", Request{Stage: StageReading}, []Request{{Stage: StagePlacing}}, false, []string{`"stage"="placing"`, `"sends"=0`}},
+		{"was sent twice", Request{Stage: StageReading}, []Request{{Stage: StageSent, Sends: 1}, {Stage: StageSent, Sends: 2}}, false, []string{`"stage"="sent"`, `"sends"=2`}},
+		{"answer has begun", Request{Stage: StageReading}, []Request{{Stage: StageSent, Sends: 1}, {Stage: StageAnswering, Sends: 1}}, false, []string{`"stage"="answering"`, `"sends"=1`}},
+		{"has ended", Request{Stage: StageReading}, nil, true, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				lines := make(chan string, 8)
+				c := startController(t, lines)
+				ticket, r := &Ticket{}, test.request
+				r.ID, r.Route, r.Arrived, r.Deadline = "q1", "look", time.Now(), time.Now().Add(5*time.Second)
+				c.Enter(ticket, r)
+				for _, p := range test.progress {
+					c.Progress(ticket, p.Stage, p.Sends)
+				}
+				if test.exited {
+					c.Exit(ticket)
+				}
+				time.Sleep(time.Second)
+				began := time.Now()
+				c.Leave(Stop{Began: began, CutAt: began.Add(4 * time.Second)})
+				time.Sleep(2*time.Second + time.Millisecond)
+				halfway := takeLines(lines, `"at"="halfway"`)
+				n, err := c.ReportEnd(t.Context())
+				qt.Assert(t, err, qt.IsNil)
+				end := takeLines(lines, `"at"="end"`)
+				if test.exited {
+					qt.Check(t, n, qt.Equals, 0)
+					qt.Check(t, append(halfway, end...), qt.HasLen, 0)
+					return
+				}
+				qt.Check(t, n, qt.Equals, 1)
+				qt.Assert(t, halfway, qt.HasLen, 1)
+				qt.Assert(t, end, qt.HasLen, 1)
+				for _, want := range append(test.want, `"request"="q1"`, `"route"="look"`) {
+					qt.Check(t, halfway[0], qt.Contains, want)
+				}
+			})
+		})
+	}
+}
+
+// TestReportOfAStopIsBounded checks that many requests in flight don't flood the log.
+func TestReportOfAStopIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lines := make(chan string, 4*maxReported)
+		c := startController(t, lines)
+		for n := range 2 * maxReported {
+			c.Enter(&Ticket{}, Request{ID: fmt.Sprint("q", n), Arrived: time.Now()})
+		}
+		c.Leave(Stop{Began: time.Now(), CutAt: time.Now().Add(time.Second)})
+		n, err := c.ReportEnd(t.Context())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, n, qt.Equals, 2*maxReported)
+		all := takeLines(lines, "")
+		qt.Check(t, all, qt.HasLen, maxReported+1)
+		qt.Check(t, all[maxReported], qt.Contains, fmt.Sprint(`"requests"=`, maxReported))
+	})
+}
--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -148,6 +148,8 @@
 	Runs []journal.Run
 	// Routed is set if a route table decides on the request.
 	Routed Routed
+	// Flight is the request's entry among those in flight; Drain sets it.
+	Flight *Flight
 }
 
 // Key returns the request's key in the journal.
--- /dev/null
+++ b/internal/filter/drain.go
@@ -0,0 +1,67 @@
+package filter
+
+import (
+	"context"
+
+	"cornelmux/internal/drain"
+	"cornelmux/internal/endpoint"
+)
+
+// Requests tracks the requests in flight.
+type Requests interface {
+	// Enter counts a request as in flight until Exit. Progress tells where it stands and how often it was sent.
+	Enter(t *drain.Ticket, r drain.Request)
+	Progress(t *drain.Ticket, s drain.Stage, sends int)
+	Exit(t *drain.Ticket)
+}
+
+// Drain tracks each request that passes it as in flight. It follows Route, which sets the deadline.
+type Drain struct {
+	Requests Requests
+}
+
+// Handle implements Filter.
+func (f Drain) Handle(ctx context.Context, x *Exchange, next Next) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	t := &drain.Ticket{Cancel: cancel}
+	f.Requests.Enter(t, drain.Request{
+		ID: x.Request.ID, Route: x.Routed.Route.Name, Arrived: x.Arrived, Deadline: x.Request.Deadline, Stage: drain.StageReading,
+	})
+	defer f.Requests.Exit(t)
+	x.Flight = &Flight{Requests: f.Requests, Ticket: t}
+	x.Sink = &drainSink{x: x, sink: x.Sink}
+	return next(ctx, x)
+}
+
+// Flight is a request's entry among those in flight. Its methods do nothing if it is nil.
+type Flight struct {
+	Requests Requests
+	Ticket   *drain.Ticket
+}
+
+// progress tells where the request stands.
+func (f *Flight) progress(s drain.Stage, sends int) {
+	if f != nil {
+		f.Requests.Progress(f.Ticket, s, sends)
+	}
+}
+
+// drainSink tells when the first part of an answer is passed on.
+type drainSink struct {
+	x         *Exchange
+	sink      Sink
+	answering bool
+}
+
+// Begin implements Sink.
+func (s *drainSink) Begin(ctx context.Context, h Head) error { return s.sink.Begin(ctx, h) }
+
+// Chunk implements Sink.
+func (s *drainSink) Chunk(ctx context.Context, c endpoint.Chunk) error {
+	if !s.answering {
+		s.answering = true
+		s.x.Flight.progress(drain.StageAnswering, s.x.Sends)
+	}
+	return s.sink.Chunk(ctx, c)
+}
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"cornelmux/internal/drain"
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/pool"
 	"cornelmux/internal/shift"
@@ -142,6 +143,7 @@
 		}
 		f.x.Sends++
 		f.x.Sent = true
+		f.x.Flight.progress(drain.StageSent, f.x.Sends)
 		return nil
 	}
 }
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"cornelmux/pkg/catalog"
@@ -87,21 +86,12 @@
 	Err     string `json:"error"`
 }
 
-// ErrBodyTooLarge reports a body over the limit.
-var ErrBodyTooLarge = errors.New("the body exceeds the limit")
-
-// Body is the body of a request that the front end has not read yet.
-type Body interface {
-	// Read returns the whole body, or ErrBodyTooLarge if it exceeds limit bytes.
-	Read(limit int64) ([]byte, error)
-}
-
 // Routes returns the newest route table; nil before the first.
 type Routes interface {
 	Current(ctx context.Context) (*routing.Table, error)
 }
 
-// Route finds the route and the client account of a request, reads its body, and sets its service and deadline.
+// Route finds the route and the client account of a request, and sets its service and deadline. ReadBody reads the body after it.
 type Route struct {
 	Routes Routes
 	// Loaded is closed once the VM has loaded what it needs to serve.
@@ -110,9 +100,6 @@
 	Rand func() float64
 }
 
-// defaultBodyLimit is the limit of a body in bytes if the route table sets none.
-const defaultBodyLimit = 4 << 20
-
 // Handle implements Filter. The rest of the chain runs with the deadline of the request, if it has one.
 func (f Route) Handle(ctx context.Context, x *Exchange, next Next) error {
 	if !f.waitLoaded(ctx) {
@@ -134,18 +121,6 @@
 	if err := findAccount(x, t, r); err != nil {
 		return err
 	}
-	limit := t.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
-	body, err := x.Routed.Body.Read(limit)
-	switch {
-	case errors.Is(err, ErrBodyTooLarge):
-		return result.Errorf(result.TooLarge, "the body exceeds %d bytes", limit)
-	case err != nil:
-		return result.Errorf(result.BadRequest, "read the body: %v", err)
-	}
-	x.Request.Body = body
 	x.Idempotent = r.Idempotent()
 	x.Routed.Service = r.Pick(f.Rand())
 	x.Request.Service = x.Routed.Service
