Log how long a request waits for the owners of state

A request's line has the time it waited for the route table, for the quarantine's reply and for its placements, also those it didn't get, and each step that of its own placement.

--- a/internal/filter/accesslog.go
+++ b/internal/filter/accesslog.go
@@ -36,7 +36,8 @@
 		"request", x.Request.ID, "code", int(code), "name", result.Describe(code).Name, "run", string(run), "detail", detail,
 		"path", x.Request.Path, "session", x.Request.Session, "service", x.Routed.Service, "account", x.Routed.Account,
 		"milliseconds", time.Since(x.Arrived).Milliseconds(), "caller_gone", ctx.Err() != nil,
-		"prompt_tokens", x.Routed.Prompt.TokensIn, "steps", x.Routed.Trace,
+		"prompt_tokens", x.Routed.Prompt.TokensIn, "table_ns", x.Routed.TableWait.Nanoseconds(),
+		"check_ns", x.Routed.CheckWait.Nanoseconds(), "placing_ns", x.Routed.Placing.Nanoseconds(), "steps", x.Routed.Trace,
 	}
 	if blocks := x.Routed.Prompt.SharedBlocks(); len(blocks) > 0 {
 		values = append(values, "blocks", quarantine.BlockNames(blocks))
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -147,7 +147,7 @@
 	f.reserved = nil
 	if r == nil {
 		var err error
-		if r, err = f.reserve(ctx, f.query()); err != nil {
+		if r, err = f.reserveNext(ctx, f.query()); err != nil {
 			return err
 		}
 	}
@@ -164,7 +164,7 @@
 	_ = f.Shifts.AttemptStarted(ctx, f.present) // a full mailbox loses the binding of the session
 	s := f.send(ctx, place)
 	f.reserved = s.reserved
-	f.report(ctx, place, s)
+	f.report(ctx, r, s)
 	return s.err
 }
 
@@ -196,7 +196,7 @@
 	q.Weight = f.weight(q.Model)
 	f.x.Routed.Failed = f.tried[:len(f.tried)-1]
 	q.Exclude, q.Retry, q.Escalation = f.x.Routed.Failed, true, true
-	r, err := f.reserve(ctx, q)
+	r, err := f.reserveNext(ctx, q)
 	f.x.Routed.Stronger = r
 	return err == nil
 }
@@ -212,8 +212,8 @@
 
 // report tells the pool and the traffic shift how the send ended, and appends it to the trace for the log.
 // attempt calls it after each send.
-func (f *forwardRun) report(ctx context.Context, place pool.Placement, s sendResult) {
-	x := f.x
+func (f *forwardRun) report(ctx context.Context, r *Reservation, s sendResult) {
+	x, place := f.x, r.Placement
 	o := pool.Outcome{
 		Endpoint: place.ID, Incarnation: place.Incarnation, End: s.end, Service: x.Routed.Service, TTFB: s.ttfb,
 		SentAt: time.Now().Add(-s.duration), Events: s.events, Fingerprint: Fingerprint(x),
@@ -231,7 +231,7 @@
 	_ = f.Pool.Done(ctx, o)           // Done waits for room; if it fails even so, the run stays counted as in flight
 	_ = f.Shifts.AttemptEnded(ctx, a) // a full mailbox loses one answer's evidence
 	step := Step{
-		Endpoint: place.ID, Model: x.Attempt.Model, Version: place.Version, End: s.end.String(), Load: place.Load,
+		Endpoint: place.ID, Model: x.Attempt.Model, Version: place.Version, End: s.end.String(), Load: place.Load, Placing: r.Took,
 		TTFB: s.ttfb, Duration: s.duration, Events: s.events, MeanGap: o.MeanGap, Silent: s.silent, Refused: s.refused,
 		RefusedErr: s.refusedErr, Confidence: -1,
 		Verdict: x.Attempt.Verdict.String(),
--- a/internal/filter/quarantine.go
+++ b/internal/filter/quarantine.go
@@ -26,7 +26,10 @@
 
 // Handle implements Filter.
 func (f Quarantine) Handle(ctx context.Context, x *Exchange, next Next) error {
-	if err := f.Quarantines.Check(ctx, quarantineQuery(x)); err != nil {
+	asked := time.Now()
+	err := f.Quarantines.Check(ctx, quarantineQuery(x))
+	x.Routed.CheckWait = time.Since(asked)
+	if err != nil {
 		return err
 	}
 	return next(ctx, x)
--- a/internal/filter/reserve.go
+++ b/internal/filter/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"cornelmux/internal/pool"
 	"cornelmux/internal/shift"
@@ -14,6 +15,8 @@
 	Binding   shift.Binding
 	// Query is that of the placement.
 	Query pool.Query
+	// Took is how long it took to get it.
+	Took time.Duration
 }
 
 // placer reserves placements for the sends of one request.
@@ -26,6 +29,7 @@
 // reserve binds the session to a version and places the run. A filter calls it before it sends, and before it gives up a send
 // or an answer for another one.
 func (p placer) reserve(ctx context.Context, q pool.Query) (*Reservation, error) {
+	asked := time.Now()
 	binding, err := p.Shifts.Bind(ctx, q.Service, p.session)
 	if err != nil {
 		return nil, result.Errorf(result.QueueFull, "bind the session to a version: %v", err)
@@ -35,7 +39,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Reservation{Placement: place, Binding: binding, Query: q}, nil
+	return &Reservation{Placement: place, Binding: binding, Query: q, Took: time.Since(asked)}, nil
+}
+
+// reserveNext reserves a placement for which the request waits, and notes how long, also if it gets none.
+func (f *forwardRun) reserveNext(ctx context.Context, q pool.Query) (*Reservation, error) {
+	asked := time.Now()
+	r, err := f.reserve(ctx, q)
+	f.x.Routed.Placing += time.Since(asked)
+	return r, err
 }
 
 // release gives a retry's reservation back that no send used; nil is none.
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -42,6 +42,11 @@
 	Failed []string
 	// Stronger is reserved for the strongest model, whose answer is to replace one that was dropped.
 	Stronger *Reservation
+	// TableWait, CheckWait and Placing are how long the request waited in all for the route table, for the quarantine's reply before
+	// its first send, and for its placements, also for those that it didn't get.
+	TableWait time.Duration
+	CheckWait time.Duration
+	Placing   time.Duration
 	// Trace lists the sends, for the log.
 	Trace []Step
 }
@@ -68,6 +73,8 @@
 	End      string `json:"end"`
 	// Load is the endpoint's load at the time of placement, as a share of its slots.
 	Load float64 `json:"load"`
+	// Placing is how long the send waited for its placement.
+	Placing time.Duration `json:"placing_ns"`
 	// TTFB and Duration are the times to the head of the answer and to its end.
 	TTFB     time.Duration `json:"first_ns"`
 	Duration time.Duration `json:"took_ns"`
@@ -118,7 +125,9 @@
 	if !f.waitLoaded(ctx) {
 		return result.Errorf(result.NotReady, "the VM has not read the platform yet").WithRetryAfter(startupWait)
 	}
+	asked := time.Now()
 	t, err := f.Routes.Current(ctx)
+	x.Routed.TableWait = time.Since(asked)
 	if err != nil {
 		return result.Errorf(result.QueueFull, "read the route table: %v", err)
 	}
