--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -94,7 +94,7 @@
 		IdleTimeout: cfg.Limits.SessionIdle, ActivationDelay: cfg.Limits.StepSettle, MaxSessions: cfg.Limits.MaxSessions,
 	}, log.WithName("session"))
 	v.rollouts = rollout.New(v.configurations.Subscribe(), v.configurations, v.sessions, cfg.VM.Name, log.WithName("rollout"))
-	v.quarantine = quarantine.New(log.WithName("quarantine"))
+	v.quarantine = quarantine.New(v.metrics, log.WithName("quarantine"))
 	v.endpoints = endpoint.New(store, client, v.peers, v.quarantine, endpoint.Options{VM: cfg.VM.Name, Location: at}, log.WithName("endpoint"))
 	v.orders = newOrders(store, v.endpoints, cfg, log)
 	v.peers.Attach(v.configurations, v.sessions, v.rollouts, v.endpoints, v.limits, v.quarantine)
--- a/internal/feed/controller.go
+++ b/internal/feed/controller.go
@@ -40,6 +40,8 @@
 	Self Member
 	// PropagationBound is the time by which every VM must know a change of the store.
 	PropagationBound time.Duration
+	// Meter records the time of the Controller's messages; it may be nil.
+	Meter task.Meter
 }
 
 // Controller keeps the VM's replica of the store up to date, by reading the store or by updates of other VMs, and gossips
@@ -55,6 +57,7 @@
 	// sections are the controllers whose state is gossiped to other VMs.
 	sections []peer.Section
 	log      logr.Logger
+	watch    *task.Stopwatch
 
 	// ends receives the end of each of the runningTasks tasks.
 	ends         chan task.End
@@ -145,12 +148,21 @@
 	packetMessage struct{ data []byte }
 )
 
+// Size implements task.Sized: the items of a scan or a watch, or the bytes of a datagram.
+func (m scanMessage) Size() int { return len(m.items) }
+
+// Size implements task.Sized.
+func (m watchMessage) Size() int { return len(m.items) }
+
+// Size implements task.Sized.
+func (m packetMessage) Size() int { return len(m.data) }
+
 // New returns a Controller; Run starts it.
 func New(source Source, registrar Registrar, transport Transport, receiver Receiver, o Options, log logr.Logger, sections ...peer.Section) *Controller {
 	now := time.Now()
 	return &Controller{
 		mailbox: make(chan message, mailboxSize), source: source, registrar: registrar, transport: transport, receiver: receiver,
-		opts: o, timing: NewTiming(o.PropagationBound), log: log, zoneRank: -1, leases: make(chan uint64, 1), ends: make(chan task.End, 4), members: map[string]Member{}, replica: NewReplica(),
+		opts: o, watch: task.NewStopwatch("feed", o.Meter, log), timing: NewTiming(o.PropagationBound), log: log, zoneRank: -1, leases: make(chan uint64, 1), ends: make(chan task.End, 4), members: map[string]Member{}, replica: NewReplica(),
 		reassemblers: map[string]*Reassembler{}, sections: sections, lastStates: map[string]stateID{}, transits: map[string]*transit{},
 		started: now, incarnation: uint64(now.UnixNano()), messageNumber: messageBase(o.Self.VM) | uint64(rand.Uint32()>>1),
 		outbox: Outbox{budget: sendBurst}, nextRemote: rand.IntN(maxRemoteStart),
@@ -179,15 +191,19 @@
 	for {
 		select {
 		case m := <-c.mailbox:
+			started := time.Now()
 			m.handle(ctx, c)
+			c.watch.Handled(started, m)
 		case <-c.ends:
 			c.runningTasks--
 		case now := <-ticker.C:
+			started := time.Now()
 			c.startRead(ctx, now)
 			c.createSecretIfDue(ctx, now)
 			c.gossip(ctx, now)
 			c.sendWaiting(now)
 			c.requestParts(ctx, now)
+			c.watch.Ticked(started)
 		case <-ctx.Done():
 			return task.Stop(cancel, c.ends, c.runningTasks)
 		}
--- a/internal/metric/builder.go
+++ b/internal/metric/builder.go
@@ -44,10 +44,10 @@
 	return c
 }
 
-// histogram creates a histogram of durations in seconds.
-func (b *builder) histogram(name, text string) metric.Float64Histogram {
+// histogram creates a histogram of durations in seconds with the upper bounds of its buckets.
+func (b *builder) histogram(name, text string, bounds []float64) metric.Float64Histogram {
 	h, err := b.meter.Float64Histogram(name, metric.WithUnit("s"), metric.WithDescription(text),
-		metric.WithExplicitBucketBoundaries(bucketBounds...))
+		metric.WithExplicitBucketBoundaries(bounds...))
 	b.addError(err)
 	return h
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -31,6 +31,9 @@
 // 0.86 s, so that the share of requests within a target can be read off.
 var bucketBounds = []float64{0.001, 0.005, 0.01, 0.025, 0.063, 0.1, 0.25, 0.5, 0.86, 2, 5, 10, 30, 60, 120}
 
+// messageBounds are those for the messages of the owners of state, in seconds.
+var messageBounds = []float64{0.00001, 0.0001, 0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5}
+
 // Configurations provides the configuration in force.
 type Configurations interface {
 	Current(ctx context.Context) (configuration.Snapshot, error)
@@ -57,6 +60,7 @@
 	tokens           metric.Int64Counter
 	platformCalls    metric.Int64Counter
 	platformDuration metric.Float64Histogram
+	messageDuration  metric.Float64Histogram
 }
 
 // New creates the instruments for a VM. One that can't be created is logged and records nothing, so that a VM serves without
@@ -75,14 +79,15 @@
 		handler:          promhttp.HandlerFor(registry, promhttp.HandlerOpts{Timeout: 2 * scrapeTimeout}),
 		requests:         b.counter("cornelmux.requests", "{request}", "Requests that ended, by result code."),
 		inFlight:         b.upDown("cornelmux.requests.in_flight", "{request}", "Requests in flight."),
-		requestDuration:  b.histogram("cornelmux.request.duration", "Time from arrival to the end of the answer."),
-		timeToFirstChunk: b.histogram("cornelmux.request.first_piece", "Time from arrival to the first piece of the answer."),
+		requestDuration:  b.histogram("cornelmux.request.duration", "Time from arrival to the end of the answer.", bucketBounds),
+		timeToFirstChunk: b.histogram("cornelmux.request.first_piece", "Time from arrival to the first piece of the answer.", bucketBounds),
 		sends:            b.counter("cornelmux.sends", "{send}", "Sends to endpoints, retries included."),
 		answers:          b.counter("cornelmux.answers", "{answer}", "Answers passed on, by version and cascade level."),
 		runs:             b.counter("cornelmux.runs", "{run}", "Runs at endpoints that answers were made of, rejected cascade levels included."),
 		tokens:           b.counter("cornelmux.tokens", "{token}", "Tokens of all runs."),
 		platformCalls:    b.counter("cornelmux.platform.calls", "{call}", "Calls of the platform, by method, area and status."),
-		platformDuration: b.histogram("cornelmux.platform.duration", "Time of the platform's calls that are no watch."),
+		platformDuration: b.histogram("cornelmux.platform.duration", "Time of the platform's calls that are no watch.", bucketBounds),
+		messageDuration:  b.histogram("cornelmux.message.duration", "Time that a message took the goroutine of its owner.", messageBounds),
 	}
 	b.logErrors(log)
 	m.meter = b.meter
@@ -137,6 +142,12 @@
 	}
 }
 
+// MessageRecorder implements task.Meter. The returned function may be called from any goroutine.
+func (m *Metrics) MessageRecorder(owner, kind string) func(took time.Duration) {
+	attributes := metric.WithAttributeSet(attribute.NewSet(attribute.String("owner", owner), attribute.String("kind", kind)))
+	return func(took time.Duration) { m.messageDuration.Record(context.Background(), took.Seconds(), attributes) }
+}
+
 // kindName returns the label of a request kind; "unread" is for requests that ended before their kind was known.
 func kindName(k filter.Kind) string {
 	switch k {
--- a/internal/metric/metric_test.go
+++ b/internal/metric/metric_test.go
@@ -63,6 +63,7 @@
 		Duration: 200 * time.Millisecond, TimeToFirstChunk: 50 * time.Millisecond,
 	})
 	m.Ended(ctx, filter.Observation{Code: result.BadKey, Run: result.NotRun, Duration: time.Millisecond})
+	m.MessageRecorder("pool", "choose")(20 * time.Millisecond)
 	m.PlatformCall(ctx, http.MethodPut, "journal", http.StatusOK, false, time.Millisecond)
 	text := scrape(c, m)
 	rows := []string{
@@ -75,6 +76,7 @@
 		`cornelmux_answers_total{level="1",model="composer",service="",version="v1"} 1`,
 		`cornelmux_tokens_total{model="cheap",service="",version="v1"} 10`,
 		`cornelmux_platform_calls_total{area="journal",method="PUT",status="200"} 1`,
+		`cornelmux_message_duration_seconds_bucket{kind="choose",owner="pool",le="0.025"} 1`,
 		`cornelmux_configuration_revision 7`,
 		`cornelmux_members{health="alive"} 2`,
 		`cornelmux_datagrams_total{outcome="bad_mac"} 2`,
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -32,6 +32,8 @@
 	Location endpoint.Location
 	// RetryLimit bounds the retries of each service.
 	RetryLimit RetryLimit
+	// Meter records the time of the Controller's messages; it may be nil.
+	Meter task.Meter
 }
 
 // Controller owns the state of the endpoints on this VM and the retry budgets of the services.
@@ -42,6 +44,7 @@
 	crashes Crashes
 	opts    Options
 	log     logr.Logger
+	watch   *task.Stopwatch
 	table   *Table
 	// budgets holds the retry budgets by service.
 	budgets map[string]*RetryBudget
@@ -79,11 +82,20 @@
 	firstScanMessage struct{ reply chan<- int }
 )
 
+// Size implements task.Sized: the endpoints of a scan, or the blocks of a prompt.
+func (m retainMessage) Size() int { return len(m.ids) }
+
+// Size implements task.Sized.
+func (m chooseMessage) Size() int { return len(m.query.Prompt.Blocks) }
+
+// Size implements task.Sized.
+func (m doneMessage) Size() int { return len(m.outcome.Prompt.Blocks) }
+
 // New makes a Controller; Run starts it.
 func New(crashes Crashes, o Options, log logr.Logger) *Controller {
 	return &Controller{
 		mailbox: make(chan message, mailboxSize), stopped: make(chan struct{}), crashes: crashes, opts: o, log: log,
-		table: NewTable(o.Location), budgets: map[string]*RetryBudget{},
+		watch: task.NewStopwatch("pool", o.Meter, log), table: NewTable(o.Location), budgets: map[string]*RetryBudget{},
 	}
 }
 
@@ -95,11 +107,15 @@
 	for {
 		select {
 		case m := <-c.mailbox:
+			started := time.Now()
 			m.handle(ctx, c)
+			c.watch.Handled(started, m)
 		case now := <-ticker.C:
+			started := time.Now()
 			for _, id := range c.table.Sweep(now) {
 				c.log.Info("endpoint gone", "endpoint", id, "why", "not relisted after the directory became readable again")
 			}
+			c.watch.Ticked(started)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/internal/pool/gossip.go
+++ b/internal/pool/gossip.go
@@ -80,6 +80,9 @@
 	receiveMessage struct{ state peer.State }
 )
 
+// Size implements task.Sized.
+func (m receiveMessage) Size() int { return len(m.state.Endpoints) }
+
 // Collect implements peer.Section.
 func (c *Controller) Collect(ctx context.Context, s *peer.State) error {
 	reports, err := task.Ask(ctx, c.mailbox, func(reply chan<- []peer.EndpointReport) message { return collectMessage{reply} })
--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -32,6 +32,7 @@
 type Controller struct {
 	mailbox chan message
 	log     logr.Logger
+	watch   *task.Stopwatch
 	records Records
 	blocks  *Blocks
 	// announcements are ordered by the time at which they expire.
@@ -44,9 +45,11 @@
 	until  time.Time
 }
 
-// New makes a Controller; Run starts it.
-func New(log logr.Logger) *Controller {
-	return &Controller{mailbox: make(chan message, mailboxSize), log: log, records: Records{}, blocks: NewBlocks()}
+// New makes a Controller; Run starts it. A nil meter records nothing.
+func New(meter task.Meter, log logr.Logger) *Controller {
+	return &Controller{
+		mailbox: make(chan message, mailboxSize), log: log, watch: task.NewStopwatch("quarantine", meter, log), records: Records{}, blocks: NewBlocks(),
+	}
 }
 
 // message is handled by the goroutine of Run, which owns the state.
@@ -64,6 +67,20 @@
 	collectMessage struct{ reply chan<- peer.State }
 )
 
+// Size implements task.Sized: the blocks of a prompt, or the reports of a state.
+func (m checkMessage) Size() int { return len(m.query.Blocks) }
+
+// Size implements task.Sized.
+func (m lostMessage) Size() int { return len(m.run.Blocks) }
+
+// Size implements task.Sized.
+func (m wholeMessage) Size() int { return len(m.run.Blocks) }
+
+// Size implements task.Sized.
+func (m receiveMessage) Size() int {
+	return len(m.state.Crashes) + len(m.state.LostRuns) + len(m.state.Clearances) + len(m.state.BlockQuarantines)
+}
+
 // Query describes a request that is about to be sent.
 type Query struct {
 	Fingerprint uint64
@@ -104,9 +121,13 @@
 	for {
 		select {
 		case m := <-c.mailbox:
+			started := time.Now()
 			m.handle(c)
+			c.watch.Handled(started, m)
 		case now := <-ticker.C:
+			started := time.Now()
 			c.records.Sweep(now)
+			c.watch.Ticked(started)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -58,7 +58,7 @@
 		c := qt.New(t)
 		ctx, cancel := context.WithCancel(context.Background())
 		ends := make(chan task.End, 2)
-		vms := []*Controller{New(logr.Discard()), New(logr.Discard())}
+		vms := []*Controller{New(nil, logr.Discard()), New(nil, logr.Discard())}
 		for _, vm := range vms {
 			task.Start(ctx, "quarantine", ends, vm.Run)
 		}
--- a/internal/routes/controller.go
+++ b/internal/routes/controller.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -17,6 +18,7 @@
 type Controller struct {
 	mailbox chan message
 	log     logr.Logger
+	watch   *task.Stopwatch
 	table   *routing.Table
 	// waiting holds the callers of WaitFirst.
 	waiting []chan<- *routing.Table
@@ -36,9 +38,12 @@
 	waitFirstMessage struct{ reply chan<- *routing.Table }
 )
 
-// New returns a Controller; Run starts it.
-func New(log logr.Logger) *Controller {
-	return &Controller{mailbox: make(chan message, mailboxSize), log: log}
+// Size implements task.Sized.
+func (m tableMessage) Size() int { return len(m.table.Routes) }
+
+// New returns a Controller; Run starts it. A nil meter records nothing.
+func New(meter task.Meter, log logr.Logger) *Controller {
+	return &Controller{mailbox: make(chan message, mailboxSize), log: log, watch: task.NewStopwatch("routes", meter, log)}
 }
 
 // Run handles messages until ctx ends. The platform VM runs it as a task.
@@ -46,7 +51,9 @@
 	for {
 		select {
 		case m := <-c.mailbox:
+			started := time.Now()
 			m.handle(c)
+			c.watch.Handled(started, m)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/internal/routes/controller_test.go
+++ b/internal/routes/controller_test.go
@@ -25,7 +25,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
-				c := New(logr.Discard())
+				c := New(nil, logr.Discard())
 				replies := make(chan *routing.Table, mailboxSize)
 				for range test.questions {
 					qt.Assert(t, task.Tell(c.mailbox, message(currentMessage{replies})), qt.IsNil)
@@ -52,7 +52,7 @@
 func TestTableIsGivenUpWithItsContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		c := New(logr.Discard())
+		c := New(nil, logr.Discard())
 		for range mailboxSize {
 			qt.Assert(t, task.Tell(c.mailbox, message(currentMessage{})), qt.IsNil)
 		}
--- a/internal/shift/controller.go
+++ b/internal/shift/controller.go
@@ -59,6 +59,8 @@
 	VM string
 	// SessionIdle is how long a session stays active after its last request.
 	SessionIdle time.Duration
+	// Meter records the time of the Controller's messages; it may be nil.
+	Meter task.Meter
 }
 
 // Controller owns the traffic shifts, the evidence about versions and the versions of active sessions.
@@ -69,6 +71,7 @@
 	versions Versions
 	opts     Options
 	log      logr.Logger
+	watch    *task.Stopwatch
 	services map[string]*service
 	sessions map[sessionKey]*session
 	// trials holds the attempts in flight at the targets of running traffic shifts.
@@ -133,7 +136,7 @@
 func New(records RecordStore, versions Versions, o Options, log logr.Logger) *Controller {
 	return &Controller{
 		mailbox: make(chan message, mailboxSize), records: records, versions: versions, opts: o, log: log,
-		services: map[string]*service{}, sessions: map[sessionKey]*session{}, trials: map[AttemptID]*trial{}, tally: rollout.NewTally(),
+		watch: task.NewStopwatch("shift", o.Meter, log), services: map[string]*service{}, sessions: map[sessionKey]*session{}, trials: map[AttemptID]*trial{}, tally: rollout.NewTally(),
 		jobs: make(chan func(context.Context), mailboxSize), writing: map[string]bool{},
 	}
 }
@@ -149,9 +152,13 @@
 	for {
 		select {
 		case m := <-c.mailbox:
+			started := time.Now()
 			m.handle(ctx, c)
+			c.watch.Handled(started, m)
 		case now := <-ticker.C:
+			started := time.Now()
 			c.tick(now)
+			c.watch.Ticked(started)
 		case <-ctx.Done():
 			return task.Stop(cancel, ends, 1)
 		}
--- a/internal/shift/gossip.go
+++ b/internal/shift/gossip.go
@@ -15,6 +15,9 @@
 	stateMessage struct{ state peer.State }
 )
 
+// Size implements task.Sized.
+func (m stateMessage) Size() int { return len(m.state.Evidence) + len(m.state.Latencies) }
+
 // gossip is what a VM tells its peers while a traffic shift runs.
 type gossip struct {
 	evidence  []peer.VersionEvidence
--- a/internal/shift/sessions.go
+++ b/internal/shift/sessions.go
@@ -57,6 +57,9 @@
 	}
 )
 
+// Size implements task.Sized.
+func (m pinnedMessage) Size() int { return len(m.sessions) }
+
 // PinSessions pins sessions that were active on the old version on another VM, given by hash. It is called when the VM
 // learns that VM's list from the store.
 func (c *Controller) PinSessions(_ context.Context, service string, sessions []uint64) error {
