--- /dev/null
+++ b/internal/pool/cost_bench_test.go
@@ -0,0 +1,145 @@
+package pool
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"cornelmux/internal/endpoint"
+	"cornelmux/internal/peer"
+	"cornelmux/pkg/routing"
+)
+
+// tableSizes are the endpoints and services of a small site and of the largest one planned for.
+var tableSizes = []struct{ endpoints, services int }{{24, 4}, {2900, 26}}
+
+// prompt returns one with a number of parts, of which the first share are the same in all.
+func prompt(parts, share, own int) routing.Prompt {
+	p := routing.Prompt{TokensIn: parts * 16}
+	for i := range parts {
+		id := uint64(i + 1)
+		if i >= share {
+			id = uint64(own)<<32 + uint64(i+1)
+		}
+		p.Blocks = append(p.Blocks, routing.PrefixBlock{ID: id, Tokens: 16})
+	}
+	return p
+}
+
+// sizedTable returns a table of so many endpoints, divided among the services, in three zones.
+func sizedTable(endpoints, services int) *Table {
+	t := NewTable(endpoint.Location{Region: "r", Zone: "z0"})
+	for i := range endpoints {
+		t.Put(sizedEntry(i, services), start)
+	}
+	return t
+}
+
+func sizedEntry(i, services int) Entry {
+	return Entry{
+		ID: fmt.Sprintf("runner-%06d", i*7919%1_000_003), Service: fmt.Sprint("s", i%services), Address: "127.0.0.1:1",
+		Zone: fmt.Sprint("z", i/services%3), Region: "r", Version: "v1", Incarnation: 5, Slots: 16,
+	}
+}
+
+// BenchmarkEntry measures what one entry of the directory takes the Controller's goroutine.
+func BenchmarkEntry(b *testing.B) {
+	tests := []struct {
+		name string
+		run  func(t *Table, size, services, n int)
+	}{
+		{"unchanged", func(t *Table, size, services, n int) { t.Put(sizedEntry(n%size, services), start) }},
+		{"new and dropped", func(t *Table, size, services, n int) {
+			e := sizedEntry(size+n%1000, services)
+			t.Put(e, start)
+			t.Drop(e.ID, start)
+		}},
+		{"full scan", func(t *Table, size, services, _ int) {
+			ids := make([]string, size)
+			for i := range ids {
+				ids[i] = sizedEntry(i, services).ID
+			}
+			t.Retain(ids, start)
+		}},
+	}
+	for _, test := range tests {
+		for _, s := range tableSizes {
+			b.Run(fmt.Sprintf("%s/%d endpoints", test.name, s.endpoints), func(b *testing.B) {
+				t := sizedTable(s.endpoints, s.services)
+				for n := 0; b.Loop(); n++ {
+					test.run(t, s.endpoints, s.services, n)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkFirstScan measures all entries of a first scan, one after another.
+func BenchmarkFirstScan(b *testing.B) {
+	for _, s := range tableSizes {
+		b.Run(fmt.Sprintf("%d endpoints", s.endpoints), func(b *testing.B) {
+			for b.Loop() {
+				sizedTable(s.endpoints, s.services)
+			}
+		})
+	}
+}
+
+// BenchmarkPlacement measures the placement of a run and its end, by the parts of its prompt. All parts but the first ten belong
+// to the request alone.
+func BenchmarkPlacement(b *testing.B) {
+	for _, s := range tableSizes {
+		for _, parts := range []int{10, 100, 1150} {
+			b.Run(fmt.Sprintf("%d endpoints/%d parts", s.endpoints, parts), func(b *testing.B) {
+				t := sizedTable(s.endpoints, s.services)
+				var chosen, done time.Duration
+				run := func(n int) {
+					now := start.Add(time.Duration(n) * time.Millisecond)
+					p := prompt(parts, 10, n+1)
+					q := Query{Service: "s0", Model: "m", Prompt: p, Affinity: p.SharedPrefix()}
+					began := time.Now()
+					placed, _ := t.Choose(&q, now)
+					ended := time.Now()
+					o := Outcome{Endpoint: placed.ID, Incarnation: 5, End: EndAnswered, Service: "s0", Model: "m", Prompt: p, TTFB: time.Millisecond, SentAt: now}
+					t.Done(&o, now)
+					chosen, done = chosen+ended.Sub(began), done+time.Since(ended)
+				}
+				for n := range 2 * len(t.services["s0"]) * maxPrefixBlocks / parts / 10 {
+					run(n)
+				}
+				chosen, done = 0, 0
+				n := 1 << 20
+				for b.Loop() {
+					run(n)
+					n++
+				}
+				b.ReportMetric(float64(chosen.Nanoseconds())/float64(b.N), "ns/choose")
+				b.ReportMetric(float64(done.Nanoseconds())/float64(b.N), "ns/done")
+			})
+		}
+	}
+}
+
+// BenchmarkPeerState measures the state of one peer, and the reports for one's own state.
+func BenchmarkPeerState(b *testing.B) {
+	for _, s := range tableSizes {
+		t := sizedTable(s.endpoints, s.services)
+		var reports []peer.EndpointReport
+		for _, r := range t.records {
+			r.InFlight = 1
+			reports = append(reports, peer.EndpointReport{Endpoint: r.ID, Incarnation: 5, Running: 3, EngineLoad: 2})
+		}
+		reports = slices.Clip(reports[:min(len(reports), 40)]) // what one datagram holds
+		b.Run(fmt.Sprintf("receive/%d endpoints", s.endpoints), func(b *testing.B) {
+			for n := 0; b.Loop(); n++ {
+				t.ApplyPeerReports(fmt.Sprint("vm-", n%460), reports, start)
+			}
+		})
+		b.Run(fmt.Sprintf("collect/%d endpoints", s.endpoints), func(b *testing.B) {
+			for b.Loop() {
+				t.PeerReports(start)
+			}
+		})
+	}
+}
