Give a silent send up only once another endpoint has accepted the request

What callers saw: a stream whose endpoint was silent for a moment was closed in the middle although that endpoint would have gone on. The send was cancelled once a placement elsewhere was reserved, which is this VM's own count; if the next endpoint then refused, couldn't be reached, broke off or failed, and the ones after it, nothing was left.

Now each send is a task that owns its stream and hands the head and the chunks over on an unbuffered channel. The goroutine of the request reads the channels of at most two sends, and is the only one that touches the exchange and the sink. While the current send is silent, a task looks for a placement and a replacement is opened beside it. Its head, unless it is a refusal or an error status, is the acceptance: only then is the silent send cancelled, and its end awaited before anything of the other is relayed. If the current send brings its head or progress first, the replacement is cancelled before that is relayed. So events can't be relayed by both: a replacement continues after the last event at its opening, and it never becomes current if one was relayed since. If the current send fails, the replacement that is being opened takes its place. A replacement that fails is reported as any send, and another is tried while attempts, budget and time last; after one that couldn't be reached, which isn't an attempt, that waits 150 ms. One that is silent as well before its head makes room for the next, and the first send stays.

The silence timer runs only while the owner waits, so a slow caller is no silence, and the separate watch is gone. What a send hands over goes before the timer, which may fire because this process was held up. The log: a replacement that lost is `abandoned`, "the send before it went on"; a send given up for an accepted one stays `silent`.

Test doubles that two sends may use at the same time got a lock or an atomic counter; their checks are as before.

--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -12,6 +12,7 @@
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/pool"
 	"cornelmux/internal/shift"
+	"cornelmux/internal/task"
 	"cornelmux/pkg/result"
 	"cornelmux/pkg/routing"
 )
@@ -75,6 +76,9 @@
 	}
 	run.reserved, x.Routed.Stronger = x.Routed.Stronger, nil
 	defer func() { run.release(ctx, run.reserved) }()
+	run.timer = time.NewTimer(0)
+	run.timer.Stop()
+	defer run.timer.Stop()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if wait, ok := run.timeToGiveUp(); ok {
@@ -92,7 +96,8 @@
 	}
 }
 
-// forwardRun is one request on its way through Forward.
+// forwardRun is one request on its way through Forward. Only the goroutine of the request uses it; its sends and the placement of
+// a replacement are tasks, which tell it what comes by messages.
 type forwardRun struct {
 	placer
 	sender      Sender
@@ -104,9 +109,13 @@
 	reserved *Reservation
 	// tried lists the IDs of the endpoints that this run has used, and of those that failed it at an earlier model.
 	tried []string
-	// present is the present attempt; trial says that its progress is to be told.
-	present shift.Attempt
-	trial   bool
+	// current is the send whose answer goes to the caller. replacement is one that is opened beside it because it is silent, and
+	// asked the task that looks for a placement for one; both may be nil.
+	current     *sendTask
+	replacement *sendTask
+	asked       *replacementTask
+	// timer fires once the newest send was silent for too long.
+	timer *time.Timer
 	// lastEventID is the ID of the last whole event that the caller has.
 	lastEventID string
 	// errorAnswer is the endpoint's answer with an error status, held back while another endpoint may answer better.
@@ -132,14 +141,10 @@
 	body endpoint.Chunk
 }
 
-// errEndpointStatus ends a send that the endpoint answered with an error status; the answer is in errorAnswer.
-var errEndpointStatus = errors.New("the endpoint answered with an error status")
-
-// attempt checks the quarantine before a retry, places the run unless a placement is reserved, sends it once and reports the
-// outcome. If the check or the placement fails, nothing is sent or reported, and there is no retry. Handle calls it for the first
-// send and for each retry.
+// attempt checks the quarantine before a retry, places the run unless a placement is reserved, sends it and follows the send to
+// its end, and to those of its replacements. If the check or the placement fails, nothing is sent or reported, and there is no
+// retry. Handle calls it for the first send and for each retry.
 func (f *forwardRun) attempt(ctx context.Context) error {
-	x := f.x
 	if err := f.checkResend(ctx); err != nil {
 		return err
 	}
@@ -151,21 +156,41 @@
 			return err
 		}
 	}
-	place := r.Placement
+	f.setCurrent(f.startSend(ctx, r))
+	f.watch(f.current.first)
+	return f.follow(ctx)
+}
+
+// startSend starts a send to the reserved endpoint. It is bound to the request, not to another send.
+func (f *forwardRun) startSend(ctx context.Context, r *Reservation) *sendTask {
+	x, place := f.x, r.Placement
 	f.tried = append(f.tried, place.ID)
 	x.Routed.Attempts++
-	x.Attempt.Endpoint = endpoint.Endpoint{ID: place.ID, Address: place.Address, Region: place.Region, Zone: place.Zone}
-	x.Attempt.Version, x.Attempt.Load, x.Attempt.RetryAllowed, x.Attempt.StrongerLatency = place.Version, place.Load, place.RetryAllowed, place.StrongerLatency
-	f.present, f.trial = shift.Attempt{
-		ID: shift.AttemptID{Request: x.Request.ID, Number: x.Routed.Attempts}, Service: x.Routed.Service, Version: place.Version,
-		Session: x.Request.Session, Endpoint: place.ID, Kind: x.Routed.Route.Name + " " + x.Attempt.Model,
-		Model: x.Attempt.Model, Running: place.Running,
-	}, r.Binding.Trial
-	_ = f.Shifts.AttemptStarted(ctx, f.present) // a full mailbox loses the binding of the session
-	s := f.send(ctx, place)
-	f.reserved = s.reserved
-	f.report(ctx, place, s)
-	return s.err
+	now := time.Now()
+	s := &sendTask{
+		place: place, model: x.Attempt.Model, trial: r.Binding.Trial, sender: f.sender, call: f.call(),
+		messages: make(chan message), ends: make(chan task.End, 1), sendResult: sendResult{began: now, progressAt: now, reportAt: firstProgress},
+		present: shift.Attempt{
+			ID: shift.AttemptID{Request: x.Request.ID, Number: x.Routed.Attempts}, Service: x.Routed.Service, Version: place.Version,
+			Session: x.Request.Session, Endpoint: place.ID, Kind: x.Routed.Route.Name + " " + x.Attempt.Model,
+			Model: x.Attempt.Model, Running: place.Running,
+		},
+	}
+	s.first = f.firstSilenceLimit(place)
+	s.gap = f.eventGapLimit(s.first)
+	ctx, s.cancel = context.WithCancel(ctx)
+	s.check = f.sendCheck(ctx, s)
+	_ = f.Shifts.AttemptStarted(ctx, s.present) // a full mailbox loses the binding of the session
+	task.Start(ctx, "send", s.ends, s.run)
+	return s
+}
+
+// setCurrent makes s the send whose answer goes to the caller.
+func (f *forwardRun) setCurrent(s *sendTask) {
+	f.current = s
+	a := &f.x.Attempt
+	a.Endpoint, a.Version, a.Load = s.target(), s.place.Version, s.place.Load
+	a.RetryAllowed, a.StrongerLatency = s.place.RetryAllowed, s.place.StrongerLatency
 }
 
 // query describes the run for placement. Only streams go to model engines and carry a model, a prompt and an affinity:
@@ -210,47 +235,17 @@
 	return s.Engine.Weight(model)
 }
 
-// report tells the pool and the traffic shift how the send ended, and appends it to the trace for the log.
-// attempt calls it after each send.
-func (f *forwardRun) report(ctx context.Context, place pool.Placement, s sendResult) {
-	x := f.x
-	o := pool.Outcome{
-		Endpoint: place.ID, Incarnation: place.Incarnation, End: s.end, Service: x.Routed.Service, TTFB: s.ttfb,
-		SentAt: time.Now().Add(-s.duration), Events: s.events, Fingerprint: Fingerprint(x),
-	}
-	a := shift.Outcome{
-		Attempt: f.present, Failed: s.end == pool.EndFailed, TimedOut: s.end == pool.EndTimeout,
-		Conclusive: s.end == pool.EndAnswered || s.end == pool.EndFailed || s.end == pool.EndTimeout, TTFB: s.ttfb, Duration: s.duration,
-		Pace: s.gaps.pace(),
-	}
-	if x.Routed.Route.Kind == routing.KindStream {
-		o.Model, o.Prompt, o.Weight = x.Attempt.Model, x.Routed.Prompt, f.weight(x.Attempt.Model)
-	}
-	o.MeanGap = s.gaps.mean()
-	f.reportRun(ctx, place, s)
-	_ = f.Pool.Done(ctx, o)           // Done waits for room; if it fails even so, the run stays counted as in flight
-	_ = f.Shifts.AttemptEnded(ctx, a) // a full mailbox loses one answer's evidence
-	step := Step{
-		Endpoint: place.ID, Model: x.Attempt.Model, Version: place.Version, End: s.end.String(), Load: place.Load,
-		TTFB: s.ttfb, Duration: s.duration, Events: s.events, MeanGap: o.MeanGap, Silent: s.silent, Refused: s.refused,
-		RefusedErr: s.refusedErr, Confidence: -1,
-		Verdict: x.Attempt.Verdict.String(),
-	}
-	if s.head.HasConfidence {
-		step.Confidence = s.head.Confidence
-	}
-	if s.err != nil {
-		step.Err = s.err.Error()
-	}
-	x.Routed.Trace = append(x.Routed.Trace, step)
+// shouldRetry reports whether the request may be sent to another endpoint after err: it may go on elsewhere, and attempts are
+// left. Handle calls it after each failed attempt.
+func (f *forwardRun) shouldRetry(ctx context.Context, err error) bool {
+	return f.mayGoOn(ctx, err) && f.x.Routed.attemptsLeft() > 0
 }
 
-// shouldRetry reports whether the request may be sent to another endpoint after err: the caller is still connected,
-// attempts are left, the error is not final, and the request is idempotent or was not run. Error statuses below 500 are
-// final. Handle calls it after each failed attempt.
-func (f *forwardRun) shouldRetry(ctx context.Context, err error) bool {
+// mayGoOn reports whether another endpoint may answer the request after err: the caller is still connected, the error is not
+// final, and the request is idempotent or was not run. Error statuses below 500 are final.
+func (f *forwardRun) mayGoOn(ctx context.Context, err error) bool {
 	x := f.x
-	if ctx.Err() != nil || x.Routed.callerLeft() || errors.Is(err, errCallerGone) || x.Routed.attemptsLeft() <= 0 {
+	if ctx.Err() != nil || x.Routed.callerLeft() || errors.Is(err, errCallerGone) {
 		return false
 	}
 	var coded *result.Error
--- a/internal/filter/pausing_test.go
+++ b/internal/filter/pausing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,7 +20,9 @@
 // pausingSender is a Sender whose answers begin after a pause and have pauses between their chunks, as scripted, in order.
 type pausingSender struct {
 	script []pausingSend
-	to     []string
+	// mu guards to, since two sends may be open at the same time.
+	mu sync.Mutex
+	to []string
 }
 
 type pausingSend struct {
@@ -33,8 +36,10 @@
 	if err := check(); err != nil {
 		return nil, err
 	}
+	s.mu.Lock()
 	n := len(s.to)
 	s.to = append(s.to, e.ID)
+	s.mu.Unlock()
 	if n >= len(s.script) {
 		return nil, fmt.Errorf("%w: no further send is scripted", endpoint.ErrBroken)
 	}
--- a/internal/filter/quarantine.go
+++ b/internal/filter/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"cornelmux/internal/pool"
 	"cornelmux/internal/quarantine"
@@ -48,14 +47,14 @@
 
 // reportRun tells the quarantine how a run with shared prompt blocks ended, if that says something of them. A run that was
 // lost after its first event doesn't. report calls it.
-func (f *forwardRun) reportRun(ctx context.Context, place pool.Placement, s sendResult) {
+func (f *forwardRun) reportRun(ctx context.Context, s *sendTask) {
 	x := f.x
 	blocks := x.Routed.Prompt.SharedBlocks()
 	if len(blocks) == 0 {
 		return
 	}
 	run := quarantine.Run{
-		Fingerprint: Fingerprint(x), Blocks: blocks, Endpoint: place.ID, Incarnation: place.Incarnation, SentAt: time.Now().Add(-s.duration),
+		Fingerprint: Fingerprint(x), Blocks: blocks, Endpoint: s.place.ID, Incarnation: s.place.Incarnation, SentAt: s.began,
 	}
 	switch {
 	case s.end == pool.EndAnswered && s.err == nil:
--- a/internal/filter/reservation_test.go
+++ b/internal/filter/reservation_test.go
@@ -69,7 +69,7 @@
 // that ran a request.
 type randomSender struct {
 	sends []randomSend
-	n     int
+	n     atomic.Int64
 	runs  chan string
 }
 
@@ -85,8 +85,7 @@
 	if err := check(); err != nil {
 		return nil, err
 	}
-	send := s.sends[s.n%len(s.sends)]
-	s.n++
+	send := s.sends[int(s.n.Add(1)-1)%len(s.sends)]
 	if send.err == nil || send.err == endpoint.ErrBroken {
 		s.runs <- e.ID
 	}
--- /dev/null
+++ b/internal/filter/sendtask.go
@@ -0,0 +1,168 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"cornelmux/internal/cascade"
+	"cornelmux/internal/endpoint"
+	"cornelmux/internal/pool"
+	"cornelmux/internal/shift"
+	"cornelmux/internal/task"
+)
+
+// sendTask is one send of a request. Its task owns the stream from the endpoint and hands what comes over to the goroutine of the
+// request, which owns all else.
+type sendTask struct {
+	place pool.Placement
+	// model is the model asked, or "" for a plain service.
+	model string
+	// present is the attempt for the traffic shift; trial says that its progress is to be told.
+	present shift.Attempt
+	trial   bool
+	// first is the silence timeout until the first progress, gap the one between two; 0 means none.
+	first, gap time.Duration
+	sender     Sender
+	call       endpoint.Call
+	check      endpoint.SendCheck
+	// messages brings what the endpoint answers, and is closed at the end.
+	messages chan message
+	ends     chan task.End
+	// cancel ends the send. givenUp says why the owner did so; nil if it didn't.
+	cancel  context.CancelFunc
+	givenUp error
+
+	// The task sets what follows before it hands something over or ends, and the owner reads it after: whether the check let the
+	// send pass, the head, the time to it, and the body of an answer with an error status.
+	sent      bool
+	head      endpoint.Head
+	ttfb      time.Duration
+	errorBody endpoint.Chunk
+
+	sendResult
+}
+
+// message is what a send hands over: that the endpoint accepted the request, with the head of its answer, or a chunk.
+type message struct {
+	accepted bool
+	chunk    endpoint.Chunk
+}
+
+// sendResult is how one send ended, as its owner saw it.
+type sendResult struct {
+	err error
+	end pool.End
+	// began is when the send started, duration the time until its end.
+	began    time.Time
+	duration time.Duration
+	// events counts the events that were read, lastEventAt is the time of the last, and gaps holds the times between them. The
+	// pace is reported after as many events as reportAt says.
+	events      int
+	lastEventAt time.Time
+	gaps        gaps
+	reportAt    int
+	// silent is the longest time without progress; progressAt is the time of the last one, or the start of the send.
+	silent     time.Duration
+	progressAt time.Time
+	// refused counts the tries to place this silent send elsewhere that found no placement; refusedErr is the reason of the last.
+	refused    int
+	refusedErr string
+	// verdict is the decision on the answer by its confidence; 0 if there was none.
+	verdict cascade.Verdict
+}
+
+// progressed records progress of the answer.
+func (s *sendResult) progressed(now time.Time) {
+	s.silent = max(s.silent, now.Sub(s.progressAt))
+	s.progressAt = now
+}
+
+// run opens the send and hands the answer over, one chunk at a time. After the last chunk it waits to be cancelled, since the
+// stream's memory holds that chunk. It's the task of a send.
+func (s *sendTask) run(ctx context.Context) error {
+	defer close(s.messages)
+	stream, err := s.sender.Open(ctx, s.target(), s.call, s.check)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	s.head, s.ttfb = stream.Head(), time.Since(s.began)
+	if s.head.Status >= http.StatusBadRequest {
+		return s.readErrorBody(stream)
+	}
+	if err := s.hand(ctx, message{accepted: true}); err != nil {
+		return err
+	}
+	for {
+		fragment, err := nextChunk(stream)
+		if err != nil {
+			return err
+		}
+		if err := s.hand(ctx, message{chunk: fragment}); err != nil {
+			return err
+		}
+		if fragment.Last {
+			<-ctx.Done()
+			return nil
+		}
+	}
+}
+
+// target returns the endpoint of the placement.
+func (s *sendTask) target() endpoint.Endpoint {
+	return endpoint.Endpoint{ID: s.place.ID, Address: s.place.Address, Region: s.place.Region, Zone: s.place.Zone}
+}
+
+// nextChunk returns the next chunk of an answer whose last one hasn't come.
+func nextChunk(stream endpoint.Stream) (endpoint.Chunk, error) {
+	fragment, err := stream.Next()
+	if errors.Is(err, io.EOF) {
+		return endpoint.Chunk{}, fmt.Errorf("%w: the answer ended before its last chunk", endpoint.ErrBroken)
+	}
+	return fragment.Chunk, err
+}
+
+// hand waits until the owner takes m, or the send is cancelled.
+func (s *sendTask) hand(ctx context.Context, m message) error {
+	select {
+	case s.messages <- m:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", endpoint.ErrBroken, ctx.Err())
+	}
+}
+
+// errEndpointStatus ends a send that the endpoint answered with an error status, whose body is in errorBody.
+var errEndpointStatus = errors.New("the endpoint answered with an error status")
+
+// readErrorBody reads the body of an answer with an error status whole. run calls it.
+func (s *sendTask) readErrorBody(stream endpoint.Stream) error {
+	for !s.errorBody.Last {
+		c, err := nextChunk(stream)
+		if err != nil {
+			return fmt.Errorf("%w: %w", endpoint.ErrBroken, err)
+		}
+		s.errorBody.Data = append(s.errorBody.Data, c.Data...)
+		s.errorBody.Last = c.Last
+	}
+	return errEndpointStatus
+}
+
+// received returns the channel on which the owner gets what s hands over; nil, which never brings anything, without a send.
+func (s *sendTask) received() <-chan message {
+	if s == nil {
+		return nil
+	}
+	return s.messages
+}
+
+// stop cancels the send, unless it has ended, and waits for its end. why is the reason, or nil after a whole answer.
+func (s *sendTask) stop(why error) error {
+	s.givenUp = why
+	s.cancel()
+	return (<-s.ends).Err
+}
--- a/internal/filter/silence.go
+++ b/internal/filter/silence.go
@@ -1,118 +1,206 @@
 package filter
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
 
 	"cornelmux/internal/pool"
+	"cornelmux/internal/quarantine"
 	"cornelmux/internal/task"
 )
 
 // replaceInterval is the time between two tries to place a silent send elsewhere.
 const replaceInterval = 150 * time.Millisecond
 
-// errSilence is the cause of the cancellation by the silence watch.
+// errSilence is the reason to cancel a silent send: another endpoint has accepted the request, or, if the endpoint hasn't accepted
+// it either, may do so.
 var errSilence = errors.New("silence timeout of the endpoint")
 
-// silenceWatch is a task that watches one send. Once the send has been silent for too long, it reserves a placement at another
-// endpoint and only then cancels the send. While none can be had, the send goes on, since its endpoint may do so too.
-type silenceWatch struct {
+// replacementTask looks for a placement for a replacement of the silent send. Its reservation is read after its end.
+type replacementTask struct {
 	placer
-	query pool.Query
-	// first is the silence timeout until the first progress, gap the one between two.
-	first, gap time.Duration
-	// latest is when the last replacement may be sent; zero means no limit.
-	latest time.Time
-	cancel context.CancelCauseFunc
-	// progress holds the newest signal.
-	progress chan progress
-	ends     chan task.End
-
-	// What follows is read by the owner after the watch has ended: the reservation, or nil, the number of tries that found no
-	// placement, and the error of the last.
-	reserved *Reservation
-	refused  int
-	err      error
-}
-
-// progress says what a send does since its answer came on.
-type progress int
-
-const (
-	// progressPassingOn means that the caller takes what came, which is no silence of the endpoint.
-	progressPassingOn progress = iota + 1
-	// progressWaiting means that the send waits for more.
-	progressWaiting
-)
+	quarantines Quarantines
+	silent      *sendTask
+	query       pool.Query
+	check       quarantine.Query
+	ends        chan task.End
+	reserved    *Reservation
+	// unneeded is set by the owner once the request has gone on meanwhile.
+	unneeded bool
+}
+
+// run asks the quarantine and reserves a placement. It's the task of a replacementTask.
+func (t *replacementTask) run(ctx context.Context) error {
+	if err := t.quarantines.Check(ctx, t.check); err != nil {
+		return err
+	}
+	r, err := t.reserve(ctx, t.query)
+	t.reserved = r
+	return err
+}
+
+// ended returns the channel that gets the end of the task; nil, which never brings anything, if there is none.
+func (t *replacementTask) ended() <-chan task.End {
+	if t == nil {
+		return nil
+	}
+	return t.ends
+}
+
+// firstSilenceLimit returns the silence timeout until the first progress of a send, or 0 if nothing is known to base one on. For
+// a resumed stream it follows from MaxGap and twice the usual time to first byte. It leaves time for a long prompt.
+func (f *forwardRun) firstSilenceLimit(place pool.Placement) time.Duration {
+	r := f.x.Routed.Route
+	prefill := prefillTimeoutFactor * place.PrefillTime
+	if f.x.Relayed {
+		return max(time.Duration(gapTimeoutShare*float64(r.MaxGap)), 2*place.TypicalLatency.TTFB, prefill)
+	}
+	return max(time.Duration(minTTFBTimeoutShare*float64(r.Objective)), ttfbTimeoutFactor*place.TypicalLatency.TTFB, prefill)
+}
+
+// eventGapLimit returns the silence timeout between the events of a stream: that until the first progress if the route sets
+// no MaxGap.
+func (f *forwardRun) eventGapLimit(first time.Duration) time.Duration {
+	return cmp.Or(time.Duration(gapTimeoutShare*float64(f.x.Routed.Route.MaxGap)), first)
+}
+
+// watch starts the silence timeout of the newest send, unless the request can't be sent again or nothing is known to base one on.
+func (f *forwardRun) watch(limit time.Duration) {
+	if f.x.Idempotent && limit > 0 {
+		f.timer.Reset(limit)
+	}
+}
+
+// headLimit returns the silence timeout from the head of the answer: what is left of that until the first progress, or the one
+// between two if the head came later.
+func (s *sendTask) headLimit() time.Duration {
+	if left := s.first - time.Since(s.began); left > 0 {
+		return left
+	}
+	return s.gap
+}
+
+// newest returns the send whose silence counts: the replacement if there is one, or else the current one.
+func (f *forwardRun) newest() *sendTask { return cmp.Or(f.replacement, f.current) }
 
-// signal tells the watch of progress of the send, in place of a signal that it hasn't read yet. Only the owner of the watch
-// calls it; w may be nil.
-func (w *silenceWatch) signal(p progress) {
-	if w == nil {
+// tooLate reports whether a replacement of s could hardly answer before the deadline.
+func (f *forwardRun) tooLate(s *sendTask) bool {
+	d := f.x.Request.Deadline
+	return !d.IsZero() && time.Until(d) < max(minSendTime, s.place.TypicalLatency.TTFB)
+}
+
+// askReplacement starts to look for a placement for a replacement of the newest send, if the request may be sent once more.
+// handleNext calls it when that send was silent for too long, takeReplacement when a replacement has failed.
+func (f *forwardRun) askReplacement(ctx context.Context) {
+	s := f.newest()
+	if f.asked != nil {
+		f.watch(replaceInterval)
 		return
 	}
-	select {
-	case <-w.progress:
-	default: // the watch has read the last one
+	if !f.x.Idempotent || f.x.Routed.attemptsLeft() <= 0 || ctx.Err() != nil || f.tooLate(s) {
+		return
 	}
-	w.progress <- p
-}
-
-// run watches until it has cancelled the send or ctx, the send's context, ends. It's the task of a watch.
-func (w *silenceWatch) run(ctx context.Context) error {
-	timer := time.NewTimer(w.first)
-	defer timer.Stop()
-	for {
-		select {
-		case p := <-w.progress:
-			timer.Stop()
-			if p == progressWaiting {
-				timer.Reset(w.gap)
-			}
-		case <-timer.C:
-			if w.tooLate() {
-				return nil
-			}
-			if w.replace(ctx) {
-				w.cancel(errSilence)
-				return nil
-			}
-			timer.Reset(replaceInterval)
-		case <-ctx.Done():
-			return ctx.Err()
+	t := &replacementTask{
+		placer: f.placer, quarantines: f.quarantines, silent: s, query: f.query(), check: quarantineQuery(f.x), ends: make(chan task.End, 1),
+	}
+	t.query.Silent = s.place.ID
+	f.asked = t
+	task.Start(ctx, "replacement", t.ends, t.run)
+}
+
+// openReplacement opens the replacement that was looked for, unless none was found or the request has gone on. At most two sends
+// are open: a replacement that is silent as well and hasn't accepted the request is given up for the next. handleNext calls it at
+// the end of the task.
+func (f *forwardRun) openReplacement(ctx context.Context, err error) {
+	t := f.asked
+	f.asked = nil
+	switch {
+	case err != nil:
+		t.silent.countRefusal(err)
+		if !t.unneeded {
+			f.watch(replaceInterval)
 		}
+		return
+	case t.unneeded, ctx.Err() != nil, f.tooLate(t.silent):
+		f.release(ctx, t.reserved)
+		return
 	}
+	if s := f.replacement; s != nil {
+		f.replacement = nil
+		f.conclude(ctx, s, s.stop(errSilence))
+	}
+	f.replacement = f.startSend(ctx, t.reserved)
+	f.watch(f.replacement.first)
 }
 
-// tooLate reports whether latest has passed.
-func (w *silenceWatch) tooLate() bool { return !w.latest.IsZero() && time.Now().After(w.latest) }
+// countRefusal counts a try to place a replacement that failed with err.
+func (s *sendResult) countRefusal(err error) {
+	s.refused++
+	s.refusedErr = err.Error()
+}
 
-// replace tries to reserve a placement for the silent send and reports whether the send is to be cancelled for it. run calls it
-// when the timer fires.
-func (w *silenceWatch) replace(ctx context.Context) bool {
-	if len(w.progress) > 0 {
-		return false
+// takeReplacement handles what the replacement handed over. If its endpoint accepted the request, the silent send is given up for it;
+// ok is false if it has ended, and the silent send goes on. It reports whether the request ends, and with which error. handleNext
+// calls it.
+func (f *forwardRun) takeReplacement(ctx context.Context, ok bool) (bool, error) {
+	s := f.replacement
+	f.replacement = nil
+	if !ok {
+		f.conclude(ctx, s, s.stop(nil))
+		switch s.end {
+		case pool.EndAbandoned: // no further send may begin
+		case pool.EndUnreachable: // these have no bound but the retry budget
+			f.watch(replaceInterval)
+		default:
+			f.askReplacement(ctx)
+		}
+		return false, nil
 	}
-	r, err := w.reserve(ctx, w.query)
-	if err != nil {
-		w.refused++
-		w.err = err
-		return false
+	silent := f.current
+	f.conclude(ctx, silent, silent.stop(errSilence))
+	f.setCurrent(s)
+	f.markUnneeded()
+	return f.relayHead(ctx)
+}
+
+// goOn drops the replacement, opened or looked for, because the current send goes on.
+func (f *forwardRun) goOn(ctx context.Context) {
+	f.markUnneeded()
+	f.dropReplacement(ctx, errOvertaken)
+}
+
+// markUnneeded says that the placement that is looked for is to be given back.
+func (f *forwardRun) markUnneeded() {
+	if f.asked != nil {
+		f.asked.unneeded = true
 	}
-	if len(w.progress) > 0 || ctx.Err() != nil || w.tooLate() {
-		w.release(ctx, r)
-		return false
+}
+
+// dropReplacement cancels the replacement, if there is one, and reports it; why is the reason.
+func (f *forwardRun) dropReplacement(ctx context.Context, why error) {
+	s := f.replacement
+	if s == nil {
+		return
 	}
-	w.reserved = r
-	return true
+	f.replacement = nil
+	f.conclude(ctx, s, s.stop(why))
 }
 
-// stop ends the watch, whose context the caller has cancelled, and returns what it reserved. w may be nil.
-func (w *silenceWatch) stop() *Reservation {
-	if w == nil {
+// dropAsked gives the placement back that is looked for, if there is one.
+func (f *forwardRun) dropAsked(ctx context.Context) { f.release(ctx, f.takeAsked(f.current)) }
+
+// takeAsked waits for the placement that is looked for and returns it, or nil. If none was found, it counts that for s, unless
+// that is nil.
+func (f *forwardRun) takeAsked(s *sendTask) *Reservation {
+	t := f.asked
+	f.asked = nil
+	if t == nil {
 		return nil
 	}
-	<-w.ends
-	return w.reserved
+	if end := <-t.ends; end.Err != nil && s != nil {
+		s.countRefusal(end.Err)
+	}
+	return t.reserved
 }
