--- a/internal/drain/controller.go
+++ b/internal/drain/controller.go
@@ -128,9 +128,10 @@
 
 func (m enterMessage) handle(c *Controller) { c.requests[m.ticket] = &m.request }
 
+// handle moves the request forward only: a second send may begin while the first is being answered.
 func (m progressMessage) handle(c *Controller) {
 	if r := c.requests[m.ticket]; r != nil {
-		r.Stage, r.Sends = m.stage, m.sends
+		r.Stage, r.Sends = max(r.Stage, m.stage), max(r.Sends, m.sends)
 	}
 }
 
