A request leaves the pool at its deadline, whatever the pool is busy with

pool.Controller.Choose ignored its context: while one message kept the pool's goroutine, every request of every service waited for its reply past its deadline, so that its caller got neither an answer nor a refusal.

task.AskOrLeave makes reply and leaving exclude each other: whichever is first takes the one place of the reply's channel. A question whose asker left is skipped by the pool, and a placement whose request leaves at the same moment is given back by the pool itself, with its retry, so nothing depends on room in the mailbox.

TestRequestLeavesAHeldUpPoolAtItsDeadline failed before: with the pool held up for 3 s, a request with 1 s left came back after 3 s, placed. TestNothingIsLeftOfAbandonedPlacements (rapid) and TestReplyAndLeaveAgree check that nothing is lost or counted twice.

--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -68,7 +69,7 @@
 
 	chooseMessage struct {
 		query Query
-		reply chan<- chooseReply
+		reply task.Reply[chooseReply]
 	}
 	chooseReply struct {
 		placement Placement
@@ -154,18 +155,16 @@
 }
 
 // Choose implements filter.Pool. It places a run and counts it as in flight until Done. Filter Forward calls it for
-// each send, and for a replacement before it gives up a silent send; if it fails, nothing is sent.
-func (c *Controller) Choose(_ context.Context, q Query) (Placement, error) {
-	reply := make(chan chooseReply, 1)
-	if err := task.Tell(c.mailbox, message(chooseMessage{q, reply})); err != nil {
+// each send, and for a replacement before it gives up a silent send; if it fails, nothing is sent and nothing counted as in flight.
+func (c *Controller) Choose(ctx context.Context, q Query) (Placement, error) {
+	r, err := task.AskOrLeave(ctx, c.stopped, c.mailbox, func(reply task.Reply[chooseReply]) message { return chooseMessage{q, reply} })
+	switch {
+	case errors.Is(err, task.ErrFull):
 		return Placement{}, result.Errorf(result.QueueFull, "place run: endpoint controller: %v", err).WithRetryAfter(retryAfter)
-	}
-	// Wait for the reply even if the request has ended, because the placement counts as in flight until Done.
-	var r chooseReply
-	select {
-	case r = <-reply:
-	case <-c.stopped:
-		return Placement{}, result.Errorf(result.Leaving, "place run: endpoint controller has stopped")
+	case errors.Is(err, task.ErrStopped):
+		return Placement{}, result.Errorf(result.Leaving, "place run: endpoint controller: %v", err)
+	case err != nil:
+		return Placement{}, result.Errorf(result.DeadlinePassed, "place run: endpoint controller: %v", err)
 	}
 	switch r.choice {
 	case ChoicePlaced:
@@ -240,23 +239,18 @@
 }
 
 // handle counts the run in the retry budget and places it; a retry that isn't placed isn't counted. An escalation leaves a part of
-// the budget to retries after failures. Choose sends the message.
+// the budget to retries after failures. A run whose request has left isn't placed. Choose sends the message.
 func (m chooseMessage) handle(_ context.Context, c *Controller) {
 	now := time.Now()
 	budget := c.budget(m.query.Service)
-	switch {
-	case !m.query.Retry:
+	if !m.query.Retry {
 		budget.CountRequest(now)
-	case m.query.Escalation && !budget.AllowsEscalation(now):
-		m.reply <- chooseReply{choice: ChoiceNoBudget}
-		return
-	case m.query.Escalation:
-		budget.CountRetry(now)
-	case m.query.Silent != "" && !c.table.TakeMove(m.query.Silent, now):
-		m.reply <- chooseReply{choice: ChoiceLater}
+	}
+	if !m.reply.Wanted() {
 		return
-	case !budget.TakeRetry(now):
-		m.reply <- chooseReply{choice: ChoiceNoBudget}
+	}
+	if refusal := c.takeRetry(&m.query, budget, now); refusal != 0 {
+		m.reply.Send(chooseReply{choice: refusal})
 		return
 	}
 	p, choice := c.table.Choose(&m.query, now)
@@ -264,7 +258,34 @@
 		budget.ReturnRetry(now)
 	}
 	p.RetryAllowed = budget.AllowsEscalation(now)
-	m.reply <- chooseReply{p, choice}
+	if !m.reply.Send(chooseReply{p, choice}) && choice == ChoicePlaced {
+		c.giveBack(&m.query, &p, now)
+	}
+}
+
+// takeRetry counts a retry in the budget, and returns why it isn't allowed, or 0. The handler of chooseMessage calls it.
+func (c *Controller) takeRetry(q *Query, budget *RetryBudget, now time.Time) Choice {
+	switch {
+	case !q.Retry:
+	case q.Escalation && !budget.AllowsEscalation(now):
+		return ChoiceNoBudget
+	case q.Escalation:
+		budget.CountRetry(now)
+	case q.Silent != "" && !c.table.TakeMove(q.Silent, now):
+		return ChoiceLater
+	case !budget.TakeRetry(now):
+		return ChoiceNoBudget
+	}
+	return 0
+}
+
+// giveBack takes a placement back whose request left while it was placed. The handler of chooseMessage calls it.
+func (c *Controller) giveBack(q *Query, p *Placement, now time.Time) {
+	o := Outcome{Endpoint: p.ID, Incarnation: p.Incarnation, End: EndUnused, Service: q.Service, Model: q.Model, Weight: q.Weight}
+	_ = c.table.Done(&o, now) // a run that wasn't sent proves no crash
+	if q.Retry {
+		c.budget(q.Service).ReturnRetry(now)
+	}
 }
 
 // budget returns the retry budget of a service, and makes one if there is none.
