Owners of state skip the questions of those who have left

A question whose asker has gone is now known to its receiver (AskOrLeave) in routes, shift, quarantine and for the gossiped states, so that a backlog drains fast, and nothing is given to a reply that nobody reads: each state that the feed had given up still took one of the ten rounds in which a lost run is told to the peers. A check by the quarantine that ends with its request says deadline_passed in place of queue_full.

--- a/internal/pool/gossip.go
+++ b/internal/pool/gossip.go
@@ -76,7 +76,9 @@
 }
 
 type (
-	collectMessage struct{ reply chan<- []peer.EndpointReport }
+	collectMessage struct {
+		reply task.Reply[[]peer.EndpointReport]
+	}
 	receiveMessage struct{ state peer.State }
 )
 
@@ -85,7 +87,7 @@
 
 // Collect implements peer.Section.
 func (c *Controller) Collect(ctx context.Context, s *peer.State) error {
-	reports, err := task.Ask(ctx, c.mailbox, func(reply chan<- []peer.EndpointReport) message { return collectMessage{reply} })
+	reports, err := task.AskOrLeave(ctx, c.stopped, c.mailbox, func(reply task.Reply[[]peer.EndpointReport]) message { return collectMessage{reply} })
 	s.Endpoints = append(s.Endpoints, reports...)
 	return err
 }
@@ -99,7 +101,9 @@
 }
 
 func (m collectMessage) handle(_ context.Context, c *Controller) {
-	m.reply <- c.table.PeerReports(time.Now())
+	if m.reply.Wanted() {
+		m.reply.Send(c.table.PeerReports(time.Now()))
+	}
 }
 
 func (m receiveMessage) handle(_ context.Context, c *Controller) {
--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -58,13 +58,13 @@
 type (
 	checkMessage struct {
 		query Query
-		reply chan<- refusal
+		reply task.Reply[refusal]
 	}
 	crashMessage   struct{ report peer.CrashReport }
 	lostMessage    struct{ run Run }
 	wholeMessage   struct{ run Run }
 	receiveMessage struct{ state peer.State }
-	collectMessage struct{ reply chan<- peer.State }
+	collectMessage struct{ reply task.Reply[peer.State] }
 )
 
 // Size implements task.Sized: the blocks of a prompt, or the reports of a state.
@@ -138,7 +138,10 @@
 // prompt is in quarantine, or the Controller doesn't reply. Filter Quarantine calls it for each request, and filter Forward
 // before each further send.
 func (c *Controller) Check(ctx context.Context, q Query) error {
-	r, err := task.Ask(ctx, c.mailbox, func(reply chan<- refusal) message { return checkMessage{q, reply} })
+	r, err := task.AskOrLeave(ctx, nil, c.mailbox, func(reply task.Reply[refusal]) message { return checkMessage{q, reply} })
+	if err != nil && ctx.Err() != nil {
+		return result.Errorf(result.DeadlinePassed, "check quarantine: %v", err)
+	}
 	if err != nil {
 		return result.Errorf(result.QueueFull, "check quarantine: %v", err).WithRetryAfter(time.Second)
 	}
@@ -168,7 +171,7 @@
 
 // Collect implements peer.Section. It adds what is announced to the state.
 func (c *Controller) Collect(ctx context.Context, s *peer.State) error {
-	part, err := task.Ask(ctx, c.mailbox, func(reply chan<- peer.State) message { return collectMessage{reply} })
+	part, err := task.AskOrLeave(ctx, nil, c.mailbox, func(reply task.Reply[peer.State]) message { return collectMessage{reply} })
 	s.Crashes = append(s.Crashes, part.Crashes...)
 	s.LostRuns = append(s.LostRuns, part.LostRuns...)
 	s.Clearances = append(s.Clearances, part.Clearances...)
@@ -184,18 +187,25 @@
 
 // handle answers whether the request may be sent.
 func (m checkMessage) handle(c *Controller) {
+	if m.reply.Wanted() {
+		m.reply.Send(m.refusal(c))
+	}
+}
+
+// refusal returns why the request may not be sent, if it may not.
+func (m checkMessage) refusal(c *Controller) refusal {
 	now := time.Now()
 	block, remaining := c.blocks.Quarantined(m.query.Blocks, now)
 	requestRemaining := c.records.Remaining(m.query.Fingerprint, now)
 	switch {
 	case remaining > 0:
-		m.reply <- refusal{"prompt block " + blockName(block) + " crashed endpoints", remaining}
+		return refusal{"prompt block " + blockName(block) + " crashed endpoints", remaining}
 	case requestRemaining > 0:
-		m.reply <- refusal{"request crashed endpoints while they ran it", requestRemaining}
+		return refusal{"request crashed endpoints while they ran it", requestRemaining}
 	case m.query.Resend && c.blocks.HoldsBack(m.query.Fingerprint, m.query.Blocks):
-		m.reply <- refusal{"request was lost at the start of its answer, and may have crashed the endpoint", holdBackRetryAfter}
+		return refusal{"request was lost at the start of its answer, and may have crashed the endpoint", holdBackRetryAfter}
 	default:
-		m.reply <- refusal{}
+		return refusal{}
 	}
 }
 
@@ -288,8 +298,11 @@
 }
 
 // handle drops the expired announcements and answers with the oldest of the others and what is known of blocks. Collect sends
-// the message for each gossiped state.
+// the message for each gossiped state. What it tells counts as told, so that a state that isn't sent any more must not take it.
 func (m collectMessage) handle(c *Controller) {
+	if !m.reply.Wanted() {
+		return
+	}
 	now := time.Now()
 	c.applyChanges(c.blocks.Decide(now), now)
 	for len(c.announcements) > 0 && !now.Before(c.announcements[0].until) {
@@ -300,5 +313,5 @@
 		s.Crashes = append(s.Crashes, a.report)
 	}
 	c.blocks.Collect(&s, now)
-	m.reply <- s
+	m.reply.Send(s)
 }
--- a/internal/routes/controller.go
+++ b/internal/routes/controller.go
@@ -34,7 +34,7 @@
 		from  string
 	}
 	// currentMessage asks for the table, waitFirstMessage for one that isn't nil.
-	currentMessage   struct{ reply chan<- *routing.Table }
+	currentMessage   struct{ reply task.Reply[*routing.Table] }
 	waitFirstMessage struct{ reply chan<- *routing.Table }
 )
 
@@ -68,7 +68,7 @@
 
 // Current returns the newest table, or nil if there is none yet. The Route filter calls it for each request.
 func (c *Controller) Current(ctx context.Context) (*routing.Table, error) {
-	return task.Ask(ctx, c.mailbox, func(reply chan<- *routing.Table) message { return currentMessage{reply} })
+	return task.AskOrLeave(ctx, nil, c.mailbox, func(reply task.Reply[*routing.Table]) message { return currentMessage{reply} })
 }
 
 // WaitFirst returns the newest table, and waits for the first one if there is none yet. The platform VM calls it once and
@@ -96,7 +96,7 @@
 	c.waiting = nil
 }
 
-func (m currentMessage) handle(c *Controller) { m.reply <- c.table }
+func (m currentMessage) handle(c *Controller) { m.reply.Send(c.table) }
 
 func (m waitFirstMessage) handle(c *Controller) {
 	if c.table != nil {
--- a/internal/routes/controller_test.go
+++ b/internal/routes/controller_test.go
@@ -26,9 +26,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				c := New(nil, logr.Discard())
-				replies := make(chan *routing.Table, mailboxSize)
 				for range test.questions {
-					qt.Assert(t, task.Tell(c.mailbox, message(currentMessage{replies})), qt.IsNil)
+					qt.Assert(t, task.Tell(c.mailbox, message(currentMessage{})), qt.IsNil)
 				}
 				applied, ends := make(chan task.End, 1), make(chan task.End, 1)
 				task.Start(ctx, "feed", applied, func(ctx context.Context) error {
--- a/internal/shift/gossip.go
+++ b/internal/shift/gossip.go
@@ -10,7 +10,7 @@
 
 type (
 	collectMessage struct {
-		reply chan<- gossip
+		reply task.Reply[gossip]
 	}
 	stateMessage struct{ state peer.State }
 )
@@ -27,7 +27,7 @@
 // Collect implements peer.Section. It adds this VM's evidence about running traffic shifts, and the old version's latencies,
 // to the gossiped state.
 func (c *Controller) Collect(ctx context.Context, s *peer.State) error {
-	g, err := task.Ask(ctx, c.mailbox, func(reply chan<- gossip) message { return collectMessage{reply} })
+	g, err := task.AskOrLeave(ctx, nil, c.mailbox, func(reply task.Reply[gossip]) message { return collectMessage{reply} })
 	s.Evidence = append(s.Evidence, g.evidence...)
 	s.Latencies = append(s.Latencies, g.latencies...)
 	return err
@@ -43,6 +43,9 @@
 
 // handle replies with what this VM knows about running traffic shifts. Collect sends the message.
 func (m collectMessage) handle(_ context.Context, c *Controller) {
+	if !m.reply.Wanted() {
+		return
+	}
 	var g gossip
 	for name, s := range c.services {
 		if s.record.State != StateRunning {
@@ -55,7 +58,7 @@
 		}
 		g.latencies = append(g.latencies, s.baselines.Report(name)...)
 	}
-	m.reply <- g
+	m.reply.Send(g)
 }
 
 // toPeer returns the evidence as peers receive it.
--- a/internal/shift/sessions.go
+++ b/internal/shift/sessions.go
@@ -53,7 +53,7 @@
 	bindMessage struct {
 		service string
 		session string
-		reply   chan<- Binding
+		reply   task.Reply[Binding]
 	}
 )
 
@@ -69,7 +69,7 @@
 // Bind returns the versions that the next attempt of a session may go to. An empty session stands for a request without one.
 // The filter that forwards requests calls it before each attempt.
 func (c *Controller) Bind(ctx context.Context, service, session string) (Binding, error) {
-	return task.Ask(ctx, c.mailbox, func(reply chan<- Binding) message { return bindMessage{service, session, reply} })
+	return task.AskOrLeave(ctx, nil, c.mailbox, func(reply task.Reply[Binding]) message { return bindMessage{service, session, reply} })
 }
 
 // handle pins the sessions that another VM published.
@@ -86,9 +86,12 @@
 // handle replies with the versions that the session's next attempt may go to; any if the service has no traffic shift.
 // A request without a session gets a random bucket. Controller.Bind sends the message.
 func (m bindMessage) handle(_ context.Context, c *Controller) {
+	if !m.reply.Wanted() {
+		return
+	}
 	s, ok := c.services[m.service]
 	if !ok || s.record.Target == "" {
-		m.reply <- Binding{}
+		m.reply.Send(Binding{})
 		return
 	}
 	now := time.Now()
@@ -98,7 +101,7 @@
 	}
 	if m.session == "" {
 		in.Bucket = rand.Float64()
-		m.reply <- Bind(in)
+		m.reply.Send(Bind(in))
 		return
 	}
 	hash := SessionHash(m.session)
@@ -106,7 +109,7 @@
 	if known, ok := c.sessions[sessionKey{m.service, hash}]; ok && c.isActive(known, now) {
 		in.ActiveHere, in.Version = true, known.version
 	}
-	m.reply <- Bind(in)
+	m.reply.Send(Bind(in))
 }
 
 // currentShare returns the share of sessions that get the new version now. Within the canary's time it follows the
