--- a/internal/feed/cost_bench_test.go
+++ b/internal/feed/cost_bench_test.go
@@ -23,7 +23,7 @@
 			c := New(nil, nil, nil, ignored{}, Options{Self: Member{VM: "vm-0", Zone: "z0"}}, logr.Discard())
 			var items []Item
 			for i := range size.keys {
-				items = append(items, Item{Key: fmt.Sprintf("servers/runner-%d", i), Value: make([]byte, 300), Revision: uint64(i + 1)})
+				items = append(items, Item{Key: fmt.Sprintf("endpoint-%d", i), Value: make([]byte, 300), Revision: uint64(i + 1)})
 			}
 			for i := range size.vms {
 				value := fmt.Sprintf(`{"vm":"vm-%d","zone":"z%d","address":"127.0.0.1:%d"}`, i, i%15, i+1)
@@ -35,7 +35,7 @@
 		c, items := replica()
 		b.Run(fmt.Sprintf("change of one key/%d VMs", size.vms), func(b *testing.B) {
 			for n := uint64(1 << 20); b.Loop(); n++ {
-				c.apply(b.Context(), []Item{{Key: "op/config", Value: make([]byte, 88<<10), Revision: n}})
+				c.apply(b.Context(), []Item{{Key: "configuration", Value: make([]byte, 88<<10), Revision: n}})
 			}
 		})
 		b.Run(fmt.Sprintf("changes to forward/%d VMs", size.vms), func(b *testing.B) {
@@ -58,7 +58,7 @@
 			}
 		})
 	}
-	update := Update{VM: "vm-1", Items: []Item{{Key: "op/config", Value: make([]byte, 88<<10), Revision: 5}}}
+	update := Update{VM: "vm-1", Items: []Item{{Key: "configuration", Value: make([]byte, 88<<10), Revision: 5}}}
 	for i := range update.Items[0].Value {
 		update.Items[0].Value[i] = byte(i * i >> 3)
 	}
