A request is refused in time while an owner of state is held up

The wait for the route table had no bound but the caller's own leaving, and that for the quarantine ended at the very moment at which the caller left: neither could be refused. Both now end early enough that the refusal reaches the caller, as Forward does it, and the error says deadline_passed.

TestRequestIsAnsweredWhileAnOwnerIsHeldUp holds the goroutine of the pool, the routes or the shifts in a whole VM. It failed before for the routes (no answer to an idempotent request in 15 s, until the owner went on), and fails for the pool with a Choose that ignores its context. TestRefusalReachesTheCallerWhileAnOwnerIsHeldUp failed as well: the request never ended.

--- a/internal/filter/quarantine.go
+++ b/internal/filter/quarantine.go
@@ -27,7 +27,9 @@
 // Handle implements Filter.
 func (f Quarantine) Handle(ctx context.Context, x *Exchange, next Next) error {
 	asked := time.Now()
-	err := f.Quarantines.Check(ctx, quarantineQuery(x))
+	limited, cancel := ownerContext(ctx, x)
+	err := f.Quarantines.Check(limited, quarantineQuery(x))
+	cancel()
 	x.Routed.CheckWait = time.Since(asked)
 	if err != nil {
 		return err
--- a/internal/filter/reserve.go
+++ b/internal/filter/reserve.go
@@ -6,7 +6,6 @@
 
 	"cornelmux/internal/pool"
 	"cornelmux/internal/shift"
-	"cornelmux/pkg/result"
 )
 
 // Reservation is a placement for a send that has not begun; the pool counts it as in flight until Done.
@@ -32,7 +31,7 @@
 	asked := time.Now()
 	binding, err := p.Shifts.Bind(ctx, q.Service, p.session)
 	if err != nil {
-		return nil, result.Errorf(result.QueueFull, "bind the session to a version: %v", err)
+		return nil, ownerError("bind the session to a version", err)
 	}
 	q.Version, q.ExcludedVersions = binding.Version, binding.ExcludedVersions
 	place, err := p.Pool.Choose(ctx, q)
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -125,11 +125,9 @@
 	if !f.waitLoaded(ctx) {
 		return result.Errorf(result.NotReady, "the VM has not read the platform yet").WithRetryAfter(startupWait)
 	}
-	asked := time.Now()
-	t, err := f.Routes.Current(ctx)
-	x.Routed.TableWait = time.Since(asked)
+	t, err := f.table(ctx, x)
 	if err != nil {
-		return result.Errorf(result.QueueFull, "read the route table: %v", err)
+		return err
 	}
 	if t == nil {
 		return result.Errorf(result.NotReady, "no configuration has been loaded yet")
@@ -171,6 +169,19 @@
 	return next(run, x)
 }
 
+// table returns the newest route table, and notes how long the request waited for it. Handle calls it once.
+func (f Route) table(ctx context.Context, x *Exchange) (*routing.Table, error) {
+	asked := time.Now()
+	ctx, cancel := ownerContext(ctx, x)
+	defer cancel()
+	t, err := f.Routes.Current(ctx)
+	x.Routed.TableWait = time.Since(asked)
+	if err != nil {
+		return nil, ownerError("read the route table", err)
+	}
+	return t, nil
+}
+
 // startupWait is how long a request waits for a VM that has just started, and the Retry-After of a request that waited
 // in vain.
 const startupWait = 600 * time.Millisecond
