Answer requests that a stop would cut without an answer

At the end of the grace period all connections were closed at once, also those of requests of which nothing was answered yet: callers got neither an answer nor a refusal, and didn't know whether the request had run.

They get 503 (leaving) if nothing was sent, or else 502 or 504, with Connection: close. Streams whose answer has begun go on until the cut, and a whole answer that comes at the last moment is passed on.

--- a/internal/drain/controller.go
+++ b/internal/drain/controller.go
@@ -63,13 +63,6 @@
 	Cancel context.CancelCauseFunc
 }
 
-// Stop is the timetable of a graceful shutdown.
-type Stop struct {
-	// Began is when the shutdown began, CutAt when the connections of the requests that are left are closed.
-	Began time.Time
-	CutAt time.Time
-}
-
 // Controller owns the requests in flight. The goroutine of a request tells it how that goes on, by messages.
 type Controller struct {
 	mailbox chan message
@@ -77,31 +70,34 @@
 	stopped  chan struct{}
 	log      logr.Logger
 	requests map[*Ticket]*Request
-	// stop is set once the VM is leaving; halfway fires at half of its time.
-	stop    *Stop
-	halfway *time.Timer
+	// stop is set once the VM is leaving. phases are those that are to come, in order; timer fires at the first.
+	stop   *Stop
+	phases []phase
+	timer  *time.Timer
+	// refusing is set once requests of which nothing was answered are given up.
+	refusing bool
 }
 
 // New makes a Controller; Run starts it.
 func New(log logr.Logger) *Controller {
-	halfway := time.NewTimer(time.Hour)
-	halfway.Stop()
+	timer := time.NewTimer(time.Hour)
+	timer.Stop()
 	return &Controller{
 		mailbox: make(chan message, mailboxSize), stopped: make(chan struct{}), log: log,
-		requests: map[*Ticket]*Request{}, halfway: halfway,
+		requests: map[*Ticket]*Request{}, timer: timer,
 	}
 }
 
 // Run is the task that owns the state; it handles messages until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	defer close(c.stopped)
-	defer c.halfway.Stop()
+	defer c.timer.Stop()
 	for {
 		select {
 		case m := <-c.mailbox:
 			m.handle(c)
-		case now := <-c.halfway.C:
-			c.report("halfway", now)
+		case now := <-c.timer.C:
+			c.nextPhase(now)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -126,7 +122,12 @@
 	reportMessage struct{ reply chan<- int }
 )
 
-func (m enterMessage) handle(c *Controller) { c.requests[m.ticket] = &m.request }
+func (m enterMessage) handle(c *Controller) {
+	c.requests[m.ticket] = &m.request
+	if c.refusing {
+		m.ticket.Cancel(*c.stop)
+	}
+}
 
 func (m progressMessage) handle(c *Controller) {
 	if r := c.requests[m.ticket]; r != nil {
@@ -137,8 +138,8 @@
 func (m exitMessage) handle(c *Controller) { delete(c.requests, m.ticket) }
 
 func (m leaveMessage) handle(c *Controller) {
-	c.stop = &m.stop
-	c.halfway.Reset(time.Until(m.stop.Began.Add(m.stop.CutAt.Sub(m.stop.Began) / 2)))
+	c.stop, c.phases = &m.stop, phases(m.stop)
+	c.timer.Reset(time.Until(c.phases[0].at))
 }
 
 func (m reportMessage) handle(c *Controller) {
--- a/internal/drain/controller_test.go
+++ b/internal/drain/controller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -63,7 +64,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				lines := make(chan string, 8)
 				c := startController(t, lines)
-				ticket, r := &Ticket{}, test.request
+				ticket, r := &Ticket{Cancel: func(error) {}}, test.request
 				r.ID, r.Route, r.Arrived, r.Deadline = "q1", "look", time.Now(), time.Now().Add(5*time.Second)
 				c.Enter(ticket, r)
 				for _, p := range test.progress {
@@ -74,7 +75,7 @@
 				}
 				time.Sleep(time.Second)
 				began := time.Now()
-				c.Leave(Stop{Began: began, CutAt: began.Add(4 * time.Second)})
+				c.Leave(Stop{Began: began, AnswerBy: began.Add(4 * time.Second), CutAt: began.Add(4 * time.Second)})
 				time.Sleep(2*time.Second + time.Millisecond)
 				halfway := takeLines(lines, `"at"="halfway"`)
 				n, err := c.ReportEnd(t.Context())
@@ -104,7 +105,7 @@
 		for n := range 2 * maxReported {
 			c.Enter(&Ticket{}, Request{ID: fmt.Sprint("q", n), Arrived: time.Now()})
 		}
-		c.Leave(Stop{Began: time.Now(), CutAt: time.Now().Add(time.Second)})
+		c.Leave(Stop{Began: time.Now(), AnswerBy: time.Now().Add(time.Second), CutAt: time.Now().Add(time.Second)})
 		n, err := c.ReportEnd(t.Context())
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, n, qt.Equals, 2*maxReported)
@@ -113,3 +114,50 @@
 		qt.Check(t, all[maxReported], qt.Contains, fmt.Sprint(`"requests"=`, maxReported))
 	})
 }
+
+// TestStopEndsWhatHasNoAnswer checks which requests are ended shortly before the cut, by the shutdown as the cause.
+func TestStopEndsWhatHasNoAnswer(t *testing.T) {
+	const answerBy, cutAt = 3 * time.Second, 4 * time.Second
+	tests := []struct {
+		name string
+		// enteredAt is when the request enters, relative to the shutdown; stage is the one that it reaches.
+		enteredAt time.Duration
+		stage     Stage
+		// want is when it is ended; 0 is never.
+		want time.Duration
+	}{
+		{"body is being read", -time.Second, StageReading, answerBy},
+		{"waits to be sent", time.Second, StagePlacing, answerBy},
+		{"was sent", -time.Second, StageSent, answerBy},
+		{"answer has begun", -time.Second, StageAnswering, 0},
+		{"enters after that", answerBy + 100*time.Millisecond, StageReading, answerBy + 100*time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := startController(t, make(chan string, 8))
+				began := time.Now().Add(2 * time.Second)
+				leave := time.AfterFunc(time.Until(began), func() {
+					c.Leave(Stop{Began: began, AnswerBy: began.Add(answerBy), CutAt: began.Add(cutAt)})
+				})
+				defer leave.Stop()
+				time.Sleep(time.Until(began.Add(test.enteredAt)))
+				ctx, cancel := context.WithCancelCause(t.Context())
+				defer cancel(nil)
+				ticket := &Ticket{Cancel: cancel}
+				c.Enter(ticket, Request{ID: "q1", Stage: StageReading, Arrived: time.Now()})
+				if test.stage != StageReading {
+					c.Progress(ticket, test.stage, 1)
+				}
+				select {
+				case <-ctx.Done():
+					qt.Check(t, time.Since(began), qt.Equals, test.want)
+					var s Stop
+					qt.Check(t, errors.As(context.Cause(ctx), &s), qt.IsTrue)
+				case <-time.After(time.Until(began.Add(cutAt))):
+					qt.Check(t, test.want, qt.Equals, time.Duration(0))
+				}
+			})
+		})
+	}
+}
--- a/internal/filter/drain.go
+++ b/internal/filter/drain.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 
 	"cornelmux/internal/drain"
 	"cornelmux/internal/endpoint"
+	"cornelmux/pkg/result"
 )
 
 // Requests tracks the requests in flight.
@@ -15,7 +17,8 @@
 	Exit(t *drain.Ticket)
 }
 
-// Drain tracks each request that passes it as in flight. It follows Route, which sets the deadline.
+// Drain tracks each request that passes it as in flight. One of which nothing was answered when the VM has to end fails with
+// result.Leaving. Drain follows Route, which sets the deadline.
 type Drain struct {
 	Requests Requests
 }
@@ -31,7 +34,26 @@
 	defer f.Requests.Exit(t)
 	x.Flight = &Flight{Requests: f.Requests, Ticket: t}
 	x.Sink = &drainSink{x: x, sink: x.Sink}
-	return next(ctx, x)
+	err := next(ctx, x)
+	if err != nil && isStopped(ctx) {
+		return leavingError(x, err)
+	}
+	return err
+}
+
+// isStopped reports whether the shutdown of the VM ended the request's context.
+func isStopped(ctx context.Context) bool {
+	var s drain.Stop
+	return errors.As(context.Cause(ctx), &s)
+}
+
+// leavingError returns the error of a request that the shutdown of the VM ended. Its run state is that of err if anything was sent.
+func leavingError(x *Exchange, err error) *result.Error {
+	e := result.Errorf(result.Leaving, "this VM is shutting down: %v", err).WithRetryAfter(retryAfter)
+	if x.Sends > 0 {
+		e.Run = result.From(err).Run
+	}
+	return e
 }
 
 // Flight is a request's entry among those in flight. Its methods do nothing if it is nil.
@@ -57,9 +79,12 @@
 // Begin implements Sink.
 func (s *drainSink) Begin(ctx context.Context, h Head) error { return s.sink.Begin(ctx, h) }
 
-// Chunk implements Sink.
+// Chunk implements Sink. An answer that isn't whole yet doesn't begin any more once the request was ended.
 func (s *drainSink) Chunk(ctx context.Context, c endpoint.Chunk) error {
 	if !s.answering {
+		if !c.Last && isStopped(ctx) {
+			return context.Cause(ctx)
+		}
 		s.answering = true
 		s.x.Flight.progress(drain.StageAnswering, s.x.Sends)
 	}
