Send no request on that a stop may cut

A VM that was stopping passed requests on until its last moment, if their bodies came slowly: those that a runner then worked on longer than the rest of the grace period were given up, among them requests that may not be repeated and have then perhaps run.

After that a request is sent for the first time only if its deadline ends before requests are given up. Otherwise it is refused as not run (503, leaving) with Retry-After and Connection: close: at its entry, immediately before its send, or while its body is still being read. Retries and streams that go on elsewhere aren't refused.

--- a/internal/drain/controller.go
+++ b/internal/drain/controller.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -67,7 +68,10 @@
 type Controller struct {
 	mailbox chan message
 	// stopped is closed when the task ends.
-	stopped  chan struct{}
+	stopped chan struct{}
+	// stopping ends with the Stop as its cause when the shutdown begins; leave ends it.
+	stopping context.Context
+	leave    context.CancelCauseFunc
 	log      logr.Logger
 	requests map[*Ticket]*Request
 	// stop is set once the VM is leaving. phases are those that are to come, in order; timer fires at the first.
@@ -82,7 +86,9 @@
 func New(log logr.Logger) *Controller {
 	timer := time.NewTimer(time.Hour)
 	timer.Stop()
+	stopping, leave := context.WithCancelCause(context.Background())
 	return &Controller{
+		stopping: stopping, leave: leave,
 		mailbox: make(chan message, mailboxSize), stopped: make(chan struct{}), log: log,
 		requests: map[*Ticket]*Request{}, timer: timer,
 	}
@@ -164,8 +170,18 @@
 // Exit ends the count of a request.
 func (c *Controller) Exit(t *Ticket) { c.tell(exitMessage{t}) }
 
-// Leave begins a graceful shutdown.
-func (c *Controller) Leave(s Stop) { c.tell(leaveMessage{s}) }
+// Leave begins a graceful shutdown. A request that enters and isn't told of it by Stopping was counted before it.
+func (c *Controller) Leave(s Stop) {
+	c.leave(s)
+	c.tell(leaveMessage{s})
+}
+
+// Stopping returns the timetable of the shutdown; false before it begins.
+func (c *Controller) Stopping() (Stop, bool) {
+	var s Stop
+	ok := errors.As(context.Cause(c.stopping), &s)
+	return s, ok
+}
 
 // ReportEnd logs the requests that are in flight when their connections are to be closed, and returns their number.
 func (c *Controller) ReportEnd(ctx context.Context) (int, error) {
--- a/internal/drain/controller_test.go
+++ b/internal/drain/controller_test.go
@@ -115,22 +115,26 @@
 	})
 }
 
-// TestStopEndsWhatHasNoAnswer checks which requests are ended shortly before the cut, by the shutdown as the cause.
+// TestStopEndsWhatHasNoAnswer checks which requests are ended and when, by the shutdown as the cause.
 func TestStopEndsWhatHasNoAnswer(t *testing.T) {
-	const answerBy, cutAt = 3 * time.Second, 4 * time.Second
+	const acceptUntil, answerBy, cutAt = 2 * time.Second, 3 * time.Second, 4 * time.Second
 	tests := []struct {
 		name string
 		// enteredAt is when the request enters, relative to the shutdown; stage is the one that it reaches.
 		enteredAt time.Duration
 		stage     Stage
+		// deadline is the request's, relative to the shutdown; 0 is none.
+		deadline time.Duration
 		// want is when it is ended; 0 is never.
 		want time.Duration
 	}{
-		{"body is being read", -time.Second, StageReading, answerBy},
-		{"waits to be sent", time.Second, StagePlacing, answerBy},
-		{"was sent", -time.Second, StageSent, answerBy},
-		{"answer has begun", -time.Second, StageAnswering, 0},
-		{"enters after that", answerBy + 100*time.Millisecond, StageReading, answerBy + 100*time.Millisecond},
+		{"body is being read", -time.Second, StageReading, 0, acceptUntil},
+		{"body is being read, deadline after the end", -time.Second, StageReading, answerBy + 1, acceptUntil},
+		{"body is being read, deadline before the end", -time.Second, StageReading, answerBy, answerBy},
+		{"waits to be sent", time.Second, StagePlacing, 0, answerBy},
+		{"was sent", -time.Second, StageSent, 0, answerBy},
+		{"answer has begun", -time.Second, StageAnswering, 0, 0},
+		{"enters after that", answerBy + 100*time.Millisecond, StageReading, 0, answerBy + 100*time.Millisecond},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -138,14 +142,18 @@
 				c := startController(t, make(chan string, 8))
 				began := time.Now().Add(2 * time.Second)
 				leave := time.AfterFunc(time.Until(began), func() {
-					c.Leave(Stop{Began: began, AnswerBy: began.Add(answerBy), CutAt: began.Add(cutAt)})
+					c.Leave(Stop{Began: began, AcceptUntil: began.Add(acceptUntil), AnswerBy: began.Add(answerBy), CutAt: began.Add(cutAt)})
 				})
 				defer leave.Stop()
 				time.Sleep(time.Until(began.Add(test.enteredAt)))
 				ctx, cancel := context.WithCancelCause(t.Context())
 				defer cancel(nil)
 				ticket := &Ticket{Cancel: cancel}
-				c.Enter(ticket, Request{ID: "q1", Stage: StageReading, Arrived: time.Now()})
+				r := Request{ID: "q1", Stage: StageReading, Arrived: time.Now()}
+				if test.deadline > 0 {
+					r.Deadline = began.Add(test.deadline)
+				}
+				c.Enter(ticket, r)
 				if test.stage != StageReading {
 					c.Progress(ticket, test.stage, 1)
 				}
--- a/internal/drain/stop.go
+++ b/internal/drain/stop.go
@@ -1,11 +1,16 @@
 package drain
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Stop is the timetable of a graceful shutdown. It is the cause of the end of a request's context that the shutdown ended.
 type Stop struct {
 	// Began is when the shutdown began.
 	Began time.Time
+	// AcceptUntil is until when each request is sent on that wasn't sent before; later only one that is certain of its answer.
+	AcceptUntil time.Time
 	// AnswerBy is when requests of which nothing was answered are given up, so that their errors reach the callers before CutAt.
 	AnswerBy time.Time
 	// CutAt is when the connections of the requests that are left are closed.
@@ -15,6 +20,12 @@
 // Error implements error.
 func (Stop) Error() string { return "the VM is shutting down" }
 
+// Refuses reports whether a request with the deadline, zero if it has none, comes too late to be sent for the first time at now: it
+// may still run at AnswerBy.
+func (s Stop) Refuses(now, deadline time.Time) bool {
+	return !now.Before(s.AcceptUntil) && (deadline.IsZero() || deadline.After(s.AnswerBy))
+}
+
 // phase is a step of a shutdown, which the Controller takes at its time.
 type phase struct {
 	at   time.Time
@@ -23,10 +34,13 @@
 
 // phases returns the steps of a shutdown in order.
 func phases(s Stop) []phase {
-	return []phase{
+	all := []phase{
+		{s.AcceptUntil, (*Controller).refuseUnread},
 		{s.Began.Add(s.CutAt.Sub(s.Began) / 2), func(c *Controller, now time.Time) { c.report("halfway", now) }},
 		{s.AnswerBy, (*Controller).refuseRest},
 	}
+	slices.SortStableFunc(all, func(a, b phase) int { return a.at.Compare(b.at) })
+	return all
 }
 
 // nextPhase takes the next step, after the messages that came before it, and sets the timer for the one after it. Run calls it when
@@ -42,6 +56,15 @@
 	}
 }
 
+// refuseUnread ends each request whose body hasn't come whole, if it would be refused after that.
+func (c *Controller) refuseUnread(now time.Time) {
+	for t, r := range c.requests {
+		if r.Stage == StageReading && c.stop.Refuses(now, r.Deadline) {
+			t.Cancel(*c.stop)
+		}
+	}
+}
+
 // refuseRest ends each request of which nothing was answered.
 func (c *Controller) refuseRest(time.Time) {
 	c.refusing = true
--- a/internal/filter/drain.go
+++ b/internal/filter/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"cornelmux/internal/drain"
 	"cornelmux/internal/endpoint"
@@ -15,10 +16,12 @@
 	Enter(t *drain.Ticket, r drain.Request)
 	Progress(t *drain.Ticket, s drain.Stage, sends int)
 	Exit(t *drain.Ticket)
+	// Stopping returns the timetable of the graceful shutdown; false before it begins.
+	Stopping() (drain.Stop, bool)
 }
 
-// Drain tracks each request that passes it as in flight. One of which nothing was answered when the VM has to end fails with
-// result.Leaving. Drain follows Route, which sets the deadline.
+// Drain tracks each request that passes it as in flight. During a graceful shutdown it refuses those that come too late; one of
+// which nothing was answered when the VM has to end fails with result.Leaving. Drain follows Route, which sets the deadline.
 type Drain struct {
 	Requests Requests
 }
@@ -33,6 +36,9 @@
 	})
 	defer f.Requests.Exit(t)
 	x.Flight = &Flight{Requests: f.Requests, Ticket: t}
+	if err := x.Flight.checkFirstSend(x); err != nil {
+		return err
+	}
 	x.Sink = &drainSink{x: x, sink: x.Sink}
 	err := next(ctx, x)
 	if err != nil && isStopped(ctx) {
@@ -69,6 +75,18 @@
 	}
 }
 
+// checkFirstSend fails if the VM is shutting down and the request, which wasn't sent before, is to be refused. It's called at the
+// request's entry and before each send.
+func (f *Flight) checkFirstSend(x *Exchange) error {
+	if f == nil || x.Sends > 0 {
+		return nil
+	}
+	if s, ok := f.Requests.Stopping(); ok && s.Refuses(time.Now(), x.Request.Deadline) {
+		return result.Errorf(result.Leaving, "this VM is shutting down").WithRetryAfter(retryAfter)
+	}
+	return nil
+}
+
 // drainSink tells when the first part of an answer is passed on.
 type drainSink struct {
 	x         *Exchange
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -141,6 +141,9 @@
 		if d := f.x.Request.Deadline; !d.IsZero() && time.Until(d) < minSendTime {
 			return result.Errorf(result.DeadlinePassed, "too little time is left before the deadline")
 		}
+		if err := f.x.Flight.checkFirstSend(f.x); err != nil {
+			return err
+		}
 		f.x.Sends++
 		f.x.Sent = true
 		f.x.Flight.progress(drain.StageSent, f.x.Sends)
