serve: answer a request whose body never ends at its deadline

As on the platform, the body was read without a deadline: a request whose body stopped coming was never answered, and a planned stop, which relies on each request ending by its deadline, cut it without a status. Reading now ends at the request's deadline, with 504 (deadline_passed, not run).

--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"path"
 	"strings"
 	"time"
@@ -93,14 +94,21 @@
 	}
 }
 
-// readBody reads the request's body, up to maxBodyBytes, for Decode. A longer body is refused.
+// readBody reads the request's body, up to maxBodyBytes, for Decode. A longer body is refused, and so is one that hasn't ended by the
+// deadline.
 func (d *decoder) readBody() error {
 	var err error
+	if d.r.ContentLength != 0 {
+		_ = http.NewResponseController(d.w).SetReadDeadline(d.deadline) // fails only without a connection; net/http ends it with the body
+	}
 	d.body, err = io.ReadAll(http.MaxBytesReader(d.w, d.r.Body, int64(d.maxBodyBytes)))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return result.Errorf(result.TooLarge, "body exceeds %d bytes", d.maxBodyBytes)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return result.Errorf(result.DeadlinePassed, "the body hasn't ended by the deadline")
+	}
 	if err != nil {
 		return result.Errorf(result.BadRequest, "body: %v", err)
 	}
