--- a/internal/filter/call.go
+++ b/internal/filter/call.go
@@ -35,6 +35,7 @@
 // sendCheck returns the check that the sender calls before the first byte: the deadline must leave enough time for the
 // send, whose context ctx is. The task of the send calls the check, which reads only what doesn't change while the request runs.
 func (f *forwardRun) sendCheck(ctx context.Context, s *sendTask) endpoint.SendCheck {
+	fresh := f.current == nil && !f.x.Relayed && !f.x.Routed.MayHaveRun // nothing is lost if it is refused
 	return func() error {
 		if ctx.Err() != nil || f.x.Routed.callerLeft() {
 			return result.Errorf(result.DeadlinePassed, "the deadline passed or the caller disconnected before the send")
@@ -42,6 +43,11 @@
 		if d := f.x.Request.Deadline; !d.IsZero() && time.Until(d) < minSendTime {
 			return result.Errorf(result.DeadlinePassed, "too little time is left before the deadline")
 		}
+		if fresh {
+			if err := f.x.Flight.checkFirstSend(s.call.Deadline); err != nil {
+				return err
+			}
+		}
 		s.sent = true
 		f.x.Flight.progress(drain.StageSent, s.present.ID.Number)
 		return nil
