Check the head of an answer that is to go on with a stream

Callers whose stream had broken off found another answer's text in the middle of it, or a stream that ended as whole after three of six events. A resumed answer was judged by its status alone, and only from 400 up: the body of a 201, 206, 302 or 304, or of a 200 with another content type, was joined to the events, and a 204 ended the stream. A 404 or 409 of the next endpoint broke the stream off although others could have gone on.

TestErrorOfTheNextEndpointStaysOutOfTheStream runs a whole VM with runners and a caller that work on bytes.

The rest of a stream now has to come with status 200 and the content type with which the stream began; any other answer counts as broken, an error status as failed, without reading its body. While attempts are left, another endpoint goes on.

--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -109,6 +109,8 @@
 	trial   bool
 	// lastEventID is the ID of the last whole event that the caller has.
 	lastEventID string
+	// mediaType is that of the answer with which the stream began.
+	mediaType string
 	// errorAnswer is the endpoint's answer with an error status, held back while another endpoint may answer better.
 	errorAnswer *bufferedAnswer
 }
@@ -247,7 +249,7 @@
 
 // shouldRetry reports whether the request may be sent to another endpoint after err: the caller is still connected,
 // attempts are left, the error is not final, and the request is idempotent or was not run. Error statuses below 500 are
-// final. Handle calls it after each failed attempt.
+// final, except to resume a stream. Handle calls it after each failed attempt.
 func (f *forwardRun) shouldRetry(ctx context.Context, err error) bool {
 	x := f.x
 	if ctx.Err() != nil || x.Routed.callerLeft() || errors.Is(err, errCallerGone) || x.Routed.attemptsLeft() <= 0 {
@@ -257,7 +259,7 @@
 	if errors.As(err, &coded) {
 		return false
 	}
-	if errors.Is(err, errEndpointStatus) && f.errorAnswer.head.Status < 500 {
+	if errors.Is(err, errEndpointStatus) && f.errorAnswer.head.Status < 500 && !x.Relayed {
 		return false
 	}
 	return x.Idempotent || !x.Routed.MayHaveRun
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -150,6 +150,9 @@
 // answer is there. The head of a resumed stream is not passed on.
 func (f *forwardRun) relay(ctx context.Context, stream endpoint.Stream, watch *silenceWatch, s *sendResult) error {
 	x := f.x
+	if err := f.follow(s.head); err != nil {
+		return err
+	}
 	head := Head{
 		RequestID: x.Request.ID, Status: s.head.Status, ContentType: s.head.ContentType, Fields: s.head.Fields,
 		Model: x.Attempt.Model, Version: x.Attempt.Version, Confidence: s.head.Confidence, HasConfidence: s.head.HasConfidence,
