Check that a resumed stream goes on after its last event

Callers whose stream had broken off got events twice, missed some, or found text in the middle: the events of the next endpoint were passed on whatever their IDs, also if it began at the first event though it was told the last one.

IDs increase, so the first event that doesn't come after the caller's last one ends the send as broken, and another endpoint goes on. It isn't skipped up to the place: an endpoint that began anew didn't go on with the run, and nothing says that its events are the same. IDs need not count by one, so a greater step counts as a gap only if all steps before, two at least, were by one. The same holds for a caller that resumes a stream itself.

Two tests let the second endpoint send the first event again. TestStalledStreamIsResumed and TestRunsLostAtTheirStartAreReported now go on after it, as the protocol has it; what they check stays, and the first also checks each event's text now.

--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -109,8 +109,8 @@
 	trial   bool
 	// lastEventID is the ID of the last whole event that the caller has.
 	lastEventID string
-	// mediaType is that of the answer with which the stream began.
-	mediaType string
+	// order is what is known of the events that the caller has.
+	order eventOrder
 	// errorAnswer is the endpoint's answer with an error status, held back while another endpoint may answer better.
 	errorAnswer *bufferedAnswer
 }
--- a/internal/filter/quarantine_test.go
+++ b/internal/filter/quarantine_test.go
@@ -46,7 +46,7 @@
 // TestRunsLostAtTheirStartAreReported ends the first send of a stream in different ways and checks which runs the quarantine of
 // prompt blocks learns of. A stream that lost its connection later must not be held against its prompt.
 func TestRunsLostAtTheirStartAreReported(t *testing.T) {
-	whole := []endpoint.Chunk{event("1", "a"), last("end")}
+	whole, rest := []endpoint.Chunk{event("1", "a"), last("end")}, []endpoint.Chunk{event("2", "b"), last("end")}
 	tests := []struct {
 		name     string
 		first    scriptedSend
@@ -64,7 +64,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			x := blockExchange()
-			sender := &scriptedSender{script: []scriptedSend{test.first, {head: head(200, "a"), chunks: whole}}}
+			sender := &scriptedSender{script: []scriptedSend{test.first, {head: head(200, "a"), chunks: rest}}}
 			quarantines := &recordingQuarantine{}
 			err := Forward{Pool: &fakePool{}, Shifts: noShift{}, Sender: sender, Quarantines: quarantines}.Handle(context.Background(), x, nil)
 			qt.Assert(t, err, qt.IsNil)
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -150,7 +150,8 @@
 // answer is there. The head of a resumed stream is not passed on.
 func (f *forwardRun) relay(ctx context.Context, stream endpoint.Stream, watch *silenceWatch, s *sendResult) error {
 	x := f.x
-	if err := f.follow(s.head); err != nil {
+	stream, err := f.follow(stream)
+	if err != nil {
 		return err
 	}
 	head := Head{
--- a/internal/filter/stall_test.go
+++ b/internal/filter/stall_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,9 +30,13 @@
 	endless bool
 }
 
-func (s *pacedSender) Open(ctx context.Context, _ endpoint.Endpoint, _ endpoint.Call, _ endpoint.SendCheck) (endpoint.Stream, error) {
+// Open implements Sender. It sends the events after the one that the call names.
+func (s *pacedSender) Open(ctx context.Context, _ endpoint.Endpoint, c endpoint.Call, _ endpoint.SendCheck) (endpoint.Stream, error) {
 	stream := s.streams[s.sends]
 	stream.ctx = ctx
+	if i := slices.IndexFunc(stream.chunks, func(p endpoint.Chunk) bool { return p.Event != "" && p.Event == c.LastEventID }); i >= 0 {
+		stream.chunks = stream.chunks[i+1:]
+	}
 	s.sends++
 	return &stream, nil
 }
@@ -92,6 +98,7 @@
 				err := Forward{&fakePool{}, noShift{}, sender, noQuarantine{}}.Handle(ctx, x, nil)
 				qt.Check(t, err, qt.IsNil)
 				qt.Check(t, sink.whole, qt.IsTrue)
+				qt.Check(t, strings.ReplaceAll(sink.text, string(comment.Data), ""), qt.Equals, string(events[0].Data)+string(events[1].Data))
 				qt.Check(t, sender.sends, qt.Equals, test.sends)
 				qt.Check(t, time.Since(started) < limit, qt.IsTrue, qt.Commentf("%v", time.Since(started)))
 			})
