Don't resume a stream after an event without an ID

A stream of events without IDs that broke off was begun anew at the next endpoint, or resumed after an older event, so that the caller got events twice. No endpoint can be told where to go on, so the stream now ends broken off.

TestStreamWithoutIDsIsNotResumed: both rows failed before (the whole second stream followed the first's two events).

--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -262,6 +262,9 @@
 	if errors.Is(err, errEndpointStatus) && f.errorAnswer.head.Status < 500 && !x.Relayed {
 		return false
 	}
+	if x.Relayed && f.order.unnumbered {
+		return false
+	}
 	return x.Idempotent || !x.Routed.MayHaveRun
 }
 
--- a/internal/filter/resume.go
+++ b/internal/filter/resume.go
@@ -23,6 +23,8 @@
 	mediaType string
 	// singleSteps counts the steps from one event's ID to the next, all of them by one; -1 once there was another.
 	singleSteps int
+	// unnumbered says that the last event had no ID, so that no other endpoint can go on after it.
+	unnumbered bool
 }
 
 // follow returns the stream of an answer, whose Next fails at an event that doesn't follow those that the caller has. It fails
@@ -86,8 +88,10 @@
 // note takes a chunk that is passed on after the event with the ID last.
 func (o *eventOrder) note(last string, p endpoint.Chunk) {
 	if p.Event == "" {
+		o.unnumbered = o.unnumbered || (!p.Last && isProgress(p))
 		return
 	}
+	o.unnumbered = false
 	a, b, ok := parseIDs(last, p.Event)
 	switch {
 	case last == "" || o.singleSteps < 0:
