Don't take a stream for whole that broke off within an event

Callers got a stream that ended as whole though its endpoint had begun a further event: it broke off there, and the next endpoint answered that nothing was left. That the answer before ended within an event is now kept (endpoint.ErrWithinEvent), and an answer that ends the stream without a further event counts as broken then.

--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -11,6 +11,8 @@
 	ErrNotSent = errors.New("call not sent")
 	// ErrBroken reports that the call was sent, and its answer ended early, stalled or belongs to another run.
 	ErrBroken = errors.New("answer broken")
+	// ErrWithinEvent reports, beside ErrBroken, that the answer ended in the middle of an event.
+	ErrWithinEvent = errors.New("answer ended within an event")
 	// ErrUnknownRun reports that the endpoint does not know the run that a call resumes.
 	ErrUnknownRun = errors.New("run unknown to the endpoint")
 	// ErrConnectionRefused reports that nothing listens on the endpoint's address.
--- a/internal/filter/resume.go
+++ b/internal/filter/resume.go
@@ -25,6 +25,8 @@
 	singleSteps int
 	// unnumbered says that the last event had no ID, so that no other endpoint can go on after it.
 	unnumbered bool
+	// more says that an event was begun, and none was passed on since, so that the stream isn't at its end.
+	more bool
 }
 
 // follow returns the stream of an answer, whose Next fails at an event that doesn't follow those that the caller has. It fails
@@ -59,6 +61,7 @@
 func (s *followingStream) Next() (endpoint.Fragment, error) {
 	fragment, err := s.Stream.Next()
 	if err != nil {
+		s.run.order.more = s.run.order.more || errors.Is(err, endpoint.ErrWithinEvent)
 		return fragment, err
 	}
 	p, last, order := fragment.Chunk, s.run.lastEventID, &s.run.order
@@ -73,7 +76,7 @@
 // all before did. Between events there are only comments.
 func (o *eventOrder) follows(last string, p endpoint.Chunk) bool {
 	if p.Last {
-		return true
+		return !o.more
 	}
 	if p.Event == "" {
 		return isComment(p.Data)
@@ -91,7 +94,7 @@
 		o.unnumbered = o.unnumbered || (!p.Last && isProgress(p))
 		return
 	}
-	o.unnumbered = false
+	o.more, o.unnumbered = false, false
 	a, b, ok := parseIDs(last, p.Event)
 	switch {
 	case last == "" || o.singleSteps < 0:
--- a/internal/filter/resume_test.go
+++ b/internal/filter/resume_test.go
@@ -45,6 +45,8 @@
 				last = id
 			}
 			qt.Check(t, order.follows(last, test.next), qt.Equals, test.want)
+			order.more = true
+			qt.Check(t, order.follows(last, test.next), qt.Equals, test.want && !test.next.Last)
 		})
 	}
 }
