Take a service's change of protocol for a broken answer

A status 101 of a plain service was passed on to the caller, with nothing after it, though no caller can have asked for it: Upgrade isn't forwarded. It counts as a broken answer now.

--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -25,10 +25,12 @@
 
 // ClassifyAnswer classifies an answer by its status and content type. A status of 429 or 503 from a model engine means
 // that the call did not run. A plain service may have run a call whatever its status, so any status is the final answer
-// to a non-idempotent call. httpStream.checkHead calls it for each answer.
+// to a non-idempotent call; one below 200 is no answer. httpStream.checkHead calls it for each answer.
 func ClassifyAnswer(call Call, status int, contentType string) AnswerClass {
 	busy := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 	switch {
+	case status < http.StatusOK:
+		return ClassBroken
 	case call.Resume && busy:
 		return ClassBroken
 	case call.Resume && status != http.StatusOK:
--- a/internal/endpoint/answer_test.go
+++ b/internal/endpoint/answer_test.go
@@ -33,6 +33,8 @@
 		{"service overloaded, non-idempotent", service, 503, "", ClassPassThrough},
 		{"service overloaded, idempotent", idempotent, 503, "", ClassBroken},
 		{"service, not found", idempotent, 404, "", ClassPassThrough},
+		{"service, another protocol", service, 101, "", ClassBroken},
+		{"service, another protocol, idempotent", idempotent, 101, "", ClassBroken},
 	}
 	for _, row := range rows {
 		qt.New(t).Run(row.name, func(c *qt.C) {
