Pass on the encoding of a service's answer

Callers of a plain service got an encoded body, such as br, as if it were the text itself: the body was passed on unchanged, but not Content-Encoding. It's among the fields that are passed on now. (gzip, which the router asks for itself, is decoded as before.)

--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -83,8 +83,8 @@
 
 // answerFields are the header fields of a service's answer that are passed on to the caller, besides its content type.
 var answerFields = []string{
-	"Accept-Ranges", "Allow", "Cache-Control", "Content-Disposition", "Content-Language", "Content-Range", "Etag", "Expires",
-	"Last-Modified", "Location", "Retry-After", "Vary",
+	"Accept-Ranges", "Allow", "Cache-Control", "Content-Disposition", "Content-Encoding", "Content-Language", "Content-Range", "Etag",
+	"Expires", "Last-Modified", "Location", "Retry-After", "Vary",
 }
 
 // PickFields returns the named fields that are present in the header.
