Bound the events of a joined completion

A chat completion that isn't streamed is joined in memory from the engine's events, and an engine that sends events without end was joined until the deadline, whatever its length.

TestEndlessCompletionIsNotJoined: with the bound taken away all 3 rows failed.

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"strings"
 
 	"cornelmux/internal/filter"
@@ -16,6 +17,12 @@
 	fieldFunctionCall = "function_call"
 )
 
+// maxJoinedBytes bounds the data of the events of one joined completion.
+const maxJoinedBytes = 64 << 20
+
+// errJoinedTooLong reports events without end.
+var errJoinedTooLong = errors.New("the completion is too long to be joined")
+
 // streamChunk is the data of one event of a streamed chat completion.
 type streamChunk struct {
 	ID                string          `json:"id"`
@@ -79,6 +86,8 @@
 
 // joiner joins the events of a streamed completion to one completion. Only the first choice counts.
 type joiner struct {
+	// bytes counts the data of the events so far.
+	bytes       int
 	id          string
 	created     json.RawMessage
 	fingerprint json.RawMessage
@@ -99,6 +108,10 @@
 
 // addChunk adds the data of the next event; sink.joinChunk calls it for each.
 func (j *joiner) addChunk(data []byte) error {
+	j.bytes += len(data)
+	if j.bytes > maxJoinedBytes {
+		return errJoinedTooLong
+	}
 	var c streamChunk
 	if err := json.Unmarshal(data, &c); err != nil {
 		return err
--- a/internal/entry/encode_test.go
+++ b/internal/entry/encode_test.go
@@ -116,6 +116,35 @@
 	}
 }
 
+// TestEndlessCompletionIsNotJoined sends events without end to a caller that asked for no stream: it gets an error once they are too
+// long together.
+func TestEndlessCompletionIsNotJoined(t *testing.T) {
+	const eventBytes, left = 64 << 10, 4
+	tests := []struct {
+		name, field string
+	}{
+		{"text", "content"},
+		{"another field", "x"},
+		{"the latest role alone", "role"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			chunk := endpoint.Chunk{Data: []byte(`{"choices":[{"delta":{"` + test.field + `":"` + strings.Repeat("x", eventBytes) + `"}}]}`)}
+			sink := &sink{w: httptest.NewRecorder(), decoder: &decoder{}}
+			ctx := context.Background()
+			qt.Assert(t, sink.Begin(ctx, filter.Head{Status: 200, Version: "v1"}), qt.IsNil)
+			sink.joiner.bytes = maxJoinedBytes - left*eventBytes // as after many events
+			n := 0
+			for n < 2*left && sink.Chunk(ctx, chunk) == nil {
+				n++
+			}
+			qt.Check(t, n < left, qt.IsTrue, qt.Commentf("%d events", n))
+			qt.Check(t, sink.joinErr, qt.IsNotNil)
+			qt.Check(t, sink.started, qt.IsFalse)
+		})
+	}
+}
+
 // TestConnectionReusableAfterRefusals checks that a refused request, with a valid body or not, doesn't end the connection.
 func TestConnectionReusableAfterRefusals(t *testing.T) {
 	c := qt.New(t)
