--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -118,6 +118,8 @@
 	timer *time.Timer
 	// lastEventID is the ID of the last whole event that the caller has.
 	lastEventID string
+	// order is what is known of the events that the caller has.
+	order eventOrder
 	// errorAnswer is the endpoint's answer with an error status, held back while another endpoint may answer better.
 	errorAnswer *bufferedAnswer
 }
@@ -168,7 +170,7 @@
 	x.Routed.Attempts++
 	now := time.Now()
 	s := &sendTask{
-		place: place, placing: r.Took, model: x.Attempt.Model, trial: r.Binding.Trial, sender: f.sender, call: f.call(),
+		place: place, placing: r.Took, model: x.Attempt.Model, trial: r.Binding.Trial, sender: f.sender, call: f.call(), resumes: x.Relayed,
 		messages: make(chan message), ends: make(chan task.End, 1), sendResult: sendResult{began: now, progressAt: now, reportAt: firstProgress},
 		present: shift.Attempt{
 			ID: shift.AttemptID{Request: x.Request.ID, Number: x.Routed.Attempts}, Service: x.Routed.Service, Version: place.Version,
@@ -242,7 +244,7 @@
 }
 
 // mayGoOn reports whether another endpoint may answer the request after err: the caller is still connected, the error is not
-// final, and the request is idempotent or was not run. Error statuses below 500 are final.
+// final, and the request is idempotent or was not run. Error statuses below 500 are final, except to resume a stream.
 func (f *forwardRun) mayGoOn(ctx context.Context, err error) bool {
 	x := f.x
 	if ctx.Err() != nil || x.Routed.callerLeft() || errors.Is(err, errCallerGone) {
@@ -252,7 +254,10 @@
 	if errors.As(err, &coded) {
 		return false
 	}
-	if errors.Is(err, errEndpointStatus) && f.errorAnswer.head.Status < 500 {
+	if errors.Is(err, errEndpointStatus) && f.errorAnswer.head.Status < 500 && !x.Relayed {
+		return false
+	}
+	if x.Relayed && f.order.unnumbered {
 		return false
 	}
 	return x.Idempotent || !x.Routed.MayHaveRun
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -51,7 +51,7 @@
 func (f *forwardRun) relay(ctx context.Context, m message, ok bool) (bool, error) {
 	switch {
 	case !ok:
-		return f.failCurrent(ctx)
+		return f.failCurrent(ctx, f.current.stop(nil))
 	case m.accepted:
 		f.goOn(ctx)
 		return f.relayHead(ctx)
@@ -64,6 +64,9 @@
 // with which error.
 func (f *forwardRun) relayHead(ctx context.Context) (bool, error) {
 	s := f.current
+	if err := f.checkHead(s.head); err != nil {
+		return f.rejectCurrent(ctx, err)
+	}
 	f.watch(s.headLimit())
 	f.reportProgress(ctx, s)
 	if f.x.Relayed {
@@ -89,6 +92,9 @@
 // it. It reports whether the request ends, and with which error.
 func (f *forwardRun) relayChunk(ctx context.Context, c endpoint.Chunk) (bool, error) {
 	s, progress := f.current, isProgress(c)
+	if err := f.checkOrder(s, c); err != nil {
+		return f.rejectCurrent(ctx, err)
+	}
 	if progress {
 		f.goOn(ctx)
 		s.progressed(time.Now())
@@ -100,6 +106,7 @@
 		return true, f.endCurrent(ctx, fmt.Errorf("%w: %w", errCallerGone, err))
 	}
 	f.setRelayed()
+	f.order.note(f.lastEventID, c)
 	if c.Event != "" {
 		f.lastEventID = c.Event
 	}
@@ -138,12 +145,19 @@
 	return err
 }
 
-// failCurrent reports the current send, which has ended by itself. The replacement goes on in its place, if there is one; if a
+// rejectCurrent ends the current send because its answer can't go to the caller, for the reason err. It reports whether the request
+// ends, and with which error.
+func (f *forwardRun) rejectCurrent(ctx context.Context, err error) (bool, error) {
+	_ = f.current.stop(nil) // what counts is err
+	return f.failCurrent(ctx, err)
+}
+
+// failCurrent reports the current send, which has ended with err. The replacement goes on in its place, if there is one; if a
 // placement is being looked for, the next attempt gets that. It reports whether the request ends, and with which error.
-func (f *forwardRun) failCurrent(ctx context.Context) (bool, error) {
+func (f *forwardRun) failCurrent(ctx context.Context, err error) (bool, error) {
 	s := f.current
 	f.current = nil
-	err := s.stop(nil)
+	f.order.noteEnd(err)
 	if f.replacement == nil {
 		f.reserved = f.takeAsked(s)
 	}
--- a/internal/filter/sendtask.go
+++ b/internal/filter/sendtask.go
@@ -30,7 +30,9 @@
 	first, gap time.Duration
 	sender     Sender
 	call       endpoint.Call
-	check      endpoint.SendCheck
+	// resumes says that the caller has a part of the answer, so that the body of an error isn't needed.
+	resumes bool
+	check   endpoint.SendCheck
 	// messages brings what the endpoint answers, and is closed at the end.
 	messages chan message
 	ends     chan task.End
@@ -93,7 +95,10 @@
 	}
 	defer stream.Close()
 	s.head, s.ttfb = stream.Head(), time.Since(s.began)
-	if s.head.Status >= http.StatusBadRequest {
+	switch {
+	case s.head.Status >= http.StatusBadRequest && s.resumes:
+		return errEndpointStatus
+	case s.head.Status >= http.StatusBadRequest:
 		return s.readErrorBody(stream)
 	}
 	if err := s.hand(ctx, message{accepted: true}); err != nil {
@@ -122,7 +127,7 @@
 // nextChunk returns the next chunk of an answer whose last one hasn't come.
 func nextChunk(stream endpoint.Stream) (endpoint.Chunk, error) {
 	fragment, err := stream.Next()
-	if errors.Is(err, io.EOF) {
+	if errors.Is(err, io.EOF) && !errors.Is(err, endpoint.ErrBroken) {
 		return endpoint.Chunk{}, fmt.Errorf("%w: the answer ended before its last chunk", endpoint.ErrBroken)
 	}
 	return fragment.Chunk, err
--- a/internal/filter/silence.go
+++ b/internal/filter/silence.go
@@ -142,13 +142,18 @@
 }
 
 // takeReplacement handles what the replacement handed over. If its endpoint accepted the request, the silent send is given up for it;
-// ok is false if it has ended, and the silent send goes on. It reports whether the request ends, and with which error. handleNext
-// calls it.
+// ok is false if it has ended. Then, and if its answer can't go on with the stream, the silent send goes on. It reports whether the
+// request ends, and with which error. handleNext calls it.
 func (f *forwardRun) takeReplacement(ctx context.Context, ok bool) (bool, error) {
 	s := f.replacement
 	f.replacement = nil
-	if !ok {
-		f.conclude(ctx, s, s.stop(nil))
+	unfit := f.checkHead(s.head)
+	if !ok || unfit != nil {
+		err := s.stop(nil)
+		if ok {
+			err = unfit
+		}
+		f.conclude(ctx, s, err)
 		switch s.end {
 		case pool.EndAbandoned: // no further send may begin
 		case pool.EndUnreachable: // these have no bound but the retry budget
@@ -159,7 +164,9 @@
 		return false, nil
 	}
 	silent := f.current
-	f.conclude(ctx, silent, silent.stop(errSilence))
+	err := silent.stop(errSilence)
+	f.order.noteEnd(err)
+	f.conclude(ctx, silent, err)
 	f.setCurrent(s)
 	f.markUnneeded()
 	return f.relayHead(ctx)
