Keep an answer of low confidence until the stronger model accepts

What callers saw: 502, 503 or 504 in place of an answer that was there. An answer whose confidence is too low was dropped once the stronger model had a placement; if its endpoint then refused, couldn't be reached, broke off, failed or was silent, and no attempt or budget was left, the request had nothing.

Now the answer is kept unread while the stronger model's send is opened beside it, as a replacement of a silent send is. Once that accepts, the kept one is cancelled; until then the kept one goes on if the stronger model can't be placed, its sends failed and no attempt is left, or it was silent too long and can't be moved. It goes on at the latest when the rest of the time would not be enough for the answer by the usual gaps, or after half of the time to the deadline if that is later. Forward does this within one call; Escalate only decides, and the fields that carried the reservation to its second call are gone.

--- a/internal/filter/call.go
+++ b/internal/filter/call.go
@@ -9,9 +9,9 @@
 	"cornelmux/pkg/routing"
 )
 
-// call describes the request for the sender. Only streams carry an urgency. The run ID is the request ID. startSend
+// call describes the request to the model for the sender. Only streams carry an urgency. The run ID is the request ID. startSend
 // calls it.
-func (f *forwardRun) call() endpoint.Call {
+func (f *forwardRun) call(model string) endpoint.Call {
 	x := f.x
 	path := x.Request.Path
 	if x.Request.Query != "" {
@@ -22,7 +22,7 @@
 		urgency = min(max(x.Routed.Priority, 0), maxUrgency)
 	}
 	return endpoint.Call{
-		RunID: x.Request.ID, Idempotent: x.Idempotent, Model: x.Attempt.Model, Method: x.Request.Method, Path: path,
+		RunID: x.Request.ID, Idempotent: x.Idempotent, Model: model, Method: x.Request.Method, Path: path,
 		Fields: x.Request.Fields, Body: x.Request.Body,
 		RouteOptions: endpoint.RouteOptions{
 			Host: x.Routed.Host, Account: x.Routed.Account, Deadline: x.Request.Deadline, Urgency: urgency,
--- a/internal/filter/escalate.go
+++ b/internal/filter/escalate.go
@@ -9,7 +9,7 @@
 	"cornelmux/internal/endpoint"
 )
 
-// errEscalate ends a run whose answer is dropped to ask a stronger model.
+// errEscalate is returned by a sink for an answer that is to be replaced by a stronger model's. It is kept until that accepts.
 var errEscalate = errors.New("the confidence of the answer is too low")
 
 // minAttemptsLeft is how many sends must be left to escalate: one, for the stronger model.
@@ -18,8 +18,8 @@
 // lengthMargin multiplies the caller's estimate of the answer's length in tokens, which is often too low.
 const lengthMargin = 2
 
-// Escalate asks the first, cheapest model of the route's cascade, and then the last, strongest one if the confidence of
-// the answer is too low.
+// Escalate has the first, cheapest model of the route's cascade asked, and then the last, strongest one if the confidence of the
+// answer is too low.
 type Escalate struct{}
 
 // Handle implements Filter. A request keeps the caller's model if the route has no cascade or the
@@ -34,12 +34,6 @@
 	defer func() { x.Sink = sink }()
 	x.Attempt = Attempt{Model: models[0]}
 	x.Sink = &confidenceSink{x: x, sink: sink, started: time.Now(), strongest: len(models) - 1}
-	err := next(ctx, x)
-	if !errors.Is(err, errEscalate) {
-		return err
-	}
-	x.Sink, x.Relayed = sink, false
-	x.Attempt = Attempt{Level: len(models) - 1, Model: models[len(models)-1]}
 	return next(ctx, x)
 }
 
@@ -55,7 +49,7 @@
 	strongest int
 }
 
-// Begin implements Sink. It returns errEscalate if the answer is to be dropped.
+// Begin implements Sink. It returns errEscalate if the strongest model is to be asked.
 func (c *confidenceSink) Begin(ctx context.Context, h Head) error {
 	x := c.x
 	if h.HasConfidence && !h.Failed() && x.Attempt.Level < c.strongest {
@@ -63,7 +57,7 @@
 		x.Attempt.Verdict = cascade.EvaluateConfidence(cascade.Assessment{
 			Confidence: h.Confidence, RetryAllowed: c.mayEscalate(), Load: x.Attempt.Load, TTFB: now.Sub(c.started),
 			Remaining: x.Request.Deadline.Sub(now), Objective: x.Routed.Route.Objective, Elapsed: now.Sub(x.Arrived),
-			StrongerTTFB: x.Attempt.StrongerLatency.TTFB, StrongerRest: time.Duration(c.expectedEvents()) * x.Attempt.StrongerLatency.MeanGap,
+			StrongerTTFB: x.Attempt.StrongerLatency.TTFB, StrongerRest: time.Duration(x.Routed.expectedEvents()) * x.Attempt.StrongerLatency.MeanGap,
 		})
 		if x.Attempt.Verdict == cascade.VerdictEscalate {
 			return errEscalate
@@ -72,15 +66,15 @@
 	return c.sink.Begin(ctx, h)
 }
 
-// expectedEvents estimates the number of events in the stronger model's answer: the caller's estimate of its length
-// with a margin, up to the caller's maximum, or that maximum if there is no estimate. Begin calls it.
-func (c *confidenceSink) expectedEvents() int {
-	p := c.x.Routed.Prompt
+// expectedEvents estimates the number of events in the answer: the caller's estimate of its length
+// with a margin, up to the caller's maximum, or that maximum if there is no estimate. Begin calls it, and keepCurrent.
+func (r *Routed) expectedEvents() int {
+	p := r.Prompt
 	tokens := min(lengthMargin*p.LikelyTokensOut, p.MaxTokensOut)
 	if p.LikelyTokensOut == 0 {
 		tokens = p.MaxTokensOut
 	}
-	s := c.x.Routed.Table.Service(c.x.Routed.Service)
+	s := r.Table.Service(r.Service)
 	if s == nil || s.Engine.TokensPerEvent <= 0 {
 		return tokens
 	}
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"strings"
 	"time"
 
@@ -67,14 +66,13 @@
 	Quarantines Quarantines
 }
 
-// Handle implements Filter. Forward is the last filter of its chain. It returns errEscalate unchanged; Escalate then
-// calls it again with the stronger model.
+// Handle implements Filter. Forward is the last filter of its chain. If the sink refuses an answer with errEscalate, it asks the
+// strongest model of the route's cascade beside it.
 func (f Forward) Handle(ctx context.Context, x *Exchange, _ Next) error {
 	run := &forwardRun{
 		placer: placer{f.Pool, f.Shifts, x.Request.Session}, sender: f.Sender, quarantines: f.Quarantines, x: x,
-		tried: slices.Clone(x.Routed.Failed), lastEventID: x.Routed.LastEventID,
+		lastEventID: x.Routed.LastEventID,
 	}
-	run.reserved, x.Routed.Stronger = x.Routed.Stronger, nil
 	defer func() { run.release(ctx, run.reserved) }()
 	run.timer = time.NewTimer(0)
 	run.timer.Stop()
@@ -87,8 +85,8 @@
 	}
 	for {
 		err := run.attempt(ctx)
-		if err == nil || errors.Is(err, errEscalate) {
-			return err
+		if err == nil {
+			return nil
 		}
 		if !run.shouldRetry(ctx, err) {
 			return run.finish(ctx, err)
@@ -107,15 +105,17 @@
 	giveUp *time.Timer
 	// reserved is the placement of the next send, if there is one already.
 	reserved *Reservation
-	// tried lists the IDs of the endpoints that this run has used, and of those that failed it at an earlier model.
+	// tried lists the IDs of the endpoints that this run has used, without the one whose answer is kept.
 	tried []string
-	// current is the send whose answer goes to the caller. replacement is one that is opened beside it because it is silent, and
-	// asked the task that looks for a placement for one; both may be nil.
+	// current is the send whose answer goes to the caller. replacement is one that is opened beside it, because it is silent or to
+	// ask a stronger model, and asked the task that looks for a placement for one; both may be nil.
 	current     *sendTask
 	replacement *sendTask
 	asked       *replacementTask
 	// timer fires once the newest send was silent for too long.
 	timer *time.Timer
+	// keepUntil is when an answer that is kept goes on at the latest; zero means no limit.
+	keepUntil time.Time
 	// lastEventID is the ID of the last whole event that the caller has.
 	lastEventID string
 	// errorAnswer is the endpoint's answer with an error status, held back while another endpoint may answer better.
@@ -156,24 +156,24 @@
 			return err
 		}
 	}
-	f.setCurrent(f.startSend(ctx, r))
+	f.setCurrent(f.startSend(ctx, r, f.x.Attempt.Model))
 	f.watch(f.current.first)
 	return f.follow(ctx)
 }
 
-// startSend starts a send to the reserved endpoint. It is bound to the request, not to another send.
-func (f *forwardRun) startSend(ctx context.Context, r *Reservation) *sendTask {
+// startSend starts a send that asks the model at the reserved endpoint. It is bound to the request, not to another send.
+func (f *forwardRun) startSend(ctx context.Context, r *Reservation, model string) *sendTask {
 	x, place := f.x, r.Placement
 	f.tried = append(f.tried, place.ID)
 	x.Routed.Attempts++
 	now := time.Now()
 	s := &sendTask{
-		place: place, model: x.Attempt.Model, trial: r.Binding.Trial, sender: f.sender, call: f.call(),
+		place: place, model: model, trial: r.Binding.Trial, sender: f.sender, call: f.call(model),
 		messages: make(chan message), ends: make(chan task.End, 1), sendResult: sendResult{began: now, progressAt: now, reportAt: firstProgress},
 		present: shift.Attempt{
 			ID: shift.AttemptID{Request: x.Request.ID, Number: x.Routed.Attempts}, Service: x.Routed.Service, Version: place.Version,
-			Session: x.Request.Session, Endpoint: place.ID, Kind: x.Routed.Route.Name + " " + x.Attempt.Model,
-			Model: x.Attempt.Model, Running: place.Running,
+			Session: x.Request.Session, Endpoint: place.ID, Kind: x.Routed.Route.Name + " " + model,
+			Model: model, Running: place.Running,
 		},
 	}
 	s.first = f.firstSilenceLimit(place)
@@ -213,19 +213,6 @@
 	return q
 }
 
-// reserveStronger reserves a placement for the cascade's strongest model and reports whether there was one. begin calls it.
-func (f *forwardRun) reserveStronger(ctx context.Context) bool {
-	models := f.x.Routed.Route.Cascade
-	q := f.query()
-	q.Model, q.StrongerModel = models[len(models)-1], ""
-	q.Weight = f.weight(q.Model)
-	f.x.Routed.Failed = f.tried[:len(f.tried)-1]
-	q.Exclude, q.Retry, q.Escalation = f.x.Routed.Failed, true, true
-	r, err := f.reserve(ctx, q)
-	f.x.Routed.Stronger = r
-	return err == nil
-}
-
 // weight returns the share of an engine, 0 to 1, that a run of the model takes.
 func (f *forwardRun) weight(model string) float64 {
 	s := f.x.Routed.Table.Service(f.x.Routed.Service)
--- a/internal/filter/handover_random_test.go
+++ b/internal/filter/handover_random_test.go
@@ -48,6 +48,8 @@
 		pauseAt: rapid.IntRange(0, randomEvents+1).Draw(t, "pauseAt"),
 		pause:   drawTime(t, "pause", 800, 801, 810, 820, 1000, 1600),
 		breakAt: rapid.IntRange(0, 4*randomEvents).Draw(t, "breakAt"),
+
+		confidence: rapid.SampledFrom([]int{0, 5, 5, 95}).Draw(t, "confidence"),
 	}
 }
 
@@ -59,7 +61,7 @@
 	return time.Duration(rapid.SampledFrom(list).Draw(t, name)) * time.Millisecond
 }
 
-// TestEventsComeOnceAndInOrder draws the times and ends of the sends of a stream, and checks that its events come once and in order,
+// TestEventsComeOnceAndInOrder draws the times and ends of the sends of a stream, some of them to a stronger model, and checks that its events come once and in order,
 // that at most two sends are open, one of them only until the other is chosen, and that each is reported and charged once.
 func TestEventsComeOnceAndInOrder(tt *testing.T) {
 	rapid.Check(tt, func(t *rapid.T) {
@@ -74,16 +76,17 @@
 		}
 		left := rapid.SampledFrom([]time.Duration{time.Second, 1300 * time.Millisecond, time.Minute, time.Minute}).Draw(t, "left")
 		slow := rapid.SampledFrom([]time.Duration{0, 0, 10 * time.Millisecond, time.Second}).Draw(t, "slow caller")
+		cascade := rapid.SampledFrom([][]string{nil, {"s", "l"}}).Draw(t, "cascade")
 		attempts := rapid.IntRange(1, 5).Draw(t, "attempts")
 		var problems []string
 		synctest.Test(tt, func(tt *testing.T) {
-			x, _ := routedExchange(routing.KindStream)
+			x, _ := routedExchange(routing.KindStream, cascade...)
 			x.Routed.Route.MaxAttempts = attempts
 			sink := &slowSink{pause: slow}
 			x.Sink = sink
 			ctx, cancel := context.WithTimeout(tt.Context(), left)
 			defer cancel()
-			err := Forward{p, noShift{}, sender, noQuarantine{}}.Handle(ctx, x, nil)
+			err := Chain(Escalate{}, Forward{p, noShift{}, sender, noQuarantine{}})(ctx, x)
 			problems = handoverProblems(x, &sink.textSink, p, sender, err)
 			if took := time.Since(x.Arrived); took > left+slow+maxPlacing {
 				problems = append(problems, fmt.Sprintf("it took %v", took))
--- a/internal/filter/handover_test.go
+++ b/internal/filter/handover_test.go
@@ -38,11 +38,13 @@
 	breakAt int
 	// silentAt is the event that never comes; 0 means none.
 	silentAt int
+	// confidence is the model's in its answer; 0 means none.
+	confidence int
 }
 
 // openSend is what a handoverSender saw of a send. accepted is zero for one without a head that says success.
 type openSend struct {
-	id, after                string
+	id, after, model         string
 	opened, accepted, closed time.Time
 }
 
@@ -51,8 +53,9 @@
 type handoverSender struct {
 	script []handoverSend
 	events int
-	mu     sync.Mutex
-	sends  []openSend
+	// mu guards sends, since two may be open at the same time.
+	mu    sync.Mutex
+	sends []openSend
 }
 
 func (s *handoverSender) Open(ctx context.Context, e endpoint.Endpoint, c endpoint.Call, check endpoint.SendCheck) (endpoint.Stream, error) {
@@ -61,7 +64,7 @@
 	}
 	s.mu.Lock()
 	n := len(s.sends)
-	s.sends = append(s.sends, openSend{id: e.ID, after: c.LastEventID, opened: time.Now()})
+	s.sends = append(s.sends, openSend{id: e.ID, after: c.LastEventID, model: c.Model, opened: time.Now()})
 	s.mu.Unlock()
 	send := s.script[min(n, len(s.script)-1)]
 	err := send.err
@@ -92,7 +95,11 @@
 	event  int
 }
 
-func (s *handoverStream) Head() endpoint.Head { return head(max(s.send.status, 200), fmt.Sprint(s.n)) }
+func (s *handoverStream) Head() endpoint.Head {
+	h := head(max(s.send.status, 200), fmt.Sprint(s.n))
+	h.Confidence, h.HasConfidence = s.send.confidence, s.send.confidence > 0
+	return h
+}
 
 func (s *handoverStream) Next() (endpoint.Fragment, error) {
 	if s.send.status != 0 {
@@ -321,19 +328,23 @@
 		ends   []pool.End
 	}{
 		{
-			"the third accepts", []handoverSend{{head: short, pauseAt: 2, pause: time.Hour}, {head: time.Hour}, {head: short}},
+			"the third accepts",
+			[]handoverSend{{head: short, pauseAt: 2, pause: time.Hour}, {head: time.Hour}, {head: short}},
 			[]pool.End{pool.EndTimeout, pool.EndTimeout, pool.EndAnswered},
 		},
 		{
-			"the first goes on", []handoverSend{{head: short, pauseAt: 2, pause: 10 * time.Second}, {head: time.Hour}, {head: time.Hour}},
+			"the first goes on",
+			[]handoverSend{{head: short, pauseAt: 2, pause: 10 * time.Second}, {head: time.Hour}, {head: time.Hour}},
 			[]pool.End{pool.EndTimeout, pool.EndAbandoned, pool.EndAnswered},
 		},
 		{
-			"the replacement that accepted is silent at once", []handoverSend{{head: time.Hour}, {head: short, pauseAt: 1, pause: time.Hour}, {head: short}},
+			"the replacement that accepted is silent at once",
+			[]handoverSend{{head: time.Hour}, {head: short, pauseAt: 1, pause: time.Hour}, {head: short}},
 			[]pool.End{pool.EndTimeout, pool.EndTimeout, pool.EndAnswered},
 		},
 		{
-			"the replacement that accepted is silent", []handoverSend{{head: time.Hour}, {head: short, pauseAt: 2, pause: time.Hour}, {head: short}},
+			"the replacement that accepted is silent",
+			[]handoverSend{{head: time.Hour}, {head: short, pauseAt: 2, pause: time.Hour}, {head: short}},
 			[]pool.End{pool.EndTimeout, pool.EndTimeout, pool.EndAnswered},
 		},
 	}
@@ -365,7 +376,9 @@
 		{"goes on", handoverSend{pauseAt: 2, pause: gapLimit + 2*short}, 4 * short, 0, []pool.End{pool.EndUnused, pool.EndAnswered}},
 		{"silent again", handoverSend{pauseAt: 2, pause: gapLimit + 2*short}, 4 * short, 20, []pool.End{pool.EndUnused, pool.EndTimeout, pool.EndAnswered}},
 		{
-			"silent again before the replacement is placed", handoverSend{pauseAt: 2, pause: gapLimit + 2*short}, 2 * gapLimit, 20,
+			"silent again before the replacement is placed",
+			handoverSend{pauseAt: 2, pause: gapLimit + 2*short},
+			2 * gapLimit, 20,
 			[]pool.End{pool.EndUnused, pool.EndTimeout, pool.EndAnswered},
 		},
 	}
--- a/internal/filter/outcome.go
+++ b/internal/filter/outcome.go
@@ -26,6 +26,9 @@
 // conclude reports a send that has ended with err, and holds an answer with an error status back.
 func (f *forwardRun) conclude(ctx context.Context, s *sendTask, err error) {
 	now := time.Now()
+	if s.held {
+		now = s.heldAt
+	}
 	s.progressed(now)
 	s.duration, s.err = now.Sub(s.began), err
 	if s.sent {
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -39,11 +39,10 @@
 	case _, ok := <-f.replacement.received():
 		return f.takeReplacement(ctx, ok)
 	case end := <-f.asked.ended():
-		f.openReplacement(ctx, end.Err)
+		return f.openReplacement(ctx, end.Err)
 	case <-f.timer.C:
-		f.askReplacement(ctx)
+		return f.askReplacement(ctx)
 	}
-	return false, nil
 }
 
 // relay handles what the current send handed over; ok is false if it has ended. It reports whether the request ends, and with
@@ -69,12 +68,16 @@
 	if f.x.Relayed {
 		return false, nil
 	}
-	err := f.begin(ctx, f.answerHead(s))
+	err := f.x.Sink.Begin(ctx, f.answerHead(s))
 	s.verdict = f.x.Attempt.Verdict
-	if err != nil {
+	switch {
+	case errors.Is(err, errEscalate):
+		return f.keepCurrent(ctx)
+	case err != nil:
 		return true, f.endCurrent(ctx, err)
+	default:
+		return false, nil
 	}
-	return false, nil
 }
 
 // answerHead returns the head of the answer for the caller.
@@ -145,7 +148,7 @@
 	f.current = nil
 	err := s.stop(nil)
 	if f.replacement == nil {
-		f.reserved = f.takeAsked(s)
+		f.reserved = f.takeAsked()
 	}
 	f.conclude(ctx, s, err)
 	if f.replacement == nil || !f.mayGoOn(ctx, err) {
@@ -155,6 +158,7 @@
 	}
 	f.setCurrent(f.replacement)
 	f.replacement = nil
+	f.watch(f.current.headLimit())
 	return false, nil
 }
 
@@ -166,17 +170,6 @@
 	}
 }
 
-// begin passes the head on. An answer is dropped for the stronger model's only once that model has a placement; otherwise it is
-// kept. relayHead calls it.
-func (f *forwardRun) begin(ctx context.Context, head Head) error {
-	err := f.x.Sink.Begin(ctx, head)
-	if !errors.Is(err, errEscalate) || f.reserveStronger(ctx) {
-		return err
-	}
-	f.x.Attempt.RetryAllowed = false
-	return f.x.Sink.Begin(ctx, head)
-}
-
 const (
 	// firstProgress is the number of events after which the pace of a stream is reported first, since fewer tell too little
 	// of the rest. progressFactor is that by which it grows until the next report.
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -38,10 +38,6 @@
 	CallerLeft <-chan struct{}
 	// MayHaveRun reports that an endpoint ran the request, or may have.
 	MayHaveRun bool
-	// Failed lists the IDs of the endpoints that refused or failed the request before one answered it with low confidence.
-	Failed []string
-	// Stronger is reserved for the strongest model, whose answer is to replace one that was dropped.
-	Stronger *Reservation
 	// Trace lists the sends, for the log.
 	Trace []Step
 }
--- a/internal/filter/sendtask.go
+++ b/internal/filter/sendtask.go
@@ -35,6 +35,9 @@
 	// cancel ends the send. givenUp says why the owner did so; nil if it didn't.
 	cancel  context.CancelFunc
 	givenUp error
+	// held says that the owner keeps the answer and reads no more of it, since heldAt.
+	held   bool
+	heldAt time.Time
 
 	// The task sets what follows before it hands something over or ends, and the owner reads it after: whether the check let the
 	// send pass, the head, the time to it, and the body of an answer with an error status.
@@ -152,9 +155,10 @@
 	return errEndpointStatus
 }
 
-// received returns the channel on which the owner gets what s hands over; nil, which never brings anything, without a send.
+// received returns the channel on which the owner gets what s hands over; nil, which never brings anything, without a send or if its
+// answer is kept.
 func (s *sendTask) received() <-chan message {
-	if s == nil {
+	if s == nil || s.held {
 		return nil
 	}
 	return s.messages
