--- a/internal/filter/handover_test.go
+++ b/internal/filter/handover_test.go
@@ -38,11 +38,13 @@
 	breakAt int
 	// silentAt is the event that never comes; 0 means none.
 	silentAt int
+	// confidence is the model's in its answer; 0 means none.
+	confidence int
 }
 
 // openSend is what a handoverSender saw of a send. accepted is zero for one without a head that says success.
 type openSend struct {
-	id, after                string
+	id, after, model         string
 	opened, accepted, closed time.Time
 }
 
@@ -51,8 +53,9 @@
 type handoverSender struct {
 	script []handoverSend
 	events int
-	mu     sync.Mutex
-	sends  []openSend
+	// mu guards sends, since two may be open at the same time.
+	mu    sync.Mutex
+	sends []openSend
 }
 
 func (s *handoverSender) Open(ctx context.Context, e endpoint.Endpoint, c endpoint.Call, check endpoint.SendCheck) (endpoint.Stream, error) {
@@ -61,7 +64,7 @@
 	}
 	s.mu.Lock()
 	n := len(s.sends)
-	s.sends = append(s.sends, openSend{id: e.ID, after: c.LastEventID, opened: time.Now()})
+	s.sends = append(s.sends, openSend{id: e.ID, after: c.LastEventID, model: c.Model, opened: time.Now()})
 	s.mu.Unlock()
 	send := s.script[min(n, len(s.script)-1)]
 	err := send.err
@@ -92,7 +95,11 @@
 	event  int
 }
 
-func (s *handoverStream) Head() endpoint.Head { return head(max(s.send.status, 200), fmt.Sprint(s.n)) }
+func (s *handoverStream) Head() endpoint.Head {
+	h := head(max(s.send.status, 200), fmt.Sprint(s.n))
+	h.Confidence, h.HasConfidence = s.send.confidence, s.send.confidence > 0
+	return h
+}
 
 func (s *handoverStream) Next() (endpoint.Fragment, error) {
 	if s.send.status != 0 {
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -37,10 +37,6 @@
 	CallerLeft <-chan struct{}
 	// MayHaveRun reports that an endpoint ran the request, or may have.
 	MayHaveRun bool
-	// Failed lists the IDs of the endpoints that refused or failed the request before one answered it with low confidence.
-	Failed []string
-	// Stronger is reserved for the strongest model, whose answer is to replace one that was dropped.
-	Stronger *Reservation
 	// TableWait, CheckWait and Placing are how long the request waited in all for the route table, for the quarantine's reply before
 	// its first send, and for its placements, also for those that it didn't get.
 	TableWait time.Duration
