A prompt of many parts doesn't stop the pool

The blocks are now a list in the order of their last use, and parts after the first 32 of a prompt are joined by 32, so that a prompt of any length that fits a header costs about as much as others; of a shared prefix, less than one group isn't recognized. Blocks of one prompt, which had the same time, are now forgotten from its end.

--- a/internal/pool/cost_bench_test.go
+++ b/internal/pool/cost_bench_test.go
@@ -86,39 +86,44 @@
 	}
 }
 
-// BenchmarkPlacement measures the placement of a run and its end, by the parts of its prompt. All parts but the first ten belong
-// to the request alone.
+// BenchmarkPlacement measures the placement of a run and its end, by the parts of its prompt: these are the same in all prompts, or
+// each prompt has its own, so that the endpoints forget others for them.
 func BenchmarkPlacement(b *testing.B) {
+	type row struct{ endpoints, services, parts, share int }
+	var rows []row
 	for _, s := range tableSizes {
 		for _, parts := range []int{10, 100, 1150} {
-			b.Run(fmt.Sprintf("%d endpoints/%d parts", s.endpoints, parts), func(b *testing.B) {
-				t := sizedTable(s.endpoints, s.services)
-				var chosen, done time.Duration
-				run := func(n int) {
-					now := start.Add(time.Duration(n) * time.Millisecond)
-					p := prompt(parts, 10, n+1)
-					q := Query{Service: "s0", Model: "m", Prompt: p, Affinity: p.SharedPrefix()}
-					began := time.Now()
-					placed, _ := t.Choose(&q, now)
-					ended := time.Now()
-					o := Outcome{Endpoint: placed.ID, Incarnation: 5, End: EndAnswered, Service: "s0", Model: "m", Prompt: p, TTFB: time.Millisecond, SentAt: now}
-					t.Done(&o, now)
-					chosen, done = chosen+ended.Sub(began), done+time.Since(ended)
-				}
-				for n := range 2 * len(t.services["s0"]) * maxPrefixBlocks / parts / 10 {
-					run(n)
-				}
-				chosen, done = 0, 0
-				n := 1 << 20
-				for b.Loop() {
-					run(n)
-					n++
-				}
-				b.ReportMetric(float64(chosen.Nanoseconds())/float64(b.N), "ns/choose")
-				b.ReportMetric(float64(done.Nanoseconds())/float64(b.N), "ns/done")
-			})
+			rows = append(rows, row{s.endpoints, s.services, parts, parts}, row{s.endpoints, s.services, parts, 0})
 		}
 	}
+	for _, s := range rows {
+		b.Run(fmt.Sprintf("%d endpoints/%d parts, %d shared", s.endpoints, s.parts, s.share), func(b *testing.B) {
+			t := sizedTable(s.endpoints, s.services)
+			var chosen, done time.Duration
+			run := func(n int) {
+				now := start.Add(time.Duration(n) * time.Millisecond)
+				p := prompt(s.parts, s.share, n+1)
+				q := Query{Service: "s0", Model: "m", Prompt: p, Affinity: p.SharedPrefix()}
+				began := time.Now()
+				placed, _ := t.Choose(&q, now)
+				ended := time.Now()
+				o := Outcome{Endpoint: placed.ID, Incarnation: 5, End: EndAnswered, Service: "s0", Model: "m", Prompt: p, TTFB: time.Millisecond, SentAt: now}
+				t.Done(&o, now)
+				chosen, done = chosen+ended.Sub(began), done+time.Since(ended)
+			}
+			for n := range 2 * len(t.services["s0"]) * maxPrefixBlocks / 50 { // fills what the endpoints remember
+				run(n)
+			}
+			chosen, done = 0, 0
+			n := 1 << 20
+			for b.Loop() {
+				run(n)
+				n++
+			}
+			b.ReportMetric(float64(chosen.Nanoseconds())/float64(b.N), "ns/choose")
+			b.ReportMetric(float64(done.Nanoseconds())/float64(b.N), "ns/done")
+		})
+	}
 }
 
 // BenchmarkPeerState measures the state of one peer, and the reports for one's own state.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -56,6 +56,10 @@
 	Retry bool
 	// Escalation says that the retry goes to a stronger model; it leaves a part of the budget to other retries.
 	Escalation bool
+
+	// blocks are those of the prompt as endpoints remember them, sharedTokens the length of its shared prefix; Table.Choose sets both.
+	blocks       []routing.PrefixBlock
+	sharedTokens int
 }
 
 // Placement is the endpoint chosen for a run and its load.
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -23,8 +23,6 @@
 	latencyUpdateShare = 0.15
 	// slowRatio is the latency ratio above which an endpoint counts as slow.
 	slowRatio = 1.6
-	// maxPrefixBlocks bounds the prefix blocks that are remembered per endpoint.
-	maxPrefixBlocks = 4096
 	// maxLostRuns is the maximum number of lost runs remembered per endpoint.
 	maxLostRuns = 64
 	// lostRunTTL bounds the wait for a sign that the endpoint crashed.
@@ -69,8 +67,8 @@
 	failureRate float64
 	// latencyRatio is the moving mean of the time to first byte, divided by the typical one.
 	latencyRatio float64
-	// prefixBlocks holds the blocks that the endpoint has probably cached, with the time of their last use.
-	prefixBlocks map[blockKey]time.Time
+	// prefixBlocks holds the blocks that the endpoint has probably cached.
+	prefixBlocks *prefixCache
 	// movesLeft is how many silent runs may still be moved away in the moveInterval that began at movesSince.
 	movesLeft  int
 	movesSince time.Time
@@ -78,12 +76,6 @@
 	lostRuns []lostRun
 }
 
-// blockKey identifies a prefix block by its routing.PrefixBlock.ID; each model caches its own.
-type blockKey struct {
-	model string
-	block uint64
-}
-
 // lostRun is the fingerprint of a request and when its run was lost.
 type lostRun struct {
 	fingerprint uint64
@@ -92,7 +84,7 @@
 
 // newRecord makes the Record of an endpoint that is not known yet.
 func newRecord(e Entry) *Record {
-	return &Record{Entry: e, hash: hashString(e.ID), latencyRatio: 1, prefixBlocks: map[blockKey]time.Time{}, peerViews: map[string]peerView{}}
+	return &Record{Entry: e, hash: hashString(e.ID), latencyRatio: 1, prefixBlocks: newPrefixCache(maxPrefixBlocks), peerViews: map[string]peerView{}}
 }
 
 // update applies an entry of the directory. A new incarnation resets what was learned of the former one. An incarnation
@@ -105,7 +97,7 @@
 	r.missing, r.withdrawn = false, false
 	if restarted {
 		r.replaced, r.backoffs, r.backoffUntil, r.failureRate, r.latencyRatio = false, 0, time.Time{}, 0, 1
-		r.prefixBlocks, r.peerViews, r.suspectedUntil, r.unreachable = map[blockKey]time.Time{}, map[string]peerView{}, time.Time{}, false
+		r.prefixBlocks, r.peerViews, r.suspectedUntil, r.unreachable = newPrefixCache(maxPrefixBlocks), map[string]peerView{}, time.Time{}, false
 	}
 	return restarted
 }
@@ -151,8 +143,8 @@
 // blocks before it are. Score calls it.
 func (r *Record) uncachedTokens(q *Query) int {
 	total := q.Prompt.TokensIn
-	for _, b := range q.Prompt.Blocks {
-		if _, ok := r.prefixBlocks[blockKey{q.Model, b.ID}]; !ok {
+	for _, b := range q.blocks {
+		if !r.prefixBlocks.has(blockKey{q.Model, b.ID}) {
 			break
 		}
 		total -= b.Tokens
@@ -161,30 +153,16 @@
 }
 
 // addPrefixBlocks records the blocks of a prompt that the endpoint has processed, except the last one, which other
-// requests do not share. applyOutcome calls it for each answered run of a model.
-func (r *Record) addPrefixBlocks(o *Outcome, now time.Time) {
-	for i, b := range o.Prompt.Blocks {
-		if i == len(o.Prompt.Blocks)-1 && i > 0 {
-			break
-		}
-		if len(r.prefixBlocks) >= maxPrefixBlocks {
-			r.dropOldestBlock()
-		}
-		r.prefixBlocks[blockKey{o.Model, b.ID}] = now
+// requests do not share. The beginning counts as used last, since nothing after it is cached without it. applyOutcome calls it for each
+// answered run of a model.
+func (r *Record) addPrefixBlocks(o *Outcome) {
+	blocks := joinBlocks(o.Prompt.Blocks)
+	if len(blocks) > 1 {
+		blocks = blocks[:len(blocks)-1]
 	}
-}
-
-// dropOldestBlock forgets the block that was not used for the longest time. addPrefixBlocks calls it when
-// maxPrefixBlocks are remembered.
-func (r *Record) dropOldestBlock() {
-	var oldest blockKey
-	var at time.Time
-	for k, t := range r.prefixBlocks {
-		if at.IsZero() || t.Before(at) {
-			oldest, at = k, t
-		}
+	for _, b := range slices.Backward(blocks) {
+		r.prefixBlocks.use(blockKey{o.Model, b.ID})
 	}
-	delete(r.prefixBlocks, oldest)
 }
 
 // applyOutcome updates the moving means, the backoff and the cached blocks by the outcome of one run. Table.Done calls
@@ -213,7 +191,7 @@
 		r.latencyRatio += (float64(o.TTFB)/float64(typicalTTFB) - r.latencyRatio) * latencyUpdateShare
 	}
 	if o.End == EndAnswered && o.Model != "" {
-		r.addPrefixBlocks(o, now)
+		r.addPrefixBlocks(o)
 	}
 }
 
--- a/internal/pool/score.go
+++ b/internal/pool/score.go
@@ -48,7 +48,7 @@
 	cost += prefillTime(r.uncachedTokens(q))
 	cost += time.Duration((r.engineLoad + engineLoad) * float64(runCost))
 	if q.Affinity != 0 {
-		cost += time.Duration(float64(min(rank, maxRank)) * rankCostFactor * float64(prefillTime(q.Prompt.SharedPrefixTokens())))
+		cost += time.Duration(float64(min(rank, maxRank)) * rankCostFactor * float64(prefillTime(q.sharedTokens)))
 	}
 	return cost
 }
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -182,6 +182,7 @@
 // Choose places a run and counts it as in flight until Done. It considers endpoints that are not available only if no
 // other is eligible. The Controller calls it for each run.
 func (t *Table) Choose(q *Query, now time.Time) (Placement, Choice) {
+	q.blocks, q.sharedTokens = joinBlocks(q.Prompt.Blocks), q.Prompt.SharedPrefixTokens()
 	best := t.best(q, now, true)
 	if best == nil {
 		best = t.best(q, now, false)
