--- a/internal/quarantine/blocks.go
+++ b/internal/quarantine/blocks.go
@@ -363,10 +363,17 @@
 	if len(endpoints) != 1 {
 		return len(endpoints) > 1
 	}
+	held := make(map[uint64]bool, len(blocks))
+	for _, b := range blocks {
+		held[b] = true
+	}
 	return slices.ContainsFunc(s.runs, func(k knownRun) bool {
-		return k.Request != request && s.open(k.LostRun) && slices.ContainsFunc(blocks, func(b uint64) bool {
+		return k.Request != request && s.open(k.LostRun) && slices.ContainsFunc(k.Blocks, func(b uint64) bool {
+			if !held[b] {
+				return false
+			}
 			cleared := s.clearances.ClearedAt(b)
-			return slices.Contains(k.Blocks, b) && (cleared.IsZero() || k.At.Sub(cleared) >= soundPeriod)
+			return cleared.IsZero() || k.At.Sub(cleared) >= soundPeriod
 		})
 	})
 }
