--- a/internal/feed/scan.go
+++ b/internal/feed/scan.go
@@ -79,7 +79,11 @@
 	}
 	keys := slices.DeleteFunc(c.scanKeys, func(key string) bool { return deleted[key] })
 	c.replica.KeepOnly(keys, c.revision)
-	maps.DeleteFunc(c.members, func(vm string, _ Member) bool { return !slices.Contains(keys, memberPrefix+vm) })
+	listed := make(map[string]bool, len(keys))
+	for _, key := range keys {
+		listed[key] = true
+	}
+	maps.DeleteFunc(c.members, func(vm string, _ Member) bool { return !listed[memberPrefix+vm] })
 	c.updateRanks(ctx)
 	c.receiver.ApplyFullScan(ctx, keys)
 	c.scanKeys, c.requireFresh, c.completed = nil, false, true
