--- a/internal/pool/prefix_test.go
+++ b/internal/pool/prefix_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -162,3 +163,14 @@
 	few, many := fastest(10, 500), fastest(1150, 100)
 	qt.Check(t, many <= most*few, qt.IsTrue, qt.Commentf("%v for 10 parts, %v for 1150", few, many))
 }
+
+// TestModelsThatCallersNameAreBounded guards against a table that grows with each new model that a caller names.
+func TestModelsThatCallersNameAreBounded(t *testing.T) {
+	table := newTable(entry("a"))
+	for i := range 2 * maxTypical {
+		table.Done(&Outcome{Endpoint: "a", Incarnation: 5, End: EndAnswered, Service: "s", Model: fmt.Sprint("m", i), TTFB: time.Second}, start)
+	}
+	qt.Check(t, table.typical, qt.HasLen, maxTypical)
+	table.Done(&Outcome{Endpoint: "a", Incarnation: 5, End: EndAnswered, Service: "s", Model: "m0", TTFB: 2 * time.Second}, start)
+	qt.Check(t, table.typical[latencyKey{"s", "m0"}].TTFB > time.Second, qt.IsTrue)
+}
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -12,6 +12,8 @@
 const (
 	// typicalUpdateShare is the part of one answer, 0 to 1, in the moving means of TypicalLatency.
 	typicalUpdateShare = 0.05
+	// maxTypical bounds the typical latencies that are remembered; callers name the models.
+	maxTypical = 1024
 	// relistTimeout is how long after an outage of the directory an entry that lapsed during it may take to be
 	// relisted.
 	relistTimeout = 2 * time.Second
@@ -307,12 +309,15 @@
 	return nil
 }
 
-// updateTypical adds an answered run to the typical latency.
+// updateTypical adds an answered run to the typical latency. A new key beyond maxTypical isn't remembered.
 func (t *Table) updateTypical(key latencyKey, o *Outcome) {
 	if o.TTFB <= 0 || o.End != EndAnswered {
 		return
 	}
-	l := t.typical[key]
+	l, ok := t.typical[key]
+	if !ok && len(t.typical) >= maxTypical {
+		return
+	}
 	t.typical[key] = Latency{TTFB: movingMean(l.TTFB, o.TTFB), MeanGap: movingMean(l.MeanGap, o.MeanGap)}
 }
 
