Questions leave room in the pool's mailbox for the ends of runs

While the pool was held up, questions filled its mailbox; the end of a run that found no room within a second was lost, and the run counted as in flight for good, and likewise a runner's entry. Requests are now refused at three quarters of the mailbox.

TestEndOfARunFindsRoomBesideQuestions failed before: mailbox is full.

--- a/internal/pool/abandon_test.go
+++ b/internal/pool/abandon_test.go
@@ -187,3 +187,31 @@
 		}
 	})
 }
+
+// TestEndOfARunFindsRoomBesideQuestions guards against runs that stay counted as in flight for good, since questions filled the mailbox
+// while the pool was held up.
+func TestEndOfARunFindsRoomBesideQuestions(t *testing.T) {
+	withController(t, 10, []Entry{entry("a")}, func(t *testing.T, c *Controller) {
+		p, err := c.Choose(t.Context(), Query{Service: "s"})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, task.Tell(c.mailbox, message(holdMessage{2 * tellTimeout})), qt.IsNil)
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		codes := make(chan result.Code, mailboxSize)
+		for range mailboxSize {
+			go func() {
+				_, err := c.Choose(ctx, Query{Service: "s"})
+				codes <- result.From(err).Code
+			}()
+		}
+		synctest.Wait()
+		err = c.Done(t.Context(), Outcome{Endpoint: p.ID, Incarnation: p.Incarnation, End: EndAnswered, Service: "s"})
+		qt.Check(t, err, qt.IsNil)
+		for range mailboxSize {
+			code := <-codes
+			qt.Check(t, code == result.QueueFull || code == result.DeadlinePassed, qt.IsTrue, qt.Commentf("%d", code))
+		}
+		qt.Check(t, stateOf(t, c).inFlight, qt.Equals, 0)
+	})
+}
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -15,6 +15,9 @@
 const (
 	// mailboxSize is the maximum number of messages that wait for the Controller; task.Tell fails beyond it.
 	mailboxSize = 4096
+	// maxQuestions is how many messages may wait at most for a run to be placed, so that there is room for the ends of runs and for
+	// entries, whose loss would leave the state wrong.
+	maxQuestions = mailboxSize * 3 / 4
 	// sweepInterval is how often entries that were not relisted are removed.
 	sweepInterval = 250 * time.Millisecond
 	// tellTimeout bounds the wait for room in the mailbox.
@@ -157,6 +160,9 @@
 // Choose implements filter.Pool. It places a run and counts it as in flight until Done. Filter Forward calls it for
 // each send, and for a replacement before it gives up a silent send; if it fails, nothing is sent and nothing counted as in flight.
 func (c *Controller) Choose(ctx context.Context, q Query) (Placement, error) {
+	if len(c.mailbox) >= maxQuestions {
+		return Placement{}, result.Errorf(result.QueueFull, "place run: endpoint controller: %v", task.ErrFull).WithRetryAfter(retryAfter)
+	}
 	r, err := task.AskOrLeave(ctx, c.stopped, c.mailbox, func(reply task.Reply[chooseReply]) message { return chooseMessage{q, reply} })
 	switch {
 	case errors.Is(err, task.ErrFull):
