Track the requests in flight of serve with the same controller

serve had a controller of its own that counted the requests in flight and refused new ones during a stop. internal/drain does the same for both now: it also tells when nothing is in flight any more, and serve gets the lines about requests in flight at a stop. A new request is refused from the beginning of a stop in serve, and after the load balancer's delay on the platform; both are times of the timetable. Requests of serve end by their deadlines, which the settings keep shorter than the stop timeout, so that nothing is given up before the cut.

--- a/internal/drain/controller.go
+++ b/internal/drain/controller.go
@@ -78,6 +78,8 @@
 	stop   *Stop
 	phases []phase
 	timer  *time.Timer
+	// idle is closed once the VM is leaving and nothing is in flight.
+	idle []chan<- struct{}
 	// refusing is set once requests of which nothing was answered are given up.
 	refusing bool
 }
@@ -118,16 +120,25 @@
 		ticket  *Ticket
 		request Request
 	}
-	progressMessage struct {
-		ticket *Ticket
-		stage  Stage
-		sends  int
+	updateMessage struct {
+		ticket  *Ticket
+		request Request
 	}
-	exitMessage   struct{ ticket *Ticket }
-	leaveMessage  struct{ stop Stop }
+	exitMessage  struct{ ticket *Ticket }
+	leaveMessage struct {
+		stop Stop
+		idle chan<- struct{}
+	}
+	stateMessage  struct{ reply chan<- State }
 	reportMessage struct{ reply chan<- int }
 )
 
+// State is how many requests are in flight, and whether the VM is leaving.
+type State struct {
+	InFlight int
+	Leaving  bool
+}
+
 func (m enterMessage) handle(c *Controller) {
 	c.requests[m.ticket] = &m.request
 	if c.refusing {
@@ -135,17 +146,35 @@
 	}
 }
 
-func (m progressMessage) handle(c *Controller) {
-	if r := c.requests[m.ticket]; r != nil {
-		r.Stage, r.Sends = m.stage, m.sends
+func (m updateMessage) handle(c *Controller) {
+	if c.requests[m.ticket] != nil {
+		c.requests[m.ticket] = &m.request
 	}
 }
 
-func (m exitMessage) handle(c *Controller) { delete(c.requests, m.ticket) }
+func (m exitMessage) handle(c *Controller) {
+	delete(c.requests, m.ticket)
+	c.notifyIdle()
+}
 
 func (m leaveMessage) handle(c *Controller) {
 	c.stop, c.phases = &m.stop, phases(m.stop)
 	c.timer.Reset(time.Until(c.phases[0].at))
+	c.idle = append(c.idle, m.idle)
+	c.notifyIdle()
+}
+
+func (m stateMessage) handle(c *Controller) { m.reply <- State{len(c.requests), c.stop != nil} }
+
+// notifyIdle closes the channels of Leave if the VM is leaving and no request is in flight.
+func (c *Controller) notifyIdle() {
+	if c.stop == nil || len(c.requests) > 0 {
+		return
+	}
+	for _, idle := range c.idle {
+		close(idle)
+	}
+	c.idle = nil
 }
 
 func (m reportMessage) handle(c *Controller) {
@@ -164,16 +193,24 @@
 // Enter counts a request as in flight until Exit.
 func (c *Controller) Enter(t *Ticket, r Request) { c.tell(enterMessage{t, r}) }
 
-// Progress tells where the request stands and how often it was sent.
-func (c *Controller) Progress(t *Ticket, s Stage, sends int) { c.tell(progressMessage{t, s, sends}) }
+// Update tells how the request stands now.
+func (c *Controller) Update(t *Ticket, r Request) { c.tell(updateMessage{t, r}) }
 
 // Exit ends the count of a request.
 func (c *Controller) Exit(t *Ticket) { c.tell(exitMessage{t}) }
 
-// Leave begins a graceful shutdown. A request that enters and isn't told of it by Stopping was counted before it.
-func (c *Controller) Leave(s Stop) {
+// Leave begins a graceful shutdown. A request that enters and isn't told of it by Stopping was counted before it. The returned
+// channel is closed once no request is in flight.
+func (c *Controller) Leave(s Stop) <-chan struct{} {
+	idle := make(chan struct{})
 	c.leave(s)
-	c.tell(leaveMessage{s})
+	c.tell(leaveMessage{s, idle})
+	return idle
+}
+
+// State returns the number of requests in flight, and whether the VM is leaving.
+func (c *Controller) State(ctx context.Context) (State, error) {
+	return task.Ask(ctx, c.mailbox, func(reply chan<- State) message { return stateMessage{reply} })
 }
 
 // Stopping returns the timetable of the shutdown; false before it begins.
--- a/internal/drain/controller_test.go
+++ b/internal/drain/controller_test.go
@@ -68,7 +68,8 @@
 				r.ID, r.Route, r.Arrived, r.Deadline = "q1", "look", time.Now(), time.Now().Add(5*time.Second)
 				c.Enter(ticket, r)
 				for _, p := range test.progress {
-					c.Progress(ticket, p.Stage, p.Sends)
+					r.Stage, r.Sends = p.Stage, p.Sends
+					c.Update(ticket, r)
 				}
 				if test.exited {
 					c.Exit(ticket)
@@ -142,7 +143,7 @@
 				c := startController(t, make(chan string, 8))
 				began := time.Now().Add(2 * time.Second)
 				leave := time.AfterFunc(time.Until(began), func() {
-					c.Leave(Stop{Began: began, AcceptUntil: began.Add(acceptUntil), AnswerBy: began.Add(answerBy), CutAt: began.Add(cutAt)})
+					c.Leave(Stop{Began: began, AdmitUntil: began.Add(acceptUntil), AcceptUntil: began.Add(acceptUntil), AnswerBy: began.Add(answerBy), CutAt: began.Add(cutAt)})
 				})
 				defer leave.Stop()
 				time.Sleep(time.Until(began.Add(test.enteredAt)))
@@ -155,7 +156,8 @@
 				}
 				c.Enter(ticket, r)
 				if test.stage != StageReading {
-					c.Progress(ticket, test.stage, 1)
+					r.Stage, r.Sends = test.stage, 1
+					c.Update(ticket, r)
 				}
 				select {
 				case <-ctx.Done():
--- a/internal/drain/stop.go
+++ b/internal/drain/stop.go
@@ -9,7 +9,9 @@
 type Stop struct {
 	// Began is when the shutdown began.
 	Began time.Time
-	// AcceptUntil is until when each request is sent on that wasn't sent before; later only one that is certain of its answer.
+	// AdmitUntil is until when each new request is taken, AcceptUntil until when each is sent on that wasn't sent before. After that
+	// only those are that are certain of their answers.
+	AdmitUntil  time.Time
 	AcceptUntil time.Time
 	// AnswerBy is when requests of which nothing was answered are given up, so that their errors reach the callers before CutAt.
 	AnswerBy time.Time
@@ -20,10 +22,19 @@
 // Error implements error.
 func (Stop) Error() string { return "the VM is shutting down" }
 
-// Refuses reports whether a request with the deadline, zero if it has none, comes too late to be sent for the first time at now: it
-// may still run at AnswerBy.
-func (s Stop) Refuses(now, deadline time.Time) bool {
-	return !now.Before(s.AcceptUntil) && (deadline.IsZero() || deadline.After(s.AnswerBy))
+// RefusesNew reports whether a request with the deadline, zero if it has none, comes too late to be taken at now.
+func (s Stop) RefusesNew(now, deadline time.Time) bool {
+	return !now.Before(s.AdmitUntil) && s.mayOutlast(deadline)
+}
+
+// RefusesSend reports whether a request with the deadline comes too late to be sent for the first time at now.
+func (s Stop) RefusesSend(now, deadline time.Time) bool {
+	return !now.Before(s.AcceptUntil) && s.mayOutlast(deadline)
+}
+
+// mayOutlast reports whether a request with the deadline may still run at AnswerBy.
+func (s Stop) mayOutlast(deadline time.Time) bool {
+	return deadline.IsZero() || deadline.After(s.AnswerBy)
 }
 
 // phase is a step of a shutdown, which the Controller takes at its time.
@@ -59,7 +70,7 @@
 // refuseUnread ends each request whose body hasn't come whole, if it would be refused after that.
 func (c *Controller) refuseUnread(now time.Time) {
 	for t, r := range c.requests {
-		if r.Stage == StageReading && c.stop.Refuses(now, r.Deadline) {
+		if r.Stage == StageReading && c.stop.RefusesSend(now, r.Deadline) {
 			t.Cancel(*c.stop)
 		}
 	}
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-logr/logr"
 
+	"cornelmux/internal/drain"
 	"cornelmux/internal/filter"
 	"cornelmux/pkg/result"
 )
@@ -105,20 +106,25 @@
 	Synced(ctx context.Context) (bool, error)
 }
 
+// drainState says whether the VM is leaving, and how many requests are in flight.
+type drainState interface {
+	State(ctx context.Context) (drain.State, error)
+}
+
 // health returns the handler of the load balancer's check: 200 while the VM takes requests. Before that, the configuration
 // or the sessions of other VMs are missing; after that, the VM is shutting down. callersHandler uses it.
-func health(d *drain, configurations filter.Configurations, sessions syncer) http.HandlerFunc {
+func health(d drainState, configurations filter.Configurations, sessions syncer) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithTimeout(r.Context(), time.Second)
 		defer cancel()
 		s, err := configurations.Current(ctx)
-		state, stateErr := d.state(ctx)
+		state, stateErr := d.State(ctx)
 		synced, syncErr := sessions.Synced(ctx)
 		switch {
 		case err != nil || stateErr != nil || s.Revision == 0:
 			writeError(w, result.Errorf(result.NotReady, "no configuration yet"))
-		case state.leaving:
-			writeError(w, result.Errorf(result.Leaving, "%d requests in flight", state.inFlight))
+		case state.Leaving:
+			writeError(w, result.Errorf(result.Leaving, "%d requests in flight", state.InFlight))
 		case syncErr != nil || !synced:
 			writeError(w, result.Errorf(result.NotReady, "sessions of other VMs are not known yet"))
 		default:
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		return nil, connectError(err)
 	}
-	d, err := c.vm.drain.state(ctx)
+	d, err := c.vm.drain.State(ctx)
 	if err != nil {
 		return nil, connectError(err)
 	}
@@ -120,7 +120,7 @@
 	}
 	status := Status{
 		VM: c.vm.cfg.VM.Name, Region: c.vm.cfg.VM.Region, Zone: c.vm.cfg.VM.Zone,
-		Revision: s.Revision, Leaving: d.leaving, InFlight: d.inFlight,
+		Revision: s.Revision, Leaving: d.Leaving, InFlight: d.InFlight,
 	}
 	for _, e := range list {
 		status.Endpoints = append(status.Endpoints, EndpointStatus{
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -14,6 +14,7 @@
 	"cornelmux/internal/configuration"
 	"cornelmux/internal/consul"
 	"cornelmux/internal/datagram"
+	"cornelmux/internal/drain"
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/filter"
 	"cornelmux/internal/journal"
@@ -45,7 +46,7 @@
 type VM struct {
 	cfg            settings.Settings
 	log            logr.Logger
-	drain          *drain
+	drain          *drain.Controller
 	configurations *configuration.Controller
 	endpoints      *endpoint.Controller
 	sessions       *session.Controller
@@ -76,7 +77,7 @@
 		cfg:     cfg,
 		log:     log,
 		metrics: metrics,
-		drain:   newDrain(),
+		drain:   drain.New(log.WithName("drain")),
 		configurations: configuration.New(store, vmClient, configuration.Options{
 			VM: cfg.VM.Name, Zone: cfg.VM.Zone, FreshnessLimit: cfg.Limits.Freshness,
 		}, log.WithName("configuration")),
@@ -105,7 +106,7 @@
 	metrics.ObserveJournal(v.journal, log.WithName("metric"))
 	v.chain = filter.Chain(
 		filter.Observe{Meter: metrics},
-		v.drain,
+		filter.Drain{Requests: v.drain},
 		filter.Authenticate{Configurations: v.configurations},
 		filter.Authorize{},
 		filter.Limit{Limits: v.limits},
@@ -169,7 +170,7 @@
 	defer cancel()
 	defer v.close()
 	tasks := []task.Named{
-		{Name: "drain", Run: v.drain.run},
+		{Name: "drain", Run: v.drain.Run},
 		{Name: "configuration", Run: v.configurations.Run},
 		{Name: "endpoints", Run: v.endpoints.Run},
 		{Name: "sessions", Run: v.sessions.Run},
@@ -201,7 +202,9 @@
 	if err := v.peers.Leave(ctx); err != nil {
 		v.log.Info("shutdown not announced to peers", "error", err.Error())
 	}
-	drained := v.drain.leave(ctx)
+	now := time.Now()
+	cutAt := now.Add(v.cfg.Limits.StopTimeout) // no request takes as long
+	drained := v.drain.Leave(drain.Stop{Began: now, AdmitUntil: now, AcceptUntil: cutAt, AnswerBy: cutAt, CutAt: cutAt})
 	grace := time.NewTimer(v.cfg.Limits.LeaveGrace)
 	defer grace.Stop()
 	timeout := time.NewTimer(v.cfg.Limits.StopTimeout)
@@ -211,8 +214,8 @@
 		<-grace.C
 		v.log.Info("stopped", "in_flight", 0)
 	case <-timeout.C:
-		state, _ := v.drain.state(ctx)
-		v.log.Info("stop timeout exceeded; closing connections", "in_flight", state.inFlight)
+		n, _ := v.drain.ReportEnd(ctx)
+		v.log.Info("stop timeout exceeded; closing connections", "in_flight", n)
 	}
 }
 
--- a/internal/filter/authenticate.go
+++ b/internal/filter/authenticate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"cornelmux/internal/drain"
 	"cornelmux/pkg/result"
 )
 
@@ -32,6 +33,7 @@
 		return err
 	}
 	x.Snapshot, x.Account, x.Request = s, a, r
+	x.Flight.progress(x, drain.StagePlacing)
 	if !r.Deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, r.Deadline)
--- a/internal/filter/drain.go
+++ b/internal/filter/drain.go
@@ -1,6 +1,7 @@
 package filter
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -12,16 +13,17 @@
 
 // Requests tracks the requests in flight.
 type Requests interface {
-	// Enter counts a request as in flight until Exit. Progress tells where it stands and how often it was sent.
+	// Enter counts a request as in flight until Exit. Update tells how it stands meanwhile.
 	Enter(t *drain.Ticket, r drain.Request)
-	Progress(t *drain.Ticket, s drain.Stage, sends int)
+	Update(t *drain.Ticket, r drain.Request)
 	Exit(t *drain.Ticket)
 	// Stopping returns the timetable of the graceful shutdown; false before it begins.
 	Stopping() (drain.Stop, bool)
 }
 
 // Drain tracks each request that passes it as in flight. During a graceful shutdown it refuses those that come too late; one of
-// which nothing was answered when the VM has to end fails with result.Leaving. Drain follows Route, which sets the deadline.
+// which nothing was answered when the VM has to end fails with result.Leaving. It follows Route, which sets the deadline, or goes
+// before Authenticate.
 type Drain struct {
 	Requests Requests
 }
@@ -30,14 +32,10 @@
 func (f Drain) Handle(ctx context.Context, x *Exchange, next Next) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	t := &drain.Ticket{Cancel: cancel}
-	f.Requests.Enter(t, drain.Request{
-		ID: x.Request.ID, Route: x.Routed.Route.Name, Arrived: x.Arrived, Deadline: x.Request.Deadline, Stage: drain.StageReading,
-	})
-	defer f.Requests.Exit(t)
-	x.Flight = &Flight{Requests: f.Requests, Ticket: t}
-	if err := x.Flight.checkFirstSend(x); err != nil {
-		return err
+	x.Flight = newFlight(f.Requests, &drain.Ticket{Cancel: cancel}, x)
+	defer f.Requests.Exit(x.Flight.Ticket)
+	if s, ok := f.Requests.Stopping(); ok && s.RefusesNew(time.Now(), x.Request.Deadline) {
+		return refusedAtStop()
 	}
 	x.Sink = &drainSink{x: x, sink: x.Sink}
 	err := next(ctx, x)
@@ -53,10 +51,17 @@
 	return errors.As(context.Cause(ctx), &s)
 }
 
-// leavingError returns the error of a request that the shutdown of the VM ended. Its run state is that of err if anything was sent.
+// refusedAtStop returns the error of a request that wasn't sent.
+func refusedAtStop() *result.Error {
+	return result.Errorf(result.Leaving, "this VM is shutting down").WithRetryAfter(retryAfter)
+}
+
+// leavingError returns the error of a request that the shutdown of the VM ended. Its run state is that of err, or "not run" if err has
+// none and nothing was sent.
 func leavingError(x *Exchange, err error) *result.Error {
 	e := result.Errorf(result.Leaving, "this VM is shutting down: %v", err).WithRetryAfter(retryAfter)
-	if x.Sends > 0 {
+	var coded *result.Error
+	if errors.As(err, &coded) || x.Sends > 0 {
 		e.Run = result.From(err).Run
 	}
 	return e
@@ -66,23 +71,45 @@
 type Flight struct {
 	Requests Requests
 	Ticket   *drain.Ticket
+	// Request is what Requests was told last.
+	Request drain.Request
+}
+
+// newFlight enters the request.
+func newFlight(requests Requests, t *drain.Ticket, x *Exchange) *Flight {
+	f := &Flight{Requests: requests, Ticket: t, Request: drain.Request{Arrived: x.Arrived, Stage: drain.StageReading}}
+	f.describe(x)
+	requests.Enter(t, f.Request)
+	return f
+}
+
+// describe sets what is known of the request.
+func (f *Flight) describe(x *Exchange) {
+	f.Request.ID, f.Request.Deadline, f.Request.Sends = x.Request.ID, x.Request.Deadline, x.Sends
+	f.Request.Route = cmp.Or(x.Request.Service, x.Request.Model)
+	if x.Routed.Route != nil {
+		f.Request.Route = x.Routed.Route.Name
+	}
 }
 
 // progress tells where the request stands.
-func (f *Flight) progress(s drain.Stage, sends int) {
-	if f != nil {
-		f.Requests.Progress(f.Ticket, s, sends)
+func (f *Flight) progress(x *Exchange, s drain.Stage) {
+	if f == nil {
+		return
 	}
+	f.describe(x)
+	f.Request.Stage = s
+	f.Requests.Update(f.Ticket, f.Request)
 }
 
-// checkFirstSend fails if the VM is shutting down and the request, which wasn't sent before, is to be refused. It's called at the
-// request's entry and before each send.
+// checkFirstSend fails if the VM is shutting down and the request, which wasn't sent before, comes too late. It's called before each
+// send.
 func (f *Flight) checkFirstSend(x *Exchange) error {
 	if f == nil || x.Sends > 0 {
 		return nil
 	}
-	if s, ok := f.Requests.Stopping(); ok && s.Refuses(time.Now(), x.Request.Deadline) {
-		return result.Errorf(result.Leaving, "this VM is shutting down").WithRetryAfter(retryAfter)
+	if s, ok := f.Requests.Stopping(); ok && s.RefusesSend(time.Now(), x.Request.Deadline) {
+		return refusedAtStop()
 	}
 	return nil
 }
@@ -104,7 +131,7 @@
 			return context.Cause(ctx)
 		}
 		s.answering = true
-		s.x.Flight.progress(drain.StageAnswering, s.x.Sends)
+		s.x.Flight.progress(s.x, drain.StageAnswering)
 	}
 	return s.sink.Chunk(ctx, c)
 }
--- a/internal/filter/readbody.go
+++ b/internal/filter/readbody.go
@@ -41,7 +41,7 @@
 		return result.Errorf(result.BadRequest, "read the body: %v", err)
 	}
 	x.Request.Body = body
-	x.Flight.progress(drain.StagePlacing, 0)
+	x.Flight.progress(x, drain.StagePlacing)
 	return next(ctx, x)
 }
 
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -146,7 +146,7 @@
 		}
 		f.x.Sends++
 		f.x.Sent = true
-		f.x.Flight.progress(drain.StageSent, f.x.Sends)
+		f.x.Flight.progress(f.x, drain.StageSent)
 		return nil
 	}
 }
--- a/internal/filter/send.go
+++ b/internal/filter/send.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"time"
 
+	"cornelmux/internal/drain"
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/journal"
 	"cornelmux/internal/task"
@@ -126,6 +127,7 @@
 		}
 		x.Sent = true
 		x.Sends++
+		x.Flight.progress(x, drain.StageSent)
 		return nil
 	}
 }
