--- a/internal/filter/call.go
+++ b/internal/filter/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"cornelmux/internal/drain"
 	"cornelmux/internal/endpoint"
 	"cornelmux/pkg/result"
 	"cornelmux/pkg/routing"
@@ -49,7 +48,6 @@
 			}
 		}
 		s.sent = true
-		f.x.Flight.progress(drain.StageSent, s.present.ID.Number)
 		return nil
 	}
 }
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cornelmux/internal/drain"
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/pool"
 	"cornelmux/internal/shift"
@@ -168,6 +169,7 @@
 	x, place := f.x, r.Placement
 	f.tried = append(f.tried, place.ID)
 	x.Routed.Attempts++
+	x.Flight.progress(x, drain.StageSent)
 	now := time.Now()
 	s := &sendTask{
 		place: place, placing: r.Took, model: model, trial: r.Binding.Trial, sender: f.sender, call: f.call(model), resumes: x.Relayed,
