Let a silent stream go on that can't be resumed

A stream whose last event had no ID was given up when its endpoint fell silent for as long as one that can be resumed, although no other endpoint may go on with it. The silence watch of a send now rests from then on.

TestSilentStreamWithoutIDsGoesOn: both rows failed before ("no progress for 2s").

--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -198,7 +198,9 @@
 		f.setRelayed()
 		if isProgress(p) {
 			s.progressAt = time.Now()
-			watch.signal(progressWaiting)
+			if !f.order.unnumbered { // the send can't be replaced any more
+				watch.signal(progressWaiting)
+			}
 		}
 		if p.Event != "" {
 			f.lastEventID = p.Event
--- a/internal/filter/resume_test.go
+++ b/internal/filter/resume_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"cornelmux/internal/endpoint"
+	"cornelmux/pkg/routing"
 )
 
 // TestOnlyTheNextEventFollows passes events with the IDs on in order, and then asks whether another may follow in an answer that
@@ -50,3 +53,34 @@
 		})
 	}
 }
+
+// TestSilentStreamWithoutIDsGoesOn guards against giving up a silent stream that can't be resumed anywhere.
+func TestSilentStreamWithoutIDsGoesOn(t *testing.T) {
+	plain := endpoint.Chunk{Data: []byte("data: x\n\n")}
+	tests := []struct {
+		name   string
+		chunks []endpoint.Chunk
+	}{
+		{"no event has an ID", []endpoint.Chunk{plain, plain, end}},
+		{"the last event has no ID", []endpoint.Chunk{event("1", "id: 1\ndata: x\n\n"), plain, end}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x, sink := routedExchange(routing.KindStream)
+				x.Routed.Route.Objective = 10 * time.Second
+				pause := 2 * x.Routed.Route.MaxGap
+				first := pacedStream{chunks: test.chunks, pause: pause}
+				if len(test.chunks[0].Event) > 0 {
+					first.pause = pause / 4 // the first gap comes after an event with an ID
+					first.lastPause = pause
+				}
+				sender := &pacedSender{streams: []pacedStream{first, {chunks: []endpoint.Chunk{end}}}}
+				err := Forward{&fakePool{}, noShift{}, sender, noQuarantine{}}.Handle(t.Context(), x, nil)
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, sink.whole, qt.IsTrue)
+				qt.Check(t, sender.sends, qt.Equals, 1)
+			})
+		})
+	}
+}
