--- a/internal/filter/resume_test.go
+++ b/internal/filter/resume_test.go
@@ -84,3 +84,32 @@
 		})
 	}
 }
+
+// TestCallerThatResumesGetsNoEventTwice has a caller resume a stream after its third event, with the first endpoint beginning anew.
+func TestCallerThatResumesGetsNoEventTwice(t *testing.T) {
+	tests := []struct {
+		name      string
+		resumable bool
+		want      string
+		sends     int
+	}{
+		{"a route whose streams are resumed", true, "d", 2},
+		{"another route", false, "a", 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x, sink := routedExchange(routing.KindStream)
+			x.Routed.Route.Resumable, x.Routed.LastEventID = test.resumable, "3"
+			x.Idempotent = x.Routed.Route.Idempotent()
+			sender := &scriptedSender{script: []scriptedSend{
+				{head: head(200, "a"), chunks: []endpoint.Chunk{event("1", "a"), end}},
+				{head: head(200, "b"), chunks: []endpoint.Chunk{event("4", "d"), end}},
+			}}
+			err := Forward{&fakePool{}, noShift{}, sender, noQuarantine{}}.Handle(t.Context(), x, nil)
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, sink.text, qt.Equals, test.want)
+			qt.Check(t, sink.whole, qt.IsTrue)
+			qt.Check(t, sender.calls, qt.HasLen, test.sends)
+		})
+	}
+}
