--- a/internal/filter/replacement.go
+++ b/internal/filter/replacement.go
@@ -62,9 +62,10 @@
 	return false, nil
 }
 
-// mayReplace reports whether the request may be sent once more in place of s.
+// mayReplace reports whether the request may be sent once more in place of s. A stream can't be resumed after an event without an ID.
 func (f *forwardRun) mayReplace(ctx context.Context, s *sendTask) bool {
-	return f.x.Idempotent && f.x.Routed.attemptsLeft() > 0 && ctx.Err() == nil && !f.tooLate(s)
+	resumable := !f.x.Relayed || !f.order.unnumbered
+	return f.x.Idempotent && resumable && f.x.Routed.attemptsLeft() > 0 && ctx.Err() == nil && !f.tooLate(s)
 }
 
 // replacementQuery describes the run of a replacement: of the strongest model if the answer of another one is kept.
