--- a/internal/filter/handover_test.go
+++ b/internal/filter/handover_test.go
@@ -13,7 +13,6 @@
 
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/pool"
-	"cornelmux/internal/task"
 	"cornelmux/pkg/routing"
 )
 
@@ -68,7 +67,7 @@
 	s.mu.Unlock()
 	send := s.script[min(n, len(s.script)-1)]
 	err := send.err
-	if !task.Sleep(ctx, send.head) {
+	if !pauseFor(ctx, send.head) {
 		err = endpoint.ErrBroken
 	}
 	s.mu.Lock()
@@ -113,7 +112,7 @@
 	if s.event == s.send.silentAt {
 		pause = time.Hour
 	}
-	if !task.Sleep(s.ctx, pause) || s.event == s.send.breakAt {
+	if !pauseFor(s.ctx, pause) || s.event == s.send.breakAt {
 		return endpoint.Fragment{}, endpoint.ErrBroken
 	}
 	if s.event > s.sender.events {
--- a/internal/filter/kept_test.go
+++ b/internal/filter/kept_test.go
@@ -48,7 +48,9 @@
 		{"all refuse", []handoverSend{{head: short, err: refused}}, much, 3, time.Minute, 7 * short, []pool.End{pool.EndRefused, pool.EndRefused}},
 		{"the only other one refuses", []handoverSend{{head: short, err: refused}}, 2, 3, time.Minute, 6 * short, []pool.End{pool.EndRefused}},
 		{
-			"none can be reached", []handoverSend{{head: short, err: endpoint.ErrNotSent}}, 4, 3, time.Minute, 8 * short,
+			"none can be reached",
+			[]handoverSend{{head: short, err: endpoint.ErrNotSent}},
+			4, 3, time.Minute, 8 * short,
 			[]pool.End{pool.EndUnreachable, pool.EndUnreachable, pool.EndUnreachable},
 		},
 		{"all break off before the head", []handoverSend{{head: short, err: endpoint.ErrBroken}}, much, 3, time.Minute, 7 * short, []pool.End{pool.EndLost, pool.EndLost}},
@@ -96,15 +98,21 @@
 		ends    []pool.End
 	}{
 		{
-			"first", []handoverSend{{head: short, confidence: 5}, {head: accepts, confidence: 5}}, short + accepts,
+			"first",
+			[]handoverSend{{head: short, confidence: 5}, {head: accepts, confidence: 5}},
+			short + accepts,
 			[]pool.End{pool.EndAnswered, pool.EndAnswered},
 		},
 		{
-			"after a refusal", []handoverSend{{head: short, confidence: 5}, {head: short, err: &endpoint.RefusedError{}}, {head: accepts}},
-			2*short + accepts, []pool.End{pool.EndRefused, pool.EndAnswered, pool.EndAnswered},
+			"after a refusal",
+			[]handoverSend{{head: short, confidence: 5}, {head: short, err: &endpoint.RefusedError{}}, {head: accepts}},
+			2*short + accepts,
+			[]pool.End{pool.EndRefused, pool.EndAnswered, pool.EndAnswered},
 		},
 		{
-			"the answer broke off while it was kept", []handoverSend{{head: short, confidence: 5, breakAt: 1}, {head: accepts}}, short + accepts,
+			"the answer broke off while it was kept",
+			[]handoverSend{{head: short, confidence: 5, breakAt: 1}, {head: accepts}},
+			short + accepts,
 			[]pool.End{pool.EndAnswered, pool.EndAnswered},
 		},
 	}
--- a/internal/filter/pausing_test.go
+++ b/internal/filter/pausing_test.go
@@ -17,6 +17,15 @@
 	return context.WithDeadline(t.Context(), x.Request.Deadline)
 }
 
+// pauseFor waits for d and returns true, or false if ctx ends first. It takes no timer for no time, since the Go runtime crashes now and
+// then at one that has expired, in a synctest bubble with -race.
+func pauseFor(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	return task.Sleep(ctx, d)
+}
+
 // pausingSender is a Sender whose answers begin after a pause and have pauses between their chunks, as scripted, in order.
 type pausingSender struct {
 	script []pausingSend
@@ -44,7 +53,7 @@
 		return nil, fmt.Errorf("%w: no further send is scripted", endpoint.ErrBroken)
 	}
 	send := s.script[n]
-	if !task.Sleep(ctx, send.head) {
+	if !pauseFor(ctx, send.head) {
 		return nil, endpoint.ErrBroken
 	}
 	return &pausingStream{ctx, send}, nil
@@ -58,7 +67,7 @@
 func (s *pausingStream) Head() endpoint.Head { return head(200, "s") }
 
 func (s *pausingStream) Next() (endpoint.Fragment, error) {
-	if !task.Sleep(s.ctx, s.send.pauses[0]) {
+	if !pauseFor(s.ctx, s.send.pauses[0]) {
 		return endpoint.Fragment{}, endpoint.ErrBroken
 	}
 	c := s.send.chunks[0]
--- a/internal/filter/reservation_test.go
+++ b/internal/filter/reservation_test.go
@@ -13,7 +13,6 @@
 
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/pool"
-	"cornelmux/internal/task"
 	"cornelmux/pkg/result"
 	"cornelmux/pkg/routing"
 )
@@ -89,7 +88,7 @@
 	if send.err == nil || send.err == endpoint.ErrBroken {
 		s.runs <- e.ID
 	}
-	if !task.Sleep(ctx, send.head) {
+	if !pauseFor(ctx, send.head) {
 		return nil, endpoint.ErrBroken
 	}
 	if send.err != nil {
@@ -120,7 +119,7 @@
 	if s.last == 3 {
 		pause = s.send.pause
 	}
-	if !task.Sleep(s.ctx, pause) || s.ctx.Err() != nil {
+	if !pauseFor(s.ctx, pause) || s.ctx.Err() != nil {
 		return endpoint.Fragment{}, endpoint.ErrBroken
 	}
 	if s.last > randomEvents {
