Don't take an answer that isn't the rest of a stream for a crash

An endpoint that was asked to go on with a stream, and began it anew or answered with another content type, was reported to the quarantine of prompt blocks as a run lost at the start of its answer: the check of its head or of its first event ends the send as broken, with status 200 and no event. Such runs are the evidence on which blocks are quarantined, and two of them at two endpoints hold the request's next resend back, so that its stream is cut.

TestAnswerThatIsNotTheRestIsNoCrash failed before in both rows (one lost run in place of none).

--- a/internal/filter/quarantine.go
+++ b/internal/filter/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -65,7 +66,7 @@
 	switch {
 	case s.end == pool.EndAnswered && s.err == nil:
 		_ = f.quarantines.Answered(ctx, run) // a full mailbox leaves the blocks to other answers
-	case s.end == pool.EndLost && s.head.Status == http.StatusOK && s.events == 0:
+	case s.end == pool.EndLost && s.head.Status == http.StatusOK && s.events == 0 && !errors.Is(s.err, errNotTheRest):
 		_ = f.quarantines.Lost(ctx, run) // a full mailbox leaves the blocks to other lost runs
 	}
 }
--- a/internal/filter/quarantine_test.go
+++ b/internal/filter/quarantine_test.go
@@ -107,6 +107,29 @@
 	}
 }
 
+// TestAnswerThatIsNotTheRestIsNoCrash guards against a prompt that is taken for the cause of crashes because endpoints answered with
+// something else than the rest of its stream.
+func TestAnswerThatIsNotTheRestIsNoCrash(t *testing.T) {
+	begun := scriptedSend{head: head(200, "1"), chunks: []endpoint.Chunk{event("1", "a"), event("2", "b"), event("3", "c")}, broken: endpoint.ErrBroken}
+	text := head(200, "2")
+	text.ContentType = "text/plain"
+	tests := []struct {
+		name string
+		next scriptedSend
+	}{
+		{"begins anew", scriptedSend{head: head(200, "2"), chunks: []endpoint.Chunk{event("1", "a"), end}}},
+		{"another content type", scriptedSend{head: text, chunks: []endpoint.Chunk{last("x")}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			sender := &scriptedSender{script: []scriptedSend{begun, test.next, {head: head(200, "3"), chunks: []endpoint.Chunk{event("4", "d"), end}}}}
+			quarantines := &recordingQuarantine{}
+			qt.Check(t, Forward{&fakePool{}, noShift{}, sender, quarantines}.Handle(context.Background(), blockExchange(), nil), qt.IsNil)
+			qt.Check(t, quarantines.lost, qt.HasLen, 0)
+		})
+	}
+}
+
 // blockExchange returns a streaming request whose prompt has the shared blocks 1 and 2, and one of its own.
 func blockExchange() *Exchange {
 	x, _ := routedExchange(routing.KindStream)
