Let a kept answer go on before its request is given up

What callers saw: 504 in place of an answer of low confidence that was there. It is kept while the strongest model is asked, until the usual time of its rest before the deadline. Where nothing is known of that, or the rest is short, the answer was kept up to the deadline itself, and the request is given up 25 ms before that.

If nothing says how long the rest is, the answer is now kept for half of the time; and never in the last 50 ms, unless less is left.

--- a/internal/filter/kept.go
+++ b/internal/filter/kept.go
@@ -10,6 +10,9 @@
 // asked, however long the answer may be.
 const keepShare = 0.5
 
+// keepReserve is the time before the deadline that is left at least for the rest of a kept answer, beside its usual length.
+const keepReserve = 2 * answerMargin
+
 // keeps reports whether the answer of the current send is kept, unread, until the strongest model accepts the request.
 func (f *forwardRun) keeps() bool { return f.current != nil && f.current.held }
 
@@ -41,7 +44,7 @@
 }
 
 // latestForKept returns when the kept answer of s has to go on, so that it or the strongest model's can end by the deadline; zero
-// without one.
+// without one. If nothing says how long the rest is, the answer is kept for keepShare of the time.
 func (f *forwardRun) latestForKept(s *sendTask) time.Time {
 	d := f.x.Request.Deadline
 	if d.IsZero() {
@@ -49,8 +52,12 @@
 	}
 	remaining := time.Until(d)
 	gap := max(s.place.TypicalLatency.MeanGap, s.place.StrongerLatency.MeanGap)
+	least := time.Duration(keepShare * float64(remaining))
 	rest := time.Duration(f.x.Routed.expectedEvents()) * gap
-	return time.Now().Add(max(remaining-rest, time.Duration(keepShare*float64(remaining))))
+	if rest == 0 {
+		return time.Now().Add(least)
+	}
+	return time.Now().Add(max(remaining-rest-keepReserve, least))
 }
 
 // keepTimeOver reports whether the kept answer has to go on.
