Give the placement of a stronger model back once the kept answer goes on

A kept answer may go on while the strongest model is still being placed, when the pool is held up. If that answer then broke off, the retry took over the placement that had been looked for: it sent the first model's name to an endpoint chosen for the strongest one, and the pool was told the end of a run of another model and weight than the one that it counted.

passKept now ends the search. TestPlacementForAnotherModelIsNotUsed failed before: placed "e2 l", sent and ended "e2 s".

--- a/internal/filter/kept.go
+++ b/internal/filter/kept.go
@@ -80,6 +80,7 @@
 		return false, nil
 	}
 	s := f.current
+	f.dropAsked(ctx) // a retry asks another model
 	f.goOn(ctx)
 	s.held, s.progressAt = false, time.Now()
 	f.tried = append(f.tried, s.place.ID)
