Prefer the send that goes on to its replacement

When this process was held up, an event of the silent send and the acceptance of its replacement may both wait for the request. Which one was taken was left to chance: in half of the cases the sound endpoint's run was cancelled with an event at hand, counted as silent, and its endpoint left out for a while.

--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -24,11 +24,15 @@
 }
 
 // handleNext waits for what comes next and handles it. It reports whether the request ends, and with which error. What a send hands
-// over goes before the silence timeout, which may have passed only because this process was held up.
+// over goes before the silence timeout, which may have passed only because this process was held up, and the current send before its
+// replacement.
 func (f *forwardRun) handleNext(ctx context.Context) (bool, error) {
 	select {
 	case m, ok := <-f.current.received():
 		return f.relay(ctx, m, ok)
+	default:
+	}
+	select {
 	case _, ok := <-f.replacement.received():
 		return f.takeReplacement(ctx, ok)
 	default:
