Refuse a model that the route doesn't offer without a send

Callers of a route with sizes that named another model than * and its sizes had the name passed on to up to three runners, which answered 421, and got 503 with Retry-After, so that they went on to the next VM. Now the VM answers 421 at once (1005, model_not_served); nothing is sent. A caller that names one of the sizes, or none, is served as before.

The tests failed before: the chain sent 'medium' and 'Small' to an endpoint; at a whole VM both requests got 503, and after them 18 of 18 streaming requests on two routes too. Now 421, and all are served.

--- a/internal/filter/escalate.go
+++ b/internal/filter/escalate.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"cornelmux/internal/cascade"
 	"cornelmux/internal/endpoint"
+	"cornelmux/pkg/result"
 )
 
 // errEscalate is returned by a sink for an answer that is to be replaced by a stronger model's. It is kept until that accepts.
@@ -22,12 +24,15 @@
 // answer is too low.
 type Escalate struct{}
 
-// Handle implements Filter. A request keeps the caller's model if the route has no cascade or the
-// caller names one.
+// Handle implements Filter. A request keeps the caller's model if the route has no cascade, or the caller names one of its models
+// or none; any other name is refused before anything is sent.
 func (Escalate) Handle(ctx context.Context, x *Exchange, next Next) error {
-	models := x.Routed.Route.Cascade
-	if len(models) == 0 || x.Request.Model != AnyModel {
-		x.Attempt.Model = x.Request.Model
+	models, named := x.Routed.Route.Cascade, x.Request.Model
+	if len(models) == 0 || named != AnyModel {
+		if len(models) > 0 && named != "" && !slices.Contains(models, named) {
+			return result.Errorf(result.ModelNotServed, "route %s doesn't offer model %q", x.Routed.Route.Name, named)
+		}
+		x.Attempt.Model = named
 		return next(ctx, x)
 	}
 	sink := x.Sink
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -33,6 +33,7 @@
 	TooLarge           Code = 1002
 	NoSuchRoute        Code = 1003
 	RequestIDReused    Code = 1004
+	ModelNotServed     Code = 1005
 	BadKey             Code = 2001
 	ModelNotAllowed    Code = 2002
 	VersionNotAllowed  Code = 2003
@@ -77,6 +78,7 @@
 	{TooLarge, "too_large", http.StatusRequestEntityTooLarge, NotRun, "The body is over the limit in the settings."},
 	{NoSuchRoute, "no_such_route", http.StatusNotFound, NotRun, "No model interface or service has this path."},
 	{RequestIDReused, "request_id_reused", http.StatusUnprocessableEntity, NotRun, "The request ID was used with another body."},
+	{ModelNotServed, "model_not_served", http.StatusMisdirectedRequest, NotRun, "The route, or each endpoint that was asked, doesn't offer the model that the caller names."},
 	{BadKey, "bad_key", http.StatusUnauthorized, NotRun, "No client account has this key."},
 	{ModelNotAllowed, "model_not_allowed", http.StatusForbidden, NotRun, "The client account may not use this model or cascade."},
 	{VersionNotAllowed, "version_not_allowed", http.StatusForbidden, NotRun, "The client account may use no version of this model that is in service."},
