Take a 421 for a verdict on an endpoint only with proof

One request for a model that no runner has, and its retry, took all runners of a service out of use until their entries changed: each 421 counted as another runner at the address. Streams then got 503 for good. Now the address has another runner only if the answer names one that isn't the expected one. Any other 421 says that the request wasn't run there: it is tried elsewhere, and the caller gets 421 if it named the model, else 503. The endpoint backs off, 400 ms to 6 s as after a lost run, only if the service has answered runs of that model before: no caller can cause that with a model that none has, and an address that is used again is left as soon as another endpoint answers. Endpoints that back off are used if there is no other.

--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -19,6 +19,9 @@
 	ErrConnectionRefused = errors.New("connection refused by endpoint")
 	// ErrReplaced reports that another endpoint answers on the address. It did not run the call.
 	ErrReplaced = errors.New("another endpoint answers on the address")
+	// ErrMisdirected reports that whoever answers on the address doesn't take such calls, and didn't run this one. It doesn't say
+	// whether the call or the address is at fault.
+	ErrMisdirected = errors.New("such calls aren't taken on the address")
 )
 
 // SendCheck is called right before the first byte of a call is sent. An error prevents the send.
--- a/internal/filter/escalate.go
+++ b/internal/filter/escalate.go
@@ -45,6 +45,11 @@
 // AnyModel is the model name of a request that leaves the choice to the router.
 const AnyModel = "*"
 
+// namesModel reports whether the caller, not the router, chose the model.
+func (x *Exchange) namesModel() bool {
+	return x.Request.Model != "" && (x.Request.Model != AnyModel || len(x.Routed.Route.Cascade) == 0)
+}
+
 // confidenceSink inspects the head of an answer and refuses an answer whose confidence is too low.
 type confidenceSink struct {
 	x    *Exchange
--- a/internal/filter/escalate_test.go
+++ b/internal/filter/escalate_test.go
@@ -53,3 +53,44 @@
 		})
 	}
 }
+
+// TestMisdirectedRequestIsTriedElsewhere checks what callers get if endpoints don't take a request, and what the pool is told: an
+// answer about the request must not look like a shortage, nor one about an address like the caller's mistake.
+func TestMisdirectedRequestIsTriedElsewhere(t *testing.T) {
+	misdirected := scriptedSend{err: endpoint.ErrMisdirected}
+	whole := scriptedSend{head: head(200, "2"), chunks: []endpoint.Chunk{{Data: []byte("yes"), Last: true}}}
+	tests := []struct {
+		name    string
+		kind    routing.Kind
+		cascade []string
+		model   string
+		script  []scriptedSend
+		// code is that of the error; 0 stands for an answer.
+		code result.Code
+		run  result.Run
+	}{
+		{"the next endpoint answers", routing.KindNonIdempotent, nil, "m", []scriptedSend{misdirected, whole}, 0, ""},
+		{"none has the caller's model", routing.KindNonIdempotent, nil, "m", []scriptedSend{misdirected, misdirected, misdirected}, result.ModelNotServed, result.NotRun},
+		{"none has the router's model", routing.KindStream, []string{"small"}, AnyModel, []scriptedSend{misdirected, misdirected, misdirected}, result.NoEndpoint, result.NotRun},
+		{"no model is named", routing.KindNonIdempotent, nil, "", []scriptedSend{misdirected, misdirected, misdirected}, result.NoEndpoint, result.NotRun},
+		{"a run was lost before", routing.KindIdempotent, nil, "m", []scriptedSend{{err: endpoint.ErrBroken}, misdirected, misdirected}, result.NoEndpoint, result.Unknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x, _ := routedExchange(test.kind, test.cascade...)
+			x.Request.Model = test.model
+			err := Chain(Escalate{}, Forward{&fakePool{}, noShift{}, &scriptedSender{script: test.script}, noQuarantine{}})(t.Context(), x)
+			for i, s := range x.Routed.Trace {
+				qt.Check(t, s.End == "misdirected", qt.Equals, errors.Is(test.script[i].err, endpoint.ErrMisdirected))
+			}
+			if test.code == 0 {
+				qt.Check(t, err, qt.IsNil)
+				return
+			}
+			var coded *result.Error
+			qt.Assert(t, errors.As(err, &coded), qt.IsTrue, qt.Commentf("%v", err))
+			qt.Check(t, coded.Code, qt.Equals, test.code)
+			qt.Check(t, coded.Run, qt.Equals, test.run)
+		})
+	}
+}
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -121,6 +121,8 @@
 	lastEventID string
 	// order is what is known of the events that the caller has.
 	order eventOrder
+	// misdirected says that the last send ended with endpoint.ErrMisdirected.
+	misdirected bool
 	// errorAnswer is the endpoint's answer with an error status, held back while another endpoint may answer better.
 	errorAnswer *bufferedAnswer
 }
@@ -275,10 +277,12 @@
 	switch {
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		e = result.Errorf(result.DeadlinePassed, "%v", err)
+	case f.misdirected && x.namesModel() && !x.Routed.MayHaveRun:
+		e = result.Errorf(result.ModelNotServed, "%s: %v", endpointNames(f.tried), err)
 	case errors.As(err, &refused):
 		e = result.Errorf(result.QueueFull, "%s", endpointNames(f.tried)).WithRetryAfter(retryAfter)
 	case errors.As(err, &e):
-	case errors.Is(err, endpoint.ErrNotSent), errors.Is(err, endpoint.ErrReplaced):
+	case errors.Is(err, endpoint.ErrNotSent), errors.Is(err, endpoint.ErrReplaced), errors.Is(err, endpoint.ErrMisdirected):
 		e = result.Errorf(result.NoEndpoint, "%s: %v", endpointNames(f.tried), err).WithRetryAfter(retryAfter)
 	case x.Relayed:
 		e = result.Errorf(result.AnswerBroken, "%s: %v", endpointNames(f.tried), err)
--- a/internal/filter/handover_test.go
+++ b/internal/filter/handover_test.go
@@ -175,6 +175,7 @@
 		},
 		{"all break off before the head", []handoverSend{{head: short, err: endpoint.ErrBroken}}, []pool.End{pool.EndLost, pool.EndLost}},
 		{"others are at the addresses", []handoverSend{{head: short, err: endpoint.ErrReplaced}}, []pool.End{pool.EndReplaced, pool.EndReplaced}},
+		{"none takes the request", []handoverSend{{head: short, err: endpoint.ErrMisdirected}}, []pool.End{pool.EndMisdirected, pool.EndMisdirected}},
 		{"all answer with status 500", []handoverSend{{head: short, status: 500}}, []pool.End{pool.EndFailed, pool.EndFailed}},
 		{"all answer with status 404", []handoverSend{{head: short, status: 404}}, []pool.End{pool.EndAnswered, pool.EndAnswered}},
 		{
--- a/internal/filter/outcome.go
+++ b/internal/filter/outcome.go
@@ -39,6 +39,7 @@
 		f.errorAnswer = &bufferedAnswer{f.answerHead(s), s.errorBody}
 	}
 	s.end = f.classifyEnd(ctx, s)
+	f.misdirected = s.end == pool.EndMisdirected
 	switch {
 	case s.end == pool.EndTimeout:
 		s.err = fmt.Errorf("%w: no progress for %v", endpoint.ErrBroken, s.silent)
@@ -63,6 +64,9 @@
 	if x.Routed.Route.Kind == routing.KindStream {
 		o.Model, o.Prompt, o.Weight = s.model, x.Routed.Prompt, f.weight(s.model)
 	}
+	if s.end == pool.EndMisdirected {
+		o.Model = s.model // what the caller named may be the reason, whatever the kind of route
+	}
 	o.MeanGap = s.gaps.mean()
 	f.reportRun(ctx, s)
 	_ = f.Pool.Done(ctx, o)           // Done waits for room; if it fails even so, the run stays counted as in flight
@@ -102,6 +106,8 @@
 		return pool.EndRefused
 	case errors.Is(err, endpoint.ErrReplaced):
 		return pool.EndReplaced
+	case errors.Is(err, endpoint.ErrMisdirected):
+		return pool.EndMisdirected
 	case errors.As(err, &coded):
 		return pool.EndAbandoned
 	case errors.Is(err, endpoint.ErrNotSent):
--- a/internal/filter/reservation_test.go
+++ b/internal/filter/reservation_test.go
@@ -135,7 +135,7 @@
 	ms := func(t *rapid.T, name string, list ...int) time.Duration {
 		return time.Duration(rapid.SampledFrom(list).Draw(t, name)) * time.Millisecond
 	}
-	errs := []error{nil, nil, nil, nil, endpoint.ErrBroken, endpoint.ErrNotSent, endpoint.ErrReplaced, &endpoint.RefusedError{Status: 503}}
+	errs := []error{nil, nil, nil, nil, endpoint.ErrBroken, endpoint.ErrNotSent, endpoint.ErrReplaced, endpoint.ErrMisdirected, &endpoint.RefusedError{Status: 503}}
 	rapid.Check(tt, func(t *rapid.T) {
 		kind := rapid.SampledFrom([]routing.Kind{routing.KindStream, routing.KindNonIdempotent}).Draw(t, "kind")
 		sender := &randomSender{runs: make(chan string, 100)}
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -309,7 +309,7 @@
 	switch m.outcome.End {
 	case EndUnused:
 		c.budget(m.outcome.Service).ReturnRetry(time.Now())
-	case EndLost, EndTimeout, EndUnreachable, EndReplaced:
+	case EndLost, EndTimeout, EndUnreachable, EndReplaced, EndMisdirected:
 		c.log.Info("endpoint suspected", "endpoint", m.outcome.Endpoint, "end", m.outcome.End.String())
 	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -105,6 +105,8 @@
 	EndTimeout
 	// EndReplaced means that another endpoint answers on the address.
 	EndReplaced
+	// EndMisdirected means that whoever answers on the address doesn't take such runs.
+	EndMisdirected
 	// EndAbandoned means that the router or the caller ended the run.
 	EndAbandoned
 	// EndUnused means that a retry was placed and nothing was sent; the retry budget gets it back.
@@ -114,7 +116,7 @@
 // endNames are the values in logs.
 var endNames = map[End]string{
 	EndAnswered: "answered", EndFailed: "failed", EndRefused: "refused", EndUnreachable: "unreached", EndLost: "lost",
-	EndTimeout: "silent", EndReplaced: "replaced", EndAbandoned: "abandoned", EndUnused: "unused",
+	EndTimeout: "silent", EndReplaced: "replaced", EndMisdirected: "misdirected", EndAbandoned: "abandoned", EndUnused: "unused",
 }
 
 // String implements fmt.Stringer.
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -179,6 +179,12 @@
 		r.refusedUntil = now.Add(refusalTTL)
 	case EndReplaced:
 		r.replaced = true
+	case EndMisdirected:
+		// A run of a kind that the service never answered says nothing of the endpoint: the caller may have named a model that none has.
+		if typicalTTFB > 0 && !now.Before(r.backoffUntil) {
+			r.unreachable = false
+			r.backOff(now)
+		}
 	case EndLost, EndTimeout, EndUnreachable:
 		if o.End == EndTimeout && now.Before(r.backoffUntil) {
 			break // runs that fell silent together are one failure
