Use an endpoint again whose entry names another address

That another endpoint answers at the old address says nothing of the new one; the endpoint got no runs until it started anew.

--- a/internal/pool/misdirected_test.go
+++ b/internal/pool/misdirected_test.go
@@ -10,6 +10,8 @@
 // TestMisdirectedRunTakesNoEndpointOutOfUseForGood checks how long an endpoint that didn't take runs gets none while there is another.
 // A run whose like no endpoint of the service answered must not keep it from any, and none for good.
 func TestMisdirectedRunTakesNoEndpointOutOfUseForGood(t *testing.T) {
+	moved := entry("a")
+	moved.Address = "127.0.0.1:2"
 	restarted := entry("a")
 	restarted.Incarnation = 6
 	tests := []struct {
@@ -29,6 +31,7 @@
 		{"another endpoint is proved", "m", EndReplaced, 1, Entry{}, -1},
 		{"another endpoint is proved for an unknown model", "unknown", EndReplaced, 1, Entry{}, -1},
 		{"another endpoint is proved, and the entry stays", "m", EndReplaced, 1, entry("a"), -1},
+		{"another endpoint is proved, and the endpoint moves", "m", EndReplaced, 1, moved, 0},
 		{"another endpoint is proved, and the endpoint restarts", "m", EndReplaced, 1, restarted, 0},
 	}
 	for _, test := range tests {
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -91,6 +91,7 @@
 // that is leaving stays so, whatever the entry says. Table.Put calls it for an endpoint that is known.
 func (r *Record) update(e Entry) (restarted bool) {
 	restarted = e.Incarnation != r.Incarnation && r.Incarnation != 0 && e.Incarnation != 0
+	r.replaced = r.replaced && e.Address == r.Address
 	leaving := r.Leaving && !restarted
 	r.Entry = e
 	r.Leaving = r.Leaving || leaving
