--- a/internal/filter/escalate.go
+++ b/internal/filter/escalate.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"cornelmux/internal/cascade"
 	"cornelmux/internal/endpoint"
+	"cornelmux/pkg/result"
 )
 
 // errEscalate is returned by a sink for an answer that is to be replaced by a stronger model's. It is kept until that accepts.
@@ -22,12 +24,15 @@
 // answer is too low.
 type Escalate struct{}
 
-// Handle implements Filter. A request keeps the caller's model if the route has no cascade or the
-// caller names one.
+// Handle implements Filter. A request keeps the caller's model if the route has no cascade, or the caller names one of its models
+// or none; any other name is refused before anything is sent.
 func (Escalate) Handle(ctx context.Context, x *Exchange, next Next) error {
-	models := x.Routed.Route.Cascade
-	if len(models) == 0 || x.Request.Model != AnyModel {
-		x.Attempt.Model = x.Request.Model
+	models, named := x.Routed.Route.Cascade, x.Request.Model
+	if len(models) == 0 || named != AnyModel {
+		if len(models) > 0 && named != "" && !slices.Contains(models, named) {
+			return result.Errorf(result.ModelNotServed, "route %s doesn't offer model %q", x.Routed.Route.Name, named)
+		}
+		x.Attempt.Model = named
 		return next(ctx, x)
 	}
 	sink := x.Sink
@@ -40,6 +45,11 @@
 // AnyModel is the model name of a request that leaves the choice to the router.
 const AnyModel = "*"
 
+// namesModel reports whether the caller, not the router, chose the model.
+func (x *Exchange) namesModel() bool {
+	return x.Request.Model != "" && (x.Request.Model != AnyModel || len(x.Routed.Route.Cascade) == 0)
+}
+
 // confidenceSink inspects the head of an answer and refuses an answer whose confidence is too low.
 type confidenceSink struct {
 	x    *Exchange
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -91,6 +91,7 @@
 // that is leaving stays so, whatever the entry says. Table.Put calls it for an endpoint that is known.
 func (r *Record) update(e Entry) (restarted bool) {
 	restarted = e.Incarnation != r.Incarnation && r.Incarnation != 0 && e.Incarnation != 0
+	r.replaced = r.replaced && e.Address == r.Address
 	leaving := r.Leaving && !restarted
 	r.Entry = e
 	r.Leaving = r.Leaving || leaving
@@ -179,6 +180,12 @@
 		r.refusedUntil = now.Add(refusalTTL)
 	case EndReplaced:
 		r.replaced = true
+	case EndMisdirected:
+		// A run of a kind that the service never answered says nothing of the endpoint: the caller may have named a model that none has.
+		if typicalTTFB > 0 && !now.Before(r.backoffUntil) {
+			r.unreachable = false
+			r.backOff(now)
+		}
 	case EndLost, EndTimeout, EndUnreachable:
 		if o.End == EndTimeout && now.Before(r.backoffUntil) {
 			break // runs that fell silent together are one failure
