Runners that say that they leave get no new requests

Callers saw 504 for accepted non-idempotent requests, and a VM that the store turned away went on sending to a runner whose answers had said for seconds that it leaves: nothing read the field.

Cause: platform/ didn't decode Server-Leaving, and the pool left a runner only by its entry in the store.

The task of the send tells the pool before anything of the answer is handed over, so what comes after is placed by it. The mark holds for the incarnation, also after its entry was removed and came back.

--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -78,6 +78,7 @@
 	// Confidence is the model's confidence in its own answer, 0 to 100. It is valid only if HasConfidence is set.
 	Confidence    int
 	HasConfidence bool
+	Notice        Notice
 }
 
 // Fragment is a chunk as it arrived, possibly out of order or twice.
--- a/internal/feed/gossip.go
+++ b/internal/feed/gossip.go
@@ -45,8 +45,8 @@
 	return took - t.shortest
 }
 
-// gossip sends the state of the sections to the other VMs of the zone. Evidence, crashes and what is known of prompt blocks
-// matter in every zone, so states with these also go to some VMs of other zones. Run calls it at each tick; it sends every
+// gossip sends the state of the sections to the other VMs of the zone. Evidence, crashes, endpoints that are leaving and what is known of
+// prompt blocks matter in every zone, so states with these also go to some VMs of other zones. Run calls it at each tick; it sends every
 // gossipInterval, and nothing if the state has neither these nor endpoints. A section that fails is left out.
 func (c *Controller) gossip(ctx context.Context, now time.Time) {
 	if now.Before(c.nextGossip) || len(c.secret) == 0 || len(c.sections) == 0 {
@@ -66,17 +66,28 @@
 			c.log.V(1).Info("state section not collected", "error", err.Error())
 		}
 	}
-	forAllZones := len(s.Evidence) > 0 || len(s.Crashes) > 0 || len(s.LostRuns) > 0 || len(s.Clearances) > 0 || len(s.BlockQuarantines) > 0
+	leaving := leavingReports(s.Endpoints)
+	forAllZones := len(leaving) > 0 || len(s.Evidence) > 0 || len(s.Crashes) > 0 || len(s.LostRuns) > 0 || len(s.Clearances) > 0 || len(s.BlockQuarantines) > 0
 	if len(s.Endpoints) == 0 && !forAllZones {
 		return
 	}
 	c.sendState(s, ZonePeers(self.VM, self.Zone, c.members))
 	if forAllZones {
-		s.Endpoints = nil // loads matter only in their own zone
+		s.Endpoints = leaving // loads matter only in their own zone
 		c.sendState(s, c.nextRemotePeers())
 	}
 }
 
+// leavingReports returns the reports of the endpoints that are leaving, without their loads. gossip calls it.
+func leavingReports(reports []peer.EndpointReport) (out []peer.EndpointReport) {
+	for _, e := range reports {
+		if e.Leaving {
+			out = append(out, peer.EndpointReport{Endpoint: e.Endpoint, Incarnation: e.Incarnation, Leaving: true})
+		}
+	}
+	return out
+}
+
 // sendState sends a state to the addresses, in one datagram each. gossip calls it. A failure is only logged.
 func (c *Controller) sendState(s peer.State, addresses []string) {
 	packet, _, err := c.cursor.Encode(c.secret, peer.Packet{State: s})
--- a/internal/feed/gossip_test.go
+++ b/internal/feed/gossip_test.go
@@ -47,6 +47,9 @@
 		{"a crash in another zone", "y", peer.State{
 			Endpoints: []peer.EndpointReport{{Endpoint: "e"}}, Crashes: []peer.CrashReport{{Fingerprint: 7, Endpoint: "e"}},
 		}, 0, 1, 0},
+		{"a leaving endpoint in another zone", "y", peer.State{
+			Endpoints: []peer.EndpointReport{{Endpoint: "e", Running: 2}, {Endpoint: "f", Leaving: true}},
+		}, 1, 0, 0},
 		{"a lost run in another zone", "y", peer.State{LostRuns: []peer.LostRun{{Request: 7, Blocks: []uint64{1}}}}, 0, 0, 1},
 		{"a clearance in another zone", "y", peer.State{Clearances: []peer.Clearance{{Key: 1}}}, 0, 0, 1},
 		{"a quarantine in another zone", "y", peer.State{BlockQuarantines: []peer.BlockQuarantine{{Block: 1}}}, 0, 0, 1},
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -22,6 +22,8 @@
 	// Choose places the run on an endpoint and counts it as in flight there until Done.
 	Choose(ctx context.Context, q pool.Query) (pool.Placement, error)
 	Done(ctx context.Context, o pool.Outcome) error
+	// Note records what an endpoint said of itself with an answer; it must be safe for use by several goroutines.
+	Note(ctx context.Context, n pool.Notice) error
 }
 
 // Shifts decides which version a session gets during a traffic shift.
@@ -172,7 +174,7 @@
 	x.Flight.progress(x, drain.StageSent)
 	now := time.Now()
 	s := &sendTask{
-		place: place, placing: r.Took, model: model, trial: r.Binding.Trial, sender: f.sender, call: f.call(model), resumes: x.Relayed,
+		place: place, placing: r.Took, model: model, trial: r.Binding.Trial, sender: f.sender, pool: f.Pool, call: f.call(model), resumes: x.Relayed,
 		messages: make(chan message), ends: make(chan task.End, 1), sendResult: sendResult{began: now, progressAt: now, reportAt: firstProgress},
 		present: shift.Attempt{
 			ID: shift.AttemptID{Request: x.Request.ID, Number: x.Routed.Attempts}, Service: x.Routed.Service, Version: place.Version,
--- a/internal/filter/reservation_test.go
+++ b/internal/filter/reservation_test.go
@@ -56,6 +56,8 @@
 	return nil
 }
 
+func (p *countedPool) Note(context.Context, pool.Notice) error { return nil }
+
 // randomSend is one send of a randomSender.
 type randomSend struct {
 	head, pause time.Duration
--- a/internal/filter/sendtask.go
+++ b/internal/filter/sendtask.go
@@ -29,6 +29,7 @@
 	// first is the silence timeout until the first progress, gap the one between two; 0 means none.
 	first, gap time.Duration
 	sender     Sender
+	pool       Pool
 	call       endpoint.Call
 	// resumes says that the caller has a part of the answer, so that the body of an error isn't needed.
 	resumes bool
@@ -94,10 +95,12 @@
 	defer close(s.messages)
 	stream, err := s.sender.Open(ctx, s.target(), s.call, s.check)
 	if err != nil {
+		s.note(ctx, endpoint.NoticeOf(err))
 		return err
 	}
 	defer stream.Close()
 	s.head, s.ttfb = stream.Head(), time.Since(s.began)
+	s.note(ctx, s.head.Notice)
 	switch {
 	case s.head.Status >= http.StatusBadRequest && s.resumes:
 		return errEndpointStatus
@@ -122,6 +125,14 @@
 	}
 }
 
+// note tells the pool what the endpoint said of itself. run calls it before it hands anything of the answer over, so that a
+// request that comes after the answer is placed by it.
+func (s *sendTask) note(ctx context.Context, n endpoint.Notice) {
+	if n != (endpoint.Notice{}) {
+		_ = s.pool.Note(ctx, pool.Notice{Endpoint: s.place.ID, Incarnation: s.place.Incarnation, Notice: n}) // waits for room; the next answer says it again
+	}
+}
+
 // target returns the endpoint of the placement.
 func (s *sendTask) target() endpoint.Endpoint {
 	return endpoint.Endpoint{ID: s.place.ID, Address: s.place.Address, Region: s.place.Region, Zone: s.place.Zone}
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -204,7 +204,7 @@
 // handle stores the entry, and logs it if it is new or changed.
 func (m putMessage) handle(ctx context.Context, c *Controller) {
 	before, known := c.table.records[m.entry.ID]
-	if !known || before.withdrawn || before.Leaving != m.entry.Leaving || before.Version != m.entry.Version || before.Incarnation != m.entry.Incarnation {
+	if !known || before.withdrawn || (m.entry.Leaving && !before.Leaving) || before.Version != m.entry.Version || before.Incarnation != m.entry.Incarnation {
 		c.log.Info("endpoint listed", "endpoint", m.entry.ID, "service", m.entry.Service, "version", m.entry.Version,
 			"leaving", m.entry.Leaving, "incarnation", m.entry.Incarnation, "zone", m.entry.Zone, "new", !known)
 	}
--- a/internal/pool/gossip.go
+++ b/internal/pool/gossip.go
@@ -27,17 +27,19 @@
 	failureRate float64
 }
 
-// PeerReports returns the reports to send to peers: the endpoints that this VM uses, suspects or saw failing. The
-// Controller calls it for each gossiped state.
+// PeerReports returns the reports to send to peers: the endpoints that this VM uses, suspects or saw failing, and those that said
+// that they are leaving. The Controller calls it for each gossiped state.
 func (t *Table) PeerReports(now time.Time) []peer.EndpointReport {
 	var out []peer.EndpointReport
 	for _, r := range t.records {
 		suspected := r.unreachable && now.Before(r.backoffUntil)
-		if r.InFlight == 0 && r.failureRate < minReportedFailureRate && !suspected {
+		leaving := r.reportsLeaving(now)
+		if r.InFlight == 0 && r.failureRate < minReportedFailureRate && !suspected && !leaving {
 			continue
 		}
 		out = append(out, peer.EndpointReport{
 			Endpoint: r.ID, Incarnation: uint64(r.Incarnation), Running: r.InFlight, EngineLoad: r.engineLoad, FailureRate: r.failureRate, Suspect: suspected,
+			Leaving: leaving,
 		})
 	}
 	return out
@@ -92,9 +94,10 @@
 	return err
 }
 
-// Receive implements peer.Section. It ignores VMs of other availability zones, because runs seldom leave their zone.
+// Receive implements peer.Section. Of VMs of other availability zones only the endpoints that are leaving count, because runs seldom
+// leave their zone.
 func (c *Controller) Receive(_ context.Context, s peer.State) error {
-	if s.Zone != c.opts.Location.Zone || len(s.Endpoints) == 0 {
+	if len(s.Endpoints) == 0 {
 		return nil
 	}
 	return task.Tell(c.mailbox, message(receiveMessage{s}))
@@ -107,7 +110,14 @@
 }
 
 func (m receiveMessage) handle(_ context.Context, c *Controller) {
-	c.table.ApplyPeerReports(m.state.VM, m.state.Endpoints, time.Now())
+	for _, e := range m.state.Endpoints {
+		if e.Leaving {
+			c.markLeaving(e.Endpoint, int64(e.Incarnation), m.state.VM)
+		}
+	}
+	if m.state.Zone == c.opts.Location.Zone {
+		c.table.ApplyPeerReports(m.state.VM, m.state.Endpoints, time.Now())
+	}
 }
 
 var _ peer.Section = (*Controller)(nil)
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -47,6 +47,8 @@
 	// missing says that the entry disappeared while the directory was unreliable, at missingAt.
 	missing   bool
 	missingAt time.Time
+	// saidLeavingAt is when the endpoint first said, here or to a peer, that it is leaving; zero if it didn't.
+	saidLeavingAt time.Time
 	// withdrawn says that the directory has no usable entry of the endpoint now.
 	withdrawn bool
 	// replaced says that another endpoint answers on the address.
@@ -97,6 +99,7 @@
 	r.missing, r.withdrawn = false, false
 	if restarted {
 		r.replaced, r.backoffs, r.backoffUntil, r.failureRate, r.latencyRatio = false, 0, time.Time{}, 0, 1
+		r.saidLeavingAt = time.Time{}
 		r.prefixBlocks, r.peerViews, r.suspectedUntil, r.unreachable = newPrefixCache(maxPrefixBlocks), map[string]peerView{}, time.Time{}, false
 	}
 	return restarted
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -47,6 +47,7 @@
 	// records holds the endpoints by ID, services by service, each list ordered by ID.
 	records  map[string]*Record
 	services map[string][]*Record
+	departed departed
 	// typical holds the typical latency of the runs by service and model.
 	typical map[latencyKey]Latency
 	// directoryDown says that the directory cannot be read now; directoryUpAt is when it last became readable again.
@@ -62,7 +63,7 @@
 
 // NewTable makes an empty Table for a VM at the location.
 func NewTable(location endpoint.Location) *Table {
-	return &Table{location: location, records: map[string]*Record{}, services: map[string][]*Record{}, typical: map[latencyKey]Latency{}}
+	return &Table{location: location, records: map[string]*Record{}, services: map[string][]*Record{}, departed: departed{}, typical: map[latencyKey]Latency{}}
 }
 
 // Put adds or updates an entry, unless it is of an earlier incarnation. It returns the crashes that a new incarnation
@@ -70,6 +71,7 @@
 func (t *Table) Put(e Entry, now time.Time) []Crash {
 	r, ok := t.records[e.ID]
 	if !ok {
+		e.Leaving = e.Leaving || t.departed.has(&e)
 		r = newRecord(e)
 		t.records[e.ID] = r
 		t.list(r)
@@ -111,7 +113,7 @@
 		r.lostRuns = slices.DeleteFunc(r.lostRuns, func(l lostRun) bool { return now.Sub(l.lostAt) >= dropProofTime })
 		crashes = newCrashes(r.takeCrashes(now), r.ID, r.Incarnation)
 	}
-	t.remove(r)
+	t.remove(r, now)
 	return crashes
 }
 
@@ -155,12 +157,13 @@
 // Sweep removes the entries that were not relisted after an outage and returns their IDs. The Controller calls it every
 // sweepInterval.
 func (t *Table) Sweep(now time.Time) (gone []string) {
+	t.departed.forget(now)
 	if t.directoryUnreliable(now) {
 		return nil
 	}
 	for id, r := range t.records {
 		if r.missing {
-			t.remove(r)
+			t.remove(r, now)
 			gone = append(gone, id)
 		}
 	}
@@ -169,9 +172,10 @@
 
 // remove removes an endpoint; one with runs in flight is only withdrawn, so that it gets no new ones unless its entry comes
 // back. After its last run, Sweep removes it if it is missing, and otherwise the next Retain. Drop, Sweep and Done call it.
-func (t *Table) remove(r *Record) {
+func (t *Table) remove(r *Record, now time.Time) {
 	r.withdrawn = true
 	if r.InFlight == 0 {
+		t.departed.add(&r.Entry, now)
 		delete(t.records, r.ID)
 		t.unlist(r)
 	}
@@ -301,7 +305,7 @@
 	t.updateTypical(key, o)
 	r.noteLoss(o, now)
 	if r.Leaving && r.InFlight == 0 && r.missing {
-		t.remove(r)
+		t.remove(r, now)
 	}
 	if o.End == EndUnreachable {
 		return newCrashes(r.takeCrashes(now), r.ID, r.Incarnation)
