Runners that answer 503 with Retry-After get no requests for so long

A runner that turned a request away and named a time got further requests at once: the pool added half a second of cost for 150 ms only.

The time goes as endpoint.Notice.Pause to the pool, which leaves the incarnation out until it is over, at most for a minute. It counts from when the pool learns it; VMs don't tell each other. If all endpoints that may run a request pause, the caller gets 503 with the shortest time as Retry-After.

--- a/internal/endpoint/notice.go
+++ b/internal/endpoint/notice.go
@@ -1,11 +1,16 @@
 package endpoint
 
-import "errors"
+import (
+	"errors"
+	"time"
+)
 
 // Notice is what an endpoint says of itself with an answer, whatever the answer is.
 type Notice struct {
 	// Leaving says that the endpoint is shutting down and wants no new runs.
 	Leaving bool
+	// Pause is how long the endpoint wants no runs of this VM; 0 means that it doesn't say so.
+	Pause time.Duration
 }
 
 // NoticeError is the error of a call whose answer can't be used and brought a Notice all the same.
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -77,6 +77,8 @@
 	chooseReply struct {
 		placement Placement
 		choice    Choice
+		// pause is the time until an endpoint wants runs again, with ChoicePausing.
+		pause time.Duration
 	}
 	doneMessage     struct{ outcome Outcome }
 	versionsMessage struct {
@@ -177,6 +179,8 @@
 		return r.placement, nil
 	case ChoiceNoBudget:
 		return Placement{}, result.Errorf(result.QueueFull, "service %s: retry budget is used up", q.Service).WithRetryAfter(retryAfter)
+	case ChoicePausing:
+		return Placement{}, result.Errorf(result.QueueFull, "service %s: its endpoints want no runs for a while", q.Service).WithRetryAfter(r.pause)
 	case ChoiceLater:
 		return Placement{}, result.Errorf(result.QueueFull, "endpoint %s: other silent runs are moved first", q.Silent).WithRetryAfter(retryAfter)
 	default:
@@ -264,7 +268,11 @@
 		budget.ReturnRetry(now)
 	}
 	p.RetryAllowed = budget.AllowsEscalation(now)
-	if !m.reply.Send(chooseReply{p, choice}) && choice == ChoicePlaced {
+	reply := chooseReply{placement: p, choice: choice}
+	if choice == ChoicePausing {
+		reply.pause = c.table.pauseLeft(&m.query, now)
+	}
+	if !m.reply.Send(reply) && choice == ChoicePlaced {
 		c.giveBack(&m.query, &p, now)
 	}
 }
--- a/internal/pool/notice.go
+++ b/internal/pool/notice.go
@@ -34,6 +34,53 @@
 	return !r.saidLeavingAt.IsZero() && now.Sub(r.saidLeavingAt) < reportLeavingTime
 }
 
+const (
+	// maxPause bounds how long an endpoint gets no runs because it asked for that.
+	maxPause = time.Minute
+	// pauseLogInterval is the shortest time between two lines about the pauses of an endpoint.
+	pauseLogInterval = 10 * time.Second
+)
+
+// Pause leaves an incarnation of an endpoint out for a time, at most maxPause. A pause that it asked for before isn't shortened. It
+// reports whether that is to be logged. The Controller calls it for each notice with a pause.
+func (t *Table) Pause(id string, incarnation int64, pause time.Duration, now time.Time) bool {
+	r, ok := t.records[id]
+	if !ok || r.Incarnation != incarnation {
+		return false
+	}
+	if until := now.Add(min(pause, maxPause)); until.After(r.pausedUntil) {
+		r.pausedUntil = until
+	}
+	if !r.pauseLoggedAt.IsZero() && now.Sub(r.pauseLoggedAt) < pauseLogInterval {
+		return false
+	}
+	r.pauseLoggedAt = now
+	return true
+}
+
+// pauses reports whether the endpoint asked for no runs until a time after now.
+func (r *Record) pauses(now time.Time) bool { return now.Before(r.pausedUntil) }
+
+// pauseLeft returns the shortest time until one of the service's endpoints that may run q, tried before or not, wants runs again; 0 if
+// there is none or one wants them now. Choose calls it if no endpoint is left.
+func (t *Table) pauseLeft(q *Query, now time.Time) time.Duration {
+	all, least := *q, time.Duration(0)
+	all.Exclude = nil
+	for _, r := range t.services[q.Service] {
+		if !r.eligible(&all) {
+			continue
+		}
+		left := r.pausedUntil.Sub(now)
+		if left <= 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
 type noticeMessage struct{ notice Notice }
 
 // Note implements filter.Pool: it records what an endpoint said of itself. The task of a send calls it before anything of the answer
@@ -46,6 +93,9 @@
 	if m.notice.Leaving {
 		c.markLeaving(m.notice.Endpoint, m.notice.Incarnation, "answer")
 	}
+	if m.notice.Pause > 0 && c.table.Pause(m.notice.Endpoint, m.notice.Incarnation, m.notice.Pause, time.Now()) {
+		c.log.Info("endpoint wants no runs for a while", "endpoint", m.notice.Endpoint, "seconds", m.notice.Pause.Seconds())
+	}
 }
 
 // markLeaving marks the incarnation of an endpoint as leaving, and logs that once; from names who said so.
--- a/internal/pool/notice_test.go
+++ b/internal/pool/notice_test.go
@@ -137,7 +137,7 @@
 		qt.Assert(t, c.Note(t.Context(), Notice{Endpoint: "a", Incarnation: 5}), qt.IsNil)
 		_, err := c.Choose(t.Context(), Query{Service: "s"})
 		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, c.Note(t.Context(), Notice{"a", 5, endpoint.Notice{Leaving: true}}), qt.IsNil)
+		qt.Assert(t, c.Note(t.Context(), Notice{Endpoint: "a", Incarnation: 5, Notice: endpoint.Notice{Leaving: true}}), qt.IsNil)
 		_, err = c.Choose(t.Context(), Query{Service: "s"})
 		qt.Assert(t, err, qt.IsNotNil)
 	})
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -65,6 +65,9 @@
 	peerViews map[string]peerView
 	// refusedUntil is how long the last refusal counts.
 	refusedUntil time.Time
+	// pausedUntil is until when the endpoint wants no runs; pauseLoggedAt is when that was last logged.
+	pausedUntil   time.Time
+	pauseLoggedAt time.Time
 	// failureRate is the moving share of runs that failed, 0 to 1.
 	failureRate float64
 	// latencyRatio is the moving mean of the time to first byte, divided by the typical one.
@@ -99,7 +102,7 @@
 	r.missing, r.withdrawn = false, false
 	if restarted {
 		r.replaced, r.backoffs, r.backoffUntil, r.failureRate, r.latencyRatio = false, 0, time.Time{}, 0, 1
-		r.saidLeavingAt = time.Time{}
+		r.saidLeavingAt, r.pausedUntil = time.Time{}, time.Time{}
 		r.prefixBlocks, r.peerViews, r.suspectedUntil, r.unreachable = newPrefixCache(maxPrefixBlocks), map[string]peerView{}, time.Time{}, false
 	}
 	return restarted
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -32,6 +32,8 @@
 	ChoiceNoBudget
 	// ChoiceLater means that other runs of the silent endpoint are moved first.
 	ChoiceLater
+	// ChoicePausing means that all endpoints that may run it asked for a pause.
+	ChoicePausing
 )
 
 // Crash says that an endpoint crashed while it ran the request with the fingerprint. Endpoint is its ID and its incarnation,
@@ -71,8 +73,8 @@
 func (t *Table) Put(e Entry, now time.Time) []Crash {
 	r, ok := t.records[e.ID]
 	if !ok {
-		e.Leaving = e.Leaving || t.departed.has(&e)
 		r = newRecord(e)
+		t.departed.restore(r)
 		t.records[e.ID] = r
 		t.list(r)
 		return nil
@@ -175,7 +177,7 @@
 func (t *Table) remove(r *Record, now time.Time) {
 	r.withdrawn = true
 	if r.InFlight == 0 {
-		t.departed.add(&r.Entry, now)
+		t.departed.add(r, now)
 		delete(t.records, r.ID)
 		t.unlist(r)
 	}
@@ -206,7 +208,7 @@
 func compareID(r *Record, id string) int { return cmp.Compare(r.ID, id) }
 
 // Choose places a run and counts it as in flight until Done. It considers endpoints that are not available only if no
-// other is eligible. The Controller calls it for each run.
+// other is eligible, and none that asked for a pause. The Controller calls it for each run.
 func (t *Table) Choose(q *Query, now time.Time) (Placement, Choice) {
 	q.blocks, q.sharedTokens = joinBlocks(q.Prompt.Blocks), q.Prompt.SharedPrefixTokens()
 	best := t.best(q, now, true)
@@ -214,6 +216,9 @@
 		best = t.best(q, now, false)
 	}
 	if best == nil {
+		if t.pauseLeft(q, now) > 0 {
+			return Placement{}, ChoicePausing
+		}
 		return Placement{}, ChoiceNone
 	}
 	inFlight, _, _ := best.peerTotals(now)
@@ -244,7 +249,7 @@
 	var best *Record
 	var leastScore time.Duration
 	for i, r := range list {
-		if !r.eligible(q) || (onlyAvailable && !r.available(now)) {
+		if !r.eligible(q) || r.pauses(now) || (onlyAvailable && !r.available(now)) {
 			continue
 		}
 		s := r.Score(q, t.location, ranks[i], now)
