--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -77,6 +77,8 @@
 	chooseReply struct {
 		placement Placement
 		choice    Choice
+		// pause is the time until an endpoint wants runs again, with ChoicePausing.
+		pause time.Duration
 	}
 	doneMessage     struct{ outcome Outcome }
 	versionsMessage struct {
@@ -177,6 +179,8 @@
 		return r.placement, nil
 	case ChoiceNoBudget:
 		return Placement{}, result.Errorf(result.QueueFull, "service %s: retry budget is used up", q.Service).WithRetryAfter(retryAfter)
+	case ChoicePausing:
+		return Placement{}, result.Errorf(result.QueueFull, "service %s: its endpoints want no runs for a while", q.Service).WithRetryAfter(r.pause)
 	case ChoiceLater:
 		return Placement{}, result.Errorf(result.QueueFull, "endpoint %s: other silent runs are moved first", q.Silent).WithRetryAfter(retryAfter)
 	default:
@@ -204,7 +208,7 @@
 // handle stores the entry, and logs it if it is new or changed.
 func (m putMessage) handle(ctx context.Context, c *Controller) {
 	before, known := c.table.records[m.entry.ID]
-	if !known || before.withdrawn || before.Leaving != m.entry.Leaving || before.Version != m.entry.Version || before.Incarnation != m.entry.Incarnation {
+	if !known || before.withdrawn || (m.entry.Leaving && !before.Leaving) || before.Version != m.entry.Version || before.Incarnation != m.entry.Incarnation {
 		c.log.Info("endpoint listed", "endpoint", m.entry.ID, "service", m.entry.Service, "version", m.entry.Version,
 			"leaving", m.entry.Leaving, "incarnation", m.entry.Incarnation, "zone", m.entry.Zone, "new", !known)
 	}
@@ -264,7 +268,11 @@
 		budget.ReturnRetry(now)
 	}
 	p.RetryAllowed = budget.AllowsEscalation(now)
-	if !m.reply.Send(chooseReply{p, choice}) && choice == ChoicePlaced {
+	reply := chooseReply{placement: p, choice: choice}
+	if choice == ChoicePausing {
+		reply.pause = c.table.pauseLeft(&m.query, now)
+	}
+	if !m.reply.Send(reply) && choice == ChoicePlaced {
 		c.giveBack(&m.query, &p, now)
 	}
 }
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -32,6 +32,8 @@
 	ChoiceNoBudget
 	// ChoiceLater means that other runs of the silent endpoint are moved first.
 	ChoiceLater
+	// ChoicePausing means that all endpoints that may run it asked for a pause.
+	ChoicePausing
 )
 
 // Crash says that an endpoint crashed while it ran the request with the fingerprint. Endpoint is its ID and its incarnation,
@@ -47,6 +49,7 @@
 	// records holds the endpoints by ID, services by service, each list ordered by ID.
 	records  map[string]*Record
 	services map[string][]*Record
+	departed departed
 	// typical holds the typical latency of the runs by service and model.
 	typical map[latencyKey]Latency
 	// directoryDown says that the directory cannot be read now; directoryUpAt is when it last became readable again.
@@ -62,7 +65,7 @@
 
 // NewTable makes an empty Table for a VM at the location.
 func NewTable(location endpoint.Location) *Table {
-	return &Table{location: location, records: map[string]*Record{}, services: map[string][]*Record{}, typical: map[latencyKey]Latency{}}
+	return &Table{location: location, records: map[string]*Record{}, services: map[string][]*Record{}, departed: departed{}, typical: map[latencyKey]Latency{}}
 }
 
 // Put adds or updates an entry, unless it is of an earlier incarnation. It returns the crashes that a new incarnation
@@ -71,6 +74,7 @@
 	r, ok := t.records[e.ID]
 	if !ok {
 		r = newRecord(e)
+		t.departed.restore(r)
 		t.records[e.ID] = r
 		t.list(r)
 		return nil
@@ -111,7 +115,7 @@
 		r.lostRuns = slices.DeleteFunc(r.lostRuns, func(l lostRun) bool { return now.Sub(l.lostAt) >= dropProofTime })
 		crashes = newCrashes(r.takeCrashes(now), r.ID, r.Incarnation)
 	}
-	t.remove(r)
+	t.remove(r, now)
 	return crashes
 }
 
@@ -155,12 +159,13 @@
 // Sweep removes the entries that were not relisted after an outage and returns their IDs. The Controller calls it every
 // sweepInterval.
 func (t *Table) Sweep(now time.Time) (gone []string) {
+	t.departed.forget(now)
 	if t.directoryUnreliable(now) {
 		return nil
 	}
 	for id, r := range t.records {
 		if r.missing {
-			t.remove(r)
+			t.remove(r, now)
 			gone = append(gone, id)
 		}
 	}
@@ -169,9 +174,10 @@
 
 // remove removes an endpoint; one with runs in flight is only withdrawn, so that it gets no new ones unless its entry comes
 // back. After its last run, Sweep removes it if it is missing, and otherwise the next Retain. Drop, Sweep and Done call it.
-func (t *Table) remove(r *Record) {
+func (t *Table) remove(r *Record, now time.Time) {
 	r.withdrawn = true
 	if r.InFlight == 0 {
+		t.departed.add(r, now)
 		delete(t.records, r.ID)
 		t.unlist(r)
 	}
@@ -202,7 +208,7 @@
 func compareID(r *Record, id string) int { return cmp.Compare(r.ID, id) }
 
 // Choose places a run and counts it as in flight until Done. It considers endpoints that are not available only if no
-// other is eligible. The Controller calls it for each run.
+// other is eligible, and none that asked for a pause. The Controller calls it for each run.
 func (t *Table) Choose(q *Query, now time.Time) (Placement, Choice) {
 	q.blocks, q.sharedTokens = joinBlocks(q.Prompt.Blocks), q.Prompt.SharedPrefixTokens()
 	best := t.best(q, now, true)
@@ -210,6 +216,9 @@
 		best = t.best(q, now, false)
 	}
 	if best == nil {
+		if t.pauseLeft(q, now) > 0 {
+			return Placement{}, ChoicePausing
+		}
 		return Placement{}, ChoiceNone
 	}
 	inFlight, _, _ := best.peerTotals(now)
@@ -240,7 +249,7 @@
 	var best *Record
 	var leastScore time.Duration
 	for i, r := range list {
-		if !r.eligible(q) || (onlyAvailable && !r.available(now)) {
+		if !r.eligible(q) || r.pauses(now) || (onlyAvailable && !r.available(now)) {
 			continue
 		}
 		s := r.Score(q, t.location, ranks[i], now)
@@ -301,7 +310,7 @@
 	t.updateTypical(key, o)
 	r.noteLoss(o, now)
 	if r.Leaving && r.InFlight == 0 && r.missing {
-		t.remove(r)
+		t.remove(r, now)
 	}
 	if o.End == EndUnreachable {
 		return newCrashes(r.takeCrashes(now), r.ID, r.Incarnation)
