Bound the memory that callers' bodies hold

Cause: each body was read whole by io.ReadAll, and nothing bounded the bodies of all requests together.

Change: package memory owns an account of the bytes that bodies hold. Metrics and log lines say what is held, waits and is refused.

--- a/internal/filter/accesslog.go
+++ b/internal/filter/accesslog.go
@@ -10,9 +10,12 @@
 	"cornelmux/pkg/result"
 )
 
-// successSampleRate is the share of successful requests that are logged. Failed and retried requests are always logged.
+// successSampleRate is the share of successful requests that are logged. Failed and retried requests, and those whose bodies waited for memory, are always logged.
 const successSampleRate = 0.02
 
+// loggedMemoryWait is how long a body has to wait for its memory to be logged.
+const loggedMemoryWait = time.Millisecond
+
 // AccessLog logs a request with its result and its sends.
 type AccessLog struct {
 	Log logr.Logger
@@ -24,7 +27,7 @@
 func (f AccessLog) Handle(ctx context.Context, x *Exchange, next Next) error {
 	err := next(ctx, x)
 	steps := len(x.Routed.Trace)
-	if err == nil && steps <= 1 && f.Rand() >= successSampleRate {
+	if err == nil && steps <= 1 && x.Routed.MemoryWait < loggedMemoryWait && f.Rand() >= successSampleRate {
 		return nil
 	}
 	code, run, detail := result.OK, result.Ran, ""
@@ -36,7 +39,7 @@
 		"request", x.Request.ID, "code", int(code), "name", result.Describe(code).Name, "run", string(run), "detail", detail,
 		"path", x.Request.Path, "session", x.Request.Session, "service", x.Routed.Service, "account", x.Routed.Account,
 		"milliseconds", time.Since(x.Arrived).Milliseconds(), "caller_gone", ctx.Err() != nil,
-		"prompt_tokens", x.Routed.Prompt.TokensIn, "table_ns", x.Routed.TableWait.Nanoseconds(),
+		"memory_ns", x.Routed.MemoryWait.Nanoseconds(), "prompt_tokens", x.Routed.Prompt.TokensIn, "table_ns", x.Routed.TableWait.Nanoseconds(),
 		"check_ns", x.Routed.CheckWait.Nanoseconds(), "placing_ns", x.Routed.Placing.Nanoseconds(), "steps", x.Routed.Trace,
 	}
 	if blocks := x.Routed.Prompt.SharedBlocks(); len(blocks) > 0 {
--- a/internal/filter/caller_gone_test.go
+++ b/internal/filter/caller_gone_test.go
@@ -21,7 +21,7 @@
 // noBody implements Body without a byte.
 type noBody struct{}
 
-func (noBody) Read(context.Context, int64) ([]byte, error) { return nil, nil }
+func (noBody) Read(context.Context, int64, Claim) ([]byte, error) { return nil, nil }
 
 // refusingSender is a Sender whose endpoints refuse each request after a time.
 type refusingSender struct {
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -42,6 +42,8 @@
 	TableWait time.Duration
 	CheckWait time.Duration
 	Placing   time.Duration
+	// MemoryWait is how long the body waited for its memory.
+	MemoryWait time.Duration
 	// Trace lists the sends, for the log.
 	Trace []Step
 }
--- a/internal/filter/waiting_test.go
+++ b/internal/filter/waiting_test.go
@@ -79,4 +79,4 @@
 
 type emptyBody struct{}
 
-func (emptyBody) Read(context.Context, int64) ([]byte, error) { return nil, nil }
+func (emptyBody) Read(context.Context, int64, Claim) ([]byte, error) { return nil, nil }
--- a/internal/metric/builder.go
+++ b/internal/metric/builder.go
@@ -119,6 +119,23 @@
 	}, members, datagrams, size)
 }
 
+// observeMemory creates the gauges of the bytes that are held for callers. ObserveMemory calls it.
+func (b *builder) observeMemory(bodies Bodies, answers Answers) {
+	held := b.gauge("cornelmux.memory.held", "By", "Bytes held for callers, by kind.")
+	waiting := b.gauge("cornelmux.memory.waiting", "{request}", "Requests whose bodies wait for memory.")
+	b.registerCallback(func(ctx context.Context, o metric.Observer) error {
+		o.ObserveFloat64(held, float64(answers.HeldBytes()), metric.WithAttributes(attribute.String("kind", "answers")))
+		s, err := bodies.State(ctx)
+		if err != nil {
+			return err
+		}
+		o.ObserveFloat64(held, float64(s.Small), metric.WithAttributes(attribute.String("kind", "small_bodies")))
+		o.ObserveFloat64(held, float64(s.Large), metric.WithAttributes(attribute.String("kind", "large_bodies")))
+		o.ObserveFloat64(waiting, float64(s.Waiting))
+		return nil
+	}, held, waiting)
+}
+
 // countHealth returns the number of members for each health, zeros included.
 func countHealth(list []peer.Member) map[string]int {
 	counts := map[string]int{"alive": 0, "suspect": 0, "dead": 0}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -17,6 +17,7 @@
 
 	"cornelmux/internal/configuration"
 	"cornelmux/internal/filter"
+	"cornelmux/internal/memory"
 	"cornelmux/internal/peer"
 )
 
@@ -45,6 +46,14 @@
 	Counts(ctx context.Context) (peer.Counts, error)
 }
 
+// Bodies provides the memory that callers' bodies hold.
+type Bodies interface {
+	State(ctx context.Context) (memory.State, error)
+}
+
+// Answers provides the memory that buffered answers hold.
+type Answers interface{ HeldBytes() int64 }
+
 // Metrics holds the instruments. It implements filter.Meter and, for scrapes, http.Handler. Its methods may be called from
 // any goroutine.
 type Metrics struct {
@@ -103,6 +112,14 @@
 	b.logErrors(log)
 }
 
+// ObserveMemory adds the metrics of the bytes that are held for callers, which are asked at each scrape. It is called once, before
+// the VM runs.
+func (m *Metrics) ObserveMemory(bodies Bodies, answers Answers, log logr.Logger) {
+	b := &builder{meter: m.meter}
+	b.observeMemory(bodies, answers)
+	b.logErrors(log)
+}
+
 // ServeHTTP implements http.Handler.
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.handler.ServeHTTP(w, r) }
 
