--- a/internal/filter/readbody.go
+++ b/internal/filter/readbody.go
@@ -62,13 +62,12 @@
 		limit = defaultBodyLimit
 	}
 	claim := f.Memory.Claim(x.Request.ID, bodyPatience(x, time.Now()))
-	began := time.Now()
 	body, err := readBody(ctx, x, limit, claim)
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
 		return result.Errorf(result.DeadlinePassed, "the body hasn't ended by the deadline")
 	case errors.Is(err, memory.ErrFull):
-		x.Routed.MemoryWait = time.Since(began)
+		x.Routed.MemoryWait = claim.Waited()
 		return result.Errorf(result.QueueFull, "read the body: %v", err).WithRetryAfter(memoryRetryAfter)
 	case errors.Is(err, ErrBodyTooLarge):
 		return result.Errorf(result.TooLarge, "the body exceeds %d bytes", limit)
