Give a request up before its caller does if the route's timeout ends just before the caller's

What callers saw: neither an answer nor a refusal. A route's timeout that is a few milliseconds shorter than the caller's (as a change of the configuration may set it) took away the 25 ms that are left for the error to reach the caller: the request ended at the route's timeout, and its 504 met a caller that had left. The new row of TestSilentRequestIsAnsweredBeforeItsCallerGivesUp failed before: it ended after 4.995 s of 5 s.

--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -129,17 +129,17 @@
 	errorAnswer *bufferedAnswer
 }
 
-// timeToGiveUp returns the time until answerMargin before the caller's timeout; false if the route's timeout ends before or a part
+// timeToGiveUp returns the time until answerMargin before the caller's timeout; false if the route's timeout ends before that or a part
 // of the answer was relayed. Handle calls it once.
 func (f *forwardRun) timeToGiveUp() (time.Duration, bool) {
 	x := f.x
 	timeout := x.Routed.CallerTimeout
-	end := x.Arrived.Add(timeout)
-	if timeout <= 0 || x.Relayed || x.Request.Deadline.Before(end) {
+	margin := min(answerMargin, time.Duration(maxAnswerMarginShare*float64(timeout)))
+	at := x.Arrived.Add(timeout - margin)
+	if timeout <= 0 || x.Relayed || x.Request.Deadline.Before(at) {
 		return 0, false
 	}
-	margin := min(answerMargin, time.Duration(maxAnswerMarginShare*float64(timeout)))
-	return time.Until(end) - margin, true
+	return time.Until(at), true
 }
 
 // bufferedAnswer is a whole answer that is held back.
--- a/internal/filter/silence_test.go
+++ b/internal/filter/silence_test.go
@@ -281,6 +281,7 @@
 			pausingSend{0, []time.Duration{0, timeout - time.Millisecond}, []endpoint.Chunk{event("1", "a"), end}},
 			timeout - time.Millisecond, timeout - time.Millisecond, 0,
 		},
+		{"the route's timeout ends just before", routing.KindNonIdempotent, timeout - 5*time.Millisecond, silent, timeout * 9 / 10, timeout - 10*time.Millisecond, result.DeadlinePassed},
 		{"the route's timeout ends before", routing.KindStream, timeout / 2, silent, timeout / 2, timeout / 2, result.DeadlinePassed},
 	}
 	for _, test := range tests {
