Count the runs that wait to be placed exactly

Choose compared the mailbox's length with its limit and put its message in afterwards, so that many requests at one moment passed the check together and left no room for the end of a run: TestEndOfARunFindsRoomBesideQuestions failed now and then (a group of 3 runs in 4 of 4 tries beside load, in two checkouts). A token for each waiting run bounds them exactly; 12 runs of the package with -race passed.

--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -15,7 +15,7 @@
 const (
 	// mailboxSize is the maximum number of messages that wait for the Controller; task.Tell fails beyond it.
 	mailboxSize = 4096
-	// maxQuestions is how many messages may wait at most for a run to be placed, so that there is room for the ends of runs and for
+	// maxQuestions is how many runs may wait to be placed, so that there is room for the ends of runs and for
 	// entries, whose loss would leave the state wrong.
 	maxQuestions = mailboxSize * 3 / 4
 	// sweepInterval is how often entries that were not relisted are removed.
@@ -43,6 +43,8 @@
 // Controller owns the state of the endpoints on this VM and the retry budgets of the services.
 type Controller struct {
 	mailbox chan message
+	// questions has an element for each run in the mailbox that waits to be placed.
+	questions chan struct{}
 	// stopped is closed when Run has ended.
 	stopped chan struct{}
 	crashes Crashes
@@ -100,7 +102,7 @@
 // New makes a Controller; Run starts it.
 func New(crashes Crashes, o Options, log logr.Logger) *Controller {
 	return &Controller{
-		mailbox: make(chan message, mailboxSize), stopped: make(chan struct{}), crashes: crashes, opts: o, log: log,
+		mailbox: make(chan message, mailboxSize), questions: make(chan struct{}, maxQuestions), stopped: make(chan struct{}), crashes: crashes, opts: o, log: log,
 		watch: task.NewStopwatch("pool", o.Meter, log), table: NewTable(o.Location), budgets: map[string]*RetryBudget{},
 	}
 }
@@ -162,12 +164,13 @@
 // Choose implements filter.Pool. It places a run and counts it as in flight until Done. Filter Forward calls it for
 // each send, and for a replacement before it gives up a silent send; if it fails, nothing is sent and nothing counted as in flight.
 func (c *Controller) Choose(ctx context.Context, q Query) (Placement, error) {
-	if len(c.mailbox) >= maxQuestions {
-		return Placement{}, result.Errorf(result.QueueFull, "place run: endpoint controller: %v", task.ErrFull).WithRetryAfter(retryAfter)
+	if err := task.Tell(c.questions, struct{}{}); err != nil {
+		return Placement{}, result.Errorf(result.QueueFull, "place run: endpoint controller: %v", err).WithRetryAfter(retryAfter)
 	}
 	r, err := task.AskOrLeave(ctx, c.stopped, c.mailbox, func(reply task.Reply[chooseReply]) message { return chooseMessage{q, reply} })
 	switch {
 	case errors.Is(err, task.ErrFull):
+		<-c.questions
 		return Placement{}, result.Errorf(result.QueueFull, "place run: endpoint controller: %v", err).WithRetryAfter(retryAfter)
 	case errors.Is(err, task.ErrStopped):
 		return Placement{}, result.Errorf(result.Leaving, "place run: endpoint controller: %v", err)
@@ -251,6 +254,7 @@
 // handle counts the run in the retry budget and places it; a retry that isn't placed isn't counted. An escalation leaves a part of
 // the budget to retries after failures. A run whose request has left isn't placed. Choose sends the message.
 func (m chooseMessage) handle(_ context.Context, c *Controller) {
+	<-c.questions
 	now := time.Now()
 	budget := c.budget(m.query.Service)
 	if !m.query.Retry {
