--- a/internal/task/reply_test.go
+++ b/internal/task/reply_test.go
@@ -17,8 +17,9 @@
 func TestAskOrLeave(t *testing.T) {
 	const timeout = 2 * time.Second
 	tests := []struct {
-		name     string
-		capacity int
+		name string
+		// full says that another question is in the mailbox, and that the receiver reads none.
+		full bool
 		// waits is how long the receiver has the question before it looks at it, works how long it then takes to reply; 0 ends it before.
 		waits, works time.Duration
 		ends         bool
@@ -28,23 +29,28 @@
 		// wanted and sent are what the receiver sees.
 		wanted, sent bool
 	}{
-		{"replied", 1, 0, time.Second, false, 42, nil, time.Second, true, true},
-		{"left while the receiver works", 1, time.Second, 3 * time.Second, false, 0, context.DeadlineExceeded, timeout, true, false},
-		{"left before", 1, 3 * time.Second, time.Second, false, 0, context.DeadlineExceeded, timeout, false, false},
-		{"receiver ended", 1, time.Second, time.Second, true, 0, ErrStopped, time.Second, true, false},
-		{"mailbox full", 0, 0, 0, false, 0, ErrFull, 0, false, false},
+		{"replied", false, 0, time.Second, false, 42, nil, time.Second, true, true},
+		{"left while the receiver works", false, time.Second, 3 * time.Second, false, 0, context.DeadlineExceeded, timeout, true, false},
+		{"left before", false, 3 * time.Second, time.Second, false, 0, context.DeadlineExceeded, timeout, false, false},
+		{"receiver ended", false, time.Second, time.Second, true, 0, ErrStopped, time.Second, true, false},
+		{"mailbox full", true, 0, 0, false, 0, ErrFull, 0, false, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				mailbox, stopped := make(chan wantedQuestion, test.capacity), make(chan struct{})
+				mailbox, stopped := make(chan wantedQuestion, 1), make(chan struct{})
+				incoming := mailbox
+				if test.full {
+					mailbox <- wantedQuestion{}
+					incoming = nil
+				}
 				ends := make(chan End, 1)
 				ctx, cancel := context.WithCancel(t.Context())
 				wanted, sent := false, false
 				Start(ctx, "receiver", ends, func(ctx context.Context) error {
 					defer close(stopped)
 					select {
-					case q := <-mailbox:
+					case q := <-incoming:
 						time.Sleep(test.waits)
 						wanted = q.reply.Wanted()
 						if test.ends {
@@ -63,7 +69,7 @@
 				qt.Check(t, got, qt.Equals, test.want)
 				qt.Check(t, errors.Is(err, test.err), qt.IsTrue, qt.Commentf("%v", err))
 				qt.Check(t, time.Since(began), qt.Equals, test.after)
-				if test.capacity == 0 {
+				if test.full {
 					cancel()
 				}
 				<-ends
