Remember that an incarnation leaves before it is listed here

Before: TestEndpointThatSaidItLeavesGetsNoRuns, rows "said before it was listed" and "said before the new start was listed", placed runs on it. Now what removed incarnations asked for and what those not listed yet did is kept in one place, by the same bounds, and applied when the entry comes.

--- a/internal/pool/notice.go
+++ b/internal/pool/notice.go
@@ -18,11 +18,16 @@
 // reportLeavingTime is how long peers are told that an endpoint said that it is leaving. Each that learns it tells it as long.
 const reportLeavingTime = 3 * time.Second
 
-// MarkLeaving records that an incarnation of an endpoint said, here or to a peer, that it is leaving. It reports whether that is
-// news. The Controller calls it for each notice and each report of a peer that says so.
+// MarkLeaving records that an incarnation of an endpoint said, here or to a peer, that it is leaving. An incarnation that isn't listed
+// yet is remembered. It reports whether that is news of one that is. The Controller calls it for each notice and each report of a
+// peer that says so.
 func (t *Table) MarkLeaving(id string, incarnation int64, now time.Time) bool {
 	r, ok := t.records[id]
-	if !ok || r.Incarnation != incarnation || !r.saidLeavingAt.IsZero() {
+	if !ok || r.Incarnation < incarnation {
+		t.unlisted.addLeaving(id, incarnation, now)
+		return false
+	}
+	if r.Incarnation != incarnation || !r.saidLeavingAt.IsZero() {
 		return false
 	}
 	r.Leaving, r.saidLeavingAt = true, now
--- a/internal/pool/notice_test.go
+++ b/internal/pool/notice_test.go
@@ -50,7 +50,13 @@
 			t.Sweep(start.Add(relistTimeout))
 			t.Put(entry("a"), start)
 		}, ""},
-		{"forgotten", func(t *Table) { mark(t); t.Drop("a", start); t.Sweep(start.Add(departedTTL)); t.Put(entry("a"), start) }, "a"},
+		{"said before it was listed", func(t *Table) { t.Drop("a", start); mark(t); t.Put(entry("a"), start) }, ""},
+		{"an earlier incarnation said it before it was listed", func(t *Table) { t.Drop("a", start); t.MarkLeaving("a", 4, start); t.Put(entry("a"), start) }, "a"},
+		{"said before the new start was listed", func(t *Table) { t.MarkLeaving("a", 6, start); t.Put(reincarnated("a", 6), start) }, ""},
+		{"said before it was listed, started anew", func(t *Table) { t.Drop("a", start); mark(t); t.Put(reincarnated("a", 6), start) }, "a"},
+		{"said by a start between two that were listed", func(t *Table) { t.MarkLeaving("a", 6, start); t.Put(reincarnated("a", 7), start) }, "a"},
+		{"forgotten before it was listed", func(t *Table) { t.Drop("a", start); mark(t); t.Sweep(start.Add(unlistedTTL)); t.Put(entry("a"), start) }, "a"},
+		{"forgotten", func(t *Table) { mark(t); t.Drop("a", start); t.Sweep(start.Add(unlistedTTL)); t.Put(entry("a"), start) }, "a"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -64,18 +70,19 @@
 	}
 }
 
-// TestDepartedIncarnationsAreBounded guards against a memory that grows with each endpoint that ever left.
-func TestDepartedIncarnationsAreBounded(t *testing.T) {
+// TestUnlistedIncarnationsAreBounded guards against a memory that grows with each endpoint that ever left.
+func TestUnlistedIncarnationsAreBounded(t *testing.T) {
 	table := newTable()
-	for n := range maxDeparted + 10 {
+	for n := range maxUnlisted + 10 {
 		id := fmt.Sprint("e", n)
 		table.Put(entry(id), start)
 		table.MarkLeaving(id, 5, start)
 		table.Drop(id, start)
+		table.MarkLeaving(fmt.Sprint("never listed ", n), 5, start)
 	}
-	qt.Check(t, table.departed, qt.HasLen, maxDeparted)
-	table.Sweep(start.Add(departedTTL))
-	qt.Check(t, table.departed, qt.HasLen, 0)
+	qt.Check(t, table.unlisted, qt.HasLen, maxUnlisted)
+	table.Sweep(start.Add(unlistedTTL))
+	qt.Check(t, table.unlisted, qt.HasLen, 0)
 }
 
 // TestPeersAreToldThatAnEndpointLeaves checks how long an endpoint without runs is reported as leaving, and that one whose entry says so
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -49,7 +49,7 @@
 	// records holds the endpoints by ID, services by service, each list ordered by ID.
 	records  map[string]*Record
 	services map[string][]*Record
-	departed departed
+	unlisted unlisted
 	// typical holds the typical latency of the runs by service and model.
 	typical map[latencyKey]Latency
 	// directoryDown says that the directory cannot be read now; directoryUpAt is when it last became readable again.
@@ -65,7 +65,7 @@
 
 // NewTable makes an empty Table for a VM at the location.
 func NewTable(location endpoint.Location) *Table {
-	return &Table{location: location, records: map[string]*Record{}, services: map[string][]*Record{}, departed: departed{}, typical: map[latencyKey]Latency{}}
+	return &Table{location: location, records: map[string]*Record{}, services: map[string][]*Record{}, unlisted: unlisted{}, typical: map[latencyKey]Latency{}}
 }
 
 // Put adds or updates an entry, unless it is of an earlier incarnation. It returns the crashes that a new incarnation
@@ -74,7 +74,7 @@
 	r, ok := t.records[e.ID]
 	if !ok {
 		r = newRecord(e)
-		t.departed.restore(r)
+		t.unlisted.restore(r)
 		t.records[e.ID] = r
 		t.list(r)
 		return nil
@@ -93,6 +93,7 @@
 	if !restarted {
 		return nil
 	}
+	t.unlisted.restore(r)
 	return newCrashes(r.takeCrashes(now), before.ID, before.Incarnation)
 }
 
@@ -159,7 +160,7 @@
 // Sweep removes the entries that were not relisted after an outage and returns their IDs. The Controller calls it every
 // sweepInterval.
 func (t *Table) Sweep(now time.Time) (gone []string) {
-	t.departed.forget(now)
+	t.unlisted.forget(now)
 	if t.directoryUnreliable(now) {
 		return nil
 	}
@@ -177,7 +178,7 @@
 func (t *Table) remove(r *Record, now time.Time) {
 	r.withdrawn = true
 	if r.InFlight == 0 {
-		t.departed.add(r, now)
+		t.unlisted.addRemoved(r, now)
 		delete(t.records, r.ID)
 		t.unlist(r)
 	}
