Count what is held of answers in the account of memory

An answer that is buffered whole was counted, but neither an event that doesn't end nor comments before the first one, up to 1 MB each and held two to three times over while they grew.

Now whatever is read of an answer grows in memory that was reserved before, from two pools beside those of callers' bodies: small answers never wait behind large ones, and what is no larger than a connection's buffers isn't counted. An answer waits up to 2 s for memory, which is no silence of its endpoint; then it fails as the VM's own (3010, no_memory): no verdict on the endpoint (row 1 of "What takes an endpoint out of use" backed it off as if lost) and no second send, which would need as much. An endpoint whose event or body is over its own bound, or that is silent, fails as before. A long chunk is held until the caller has taken it, and nothing is read ahead meanwhile. A failure that is held back keeps its memory.

--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"context"
 	"errors"
 	"time"
 )
@@ -22,8 +23,16 @@
 	// ErrMisdirected reports that whoever answers on the address doesn't take such calls, and didn't run this one. It doesn't say
 	// whether the call or the address is at fault.
 	ErrMisdirected = errors.New("such calls aren't taken on the address")
+	// ErrNoMemory reports that this VM has no memory for the answer. The endpoint isn't at fault.
+	ErrNoMemory = errors.New("no memory for the answer")
 )
 
+// Memory accounts for what is held of one answer.
+type Memory interface {
+	// Reserve waits until n bytes in all may be held, which is no less than before. It fails with ErrNoMemory if there is none in time.
+	Reserve(ctx context.Context, n int64) error
+}
+
 // SendCheck is called right before the first byte of a call is sent. An error prevents the send.
 type SendCheck func() error
 
@@ -71,6 +80,8 @@
 	LastEventID string
 	// EventStream says that the answer is a stream of events.
 	EventStream bool
+	// Memory accounts for the answer; nil counts nothing.
+	Memory Memory
 }
 
 // Head is the start of an answer: its status and header fields.
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -67,16 +67,19 @@
 	Shifts      Shifts
 	Sender      Sender
 	Quarantines Quarantines
+	// Memory accounts for the answers; nil counts nothing.
+	Memory AnswerMemory
 }
 
 // Handle implements Filter. Forward is the last filter of its chain. If the sink refuses an answer with errEscalate, it asks the
 // strongest model of the route's cascade beside it.
 func (f Forward) Handle(ctx context.Context, x *Exchange, _ Next) error {
 	run := &forwardRun{
-		placer: placer{f.Pool, f.Shifts, x.Request.Session}, sender: f.Sender, quarantines: f.Quarantines, x: x,
+		placer: placer{f.Pool, f.Shifts, x.Request.Session}, sender: f.Sender, quarantines: f.Quarantines, memory: f.Memory, x: x,
 		lastEventID: x.Routed.LastEventID,
 	}
 	defer func() { run.release(ctx, run.reserved) }()
+	defer func() { run.errorAnswer.release() }()
 	run.timer = time.NewTimer(0)
 	run.timer.Stop()
 	defer run.timer.Stop()
@@ -103,6 +106,7 @@
 	placer
 	sender      Sender
 	quarantines Quarantines
+	memory      AnswerMemory
 	x           *Exchange
 	// giveUp cancels the request unless a part of the answer is relayed before; nil without a deadline of the caller.
 	giveUp *time.Timer
@@ -142,10 +146,18 @@
 	return time.Until(at), true
 }
 
-// bufferedAnswer is a whole answer that is held back.
+// bufferedAnswer is a whole answer that is held back, with the memory of its body.
 type bufferedAnswer struct {
-	head Head
-	body endpoint.Chunk
+	head   Head
+	body   endpoint.Chunk
+	memory *answerClaim
+}
+
+// release gives the memory back; b may be nil.
+func (b *bufferedAnswer) release() {
+	if b != nil {
+		b.memory.release()
+	}
 }
 
 // attempt checks the quarantine before a retry, places the run unless a placement is reserved, sends it and follows the send to
@@ -184,6 +196,9 @@
 			Model: model, Running: place.Running,
 		},
 	}
+	if s.memory = newAnswerClaim(f.memory, x.Request.ID); s.memory != nil {
+		s.call.Memory = s.memory
+	}
 	s.first = f.firstSilenceLimit(place)
 	s.gap = f.eventGapLimit(s.first)
 	ctx, s.cancel = context.WithCancel(ctx)
@@ -237,10 +252,11 @@
 }
 
 // mayGoOn reports whether another endpoint may answer the request after err: the caller is still connected, the error is not
-// final, and the request is idempotent or was not run. Error statuses below 500 are final, except to resume a stream.
+// final, and the request is idempotent or was not run. Error statuses below 500 are final, except to resume a stream, and so is a lack
+// of memory, since another answer needs as much.
 func (f *forwardRun) mayGoOn(ctx context.Context, err error) bool {
 	x := f.x
-	if ctx.Err() != nil || x.Routed.callerLeft() || errors.Is(err, errCallerGone) {
+	if ctx.Err() != nil || x.Routed.callerLeft() || errors.Is(err, errCallerGone) || errors.Is(err, endpoint.ErrNoMemory) {
 		return false
 	}
 	var coded *result.Error
@@ -286,6 +302,8 @@
 	case errors.As(err, &e):
 	case errors.Is(err, endpoint.ErrNotSent), errors.Is(err, endpoint.ErrReplaced), errors.Is(err, endpoint.ErrMisdirected):
 		e = result.Errorf(result.NoEndpoint, "%s: %v", endpointNames(f.tried), err).WithRetryAfter(retryAfter)
+	case errors.Is(err, endpoint.ErrNoMemory):
+		e = result.Errorf(result.NoMemory, "%s: %v", endpointNames(f.tried), err)
 	case x.Relayed:
 		e = result.Errorf(result.AnswerBroken, "%s: %v", endpointNames(f.tried), err)
 	case x.Idempotent:
--- a/internal/filter/forward_test.go
+++ b/internal/filter/forward_test.go
@@ -344,7 +344,7 @@
 			x, sink := routedExchange(routing.KindStream, "s", "l")
 			x.Routed.Route.MaxAttempts = len(test.script)
 			p := &excludePool{}
-			chain := Chain(Escalate{}, Forward{p, noShift{}, &scriptedSender{script: test.script}, noQuarantine{}})
+			chain := Chain(Escalate{}, Forward{p, noShift{}, &scriptedSender{script: test.script}, noQuarantine{}, nil})
 			qt.Assert(t, chain(t.Context(), x), qt.IsNil)
 			qt.Check(t, sink.text, qt.Equals, "large")
 			qt.Check(t, p.excluded, qt.DeepEquals, test.excluded)
--- a/internal/filter/outcome.go
+++ b/internal/filter/outcome.go
@@ -36,7 +36,10 @@
 		f.x.Sent = true
 	}
 	if errors.Is(err, errEndpointStatus) {
-		f.errorAnswer = &bufferedAnswer{f.answerHead(s), s.errorBody}
+		f.errorAnswer.release()
+		f.errorAnswer = &bufferedAnswer{f.answerHead(s), s.errorBody, s.memory}
+	} else {
+		s.memory.release()
 	}
 	s.end = f.classifyEnd(ctx, s)
 	f.misdirected = s.end == pool.EndMisdirected
@@ -110,6 +113,9 @@
 		return pool.EndMisdirected
 	case errors.As(err, &coded):
 		return pool.EndAbandoned
+	case errors.Is(err, endpoint.ErrNoMemory):
+		f.x.Routed.MayHaveRun = true
+		return pool.EndAbandoned
 	case errors.Is(err, endpoint.ErrNotSent):
 		if ctx.Err() != nil || s.dropped() {
 			return pool.EndAbandoned
--- a/internal/filter/readbody.go
+++ b/internal/filter/readbody.go
@@ -45,8 +45,8 @@
 
 // Memory accounts for the bytes that bodies hold.
 type Memory interface {
-	// Claim returns the claim of the request's body, each wait of which is bounded by patience.
-	Claim(request string, patience time.Duration) *memory.Claim
+	// BodyClaim returns the claim of the request's body, each wait of which is bounded by patience.
+	BodyClaim(request string, patience time.Duration) *memory.Claim
 }
 
 // ReadBody reads the body of a request that a route table decides on, up to the table's limit, into memory that it reserves. A body
@@ -61,7 +61,7 @@
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
-	claim := f.Memory.Claim(x.Request.ID, bodyPatience(x, time.Now()))
+	claim := f.Memory.BodyClaim(x.Request.ID, bodyPatience(x, time.Now()))
 	body, err := readBody(ctx, x, limit, claim)
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -58,6 +58,8 @@
 	case m.accepted:
 		f.goOn(ctx)
 		return f.relayHead(ctx)
+	case m.next:
+		return false, nil
 	default:
 		return f.relayChunk(ctx, m.chunk)
 	}
--- a/internal/filter/replacement.go
+++ b/internal/filter/replacement.go
@@ -50,7 +50,7 @@
 	switch {
 	case f.keeps() && f.keepTimeOver():
 		return f.passKept(ctx)
-	case f.asked != nil:
+	case f.asked != nil, s.memory.waiting():
 		f.watch(replaceInterval)
 		return false, nil
 	case !f.mayReplace(ctx, s):
--- a/internal/filter/reservation_test.go
+++ b/internal/filter/reservation_test.go
@@ -163,7 +163,7 @@
 			x.Routed.CallerTimeout, x.Request.Deadline = timeout, x.Arrived.Add(timeout)
 			ctx, cancel := context.WithTimeout(tt.Context(), min(left, timeout))
 			defer cancel()
-			err := Chain(Escalate{}, Forward{p, noShift{}, sender, noQuarantine{}})(ctx, x)
+			err := Chain(Escalate{}, Forward{p, noShift{}, sender, noQuarantine{}, nil})(ctx, x)
 			problems = randomRunProblems(x, &sink.textSink, p, sender, err)
 			if took := time.Since(x.Arrived); took > min(left, timeout)+slow {
 				problems = append(problems, fmt.Sprintf("it took %v", took))
--- a/internal/filter/sendtask.go
+++ b/internal/filter/sendtask.go
@@ -31,6 +31,8 @@
 	sender     Sender
 	pool       Pool
 	call       endpoint.Call
+	// memory is what the answer holds: its task's until that ends, then the owner's.
+	memory *answerClaim
 	// resumes says that the caller has a part of the answer, so that the body of an error isn't needed.
 	resumes bool
 	check   endpoint.SendCheck
@@ -54,9 +56,11 @@
 	sendResult
 }
 
-// message is what a send hands over: that the endpoint accepted the request, with the head of its answer, or a chunk.
+// message is what a send hands over: that the endpoint accepted the request, with the head of its answer, or a chunk. With next the
+// send only waits until the owner has passed the chunk before on.
 type message struct {
 	accepted bool
+	next     bool
 	chunk    endpoint.Chunk
 }
 
@@ -122,9 +126,25 @@
 			<-ctx.Done()
 			return nil
 		}
+		if err := s.releaseChunk(ctx); err != nil {
+			return err
+		}
 	}
 }
 
+// releaseChunk waits until the owner has passed the last chunk on, if that holds memory, and gives it back, so that a caller that reads
+// slowly has one long chunk held for it and no more. run calls it.
+func (s *sendTask) releaseChunk(ctx context.Context) error {
+	if !s.memory.holds() {
+		return nil
+	}
+	if err := s.hand(ctx, message{next: true}); err != nil {
+		return err
+	}
+	s.memory.release()
+	return nil
+}
+
 // note tells the pool what the endpoint said of itself. run calls it before it hands anything of the answer over, so that a
 // request that comes after the answer is placed by it.
 func (s *sendTask) note(ctx context.Context, n endpoint.Notice) {
@@ -167,6 +187,10 @@
 		if err != nil {
 			return fmt.Errorf("%w: %w", endpoint.ErrBroken, err)
 		}
+		if s.errorBody.Data == nil {
+			s.errorBody = c
+			continue
+		}
 		s.errorBody.Data = append(s.errorBody.Data, c.Data...)
 		s.errorBody.Last = c.Last
 	}
--- a/internal/memory/controller.go
+++ b/internal/memory/controller.go
@@ -1,4 +1,4 @@
-// Package memory accounts for the bytes that a VM holds of callers' bodies, and bounds them.
+// Package memory accounts for the bytes that a VM holds of callers' bodies and of endpoints' answers, and bounds them.
 package memory
 
 import (
@@ -12,39 +12,42 @@
 )
 
 const (
-	// FreeBytes is the size up to which a body isn't counted: it is no larger than the buffers of its connection.
+	// FreeBytes is the size up to which a body or an answer isn't counted: it is no larger than the buffers of its connection.
 	FreeBytes = 4 << 10
-	// SmallBytes is the size up to which a body is small, so that it never waits behind a large one.
+	// SmallBytes is the size up to which one is small, so that it never waits behind a large one.
 	SmallBytes = 64 << 10
-	// maxWaiting bounds the bodies that wait, since the sockets of each hold bytes that were received and not read.
+	// maxWaiting bounds the claims on a pool that wait, since the sockets of each hold bytes that were received and not read.
 	maxWaiting = 256
 	// mailboxSize bounds the messages that wait for the Controller.
 	mailboxSize = 4096
-	// logInterval is the least time between two lines about bodies that got no memory.
+	// logInterval is the least time between two lines about claims that got no memory.
 	logInterval = time.Second
 )
 
-// ErrFull reports that a body got no memory in time, or never will.
-var ErrFull = errors.New("the memory for bodies is used up")
+// ErrFull reports that a body or an answer got no memory in time, or never will.
+var ErrFull = errors.New("the memory is used up")
 
-// Limits bounds the bytes held, of small and of large bodies.
-type Limits struct{ Small, Large int64 }
+// Limits bounds the bytes that small and large bodies and answers hold.
+type Limits struct{ SmallBodies, LargeBodies, SmallAnswers, LargeAnswers int64 }
 
-// State is how many bytes are held and how many bodies wait for theirs. Peak is the most that all bodies held together.
+// State is how many bytes are held and how many claims wait for theirs. Peak is the most that was held at a time.
 type State struct {
-	Small, Large, Peak int64
-	Waiting            int
+	SmallBodies, LargeBodies, SmallAnswers, LargeAnswers, Peak int64
+	Waiting                                                    int
 }
 
-// Controller owns the account of the bytes that bodies hold. Requests ask for theirs and give them back by messages. A large body
-// gets all its bytes at once, in the order of the questions, so that no body waits for another one that waits.
+// Held returns the bytes held of all kinds.
+func (s State) Held() int64 { return s.SmallBodies + s.LargeBodies + s.SmallAnswers + s.LargeAnswers }
+
+// Controller owns the account of the bytes that bodies and answers hold. Requests ask for theirs and give them back by messages, and
+// are served in the order of the questions. Answers have pools of their own: a request holds its body until its answer is there, so
+// that bodies would wait for answers that wait for bodies.
 type Controller struct {
 	mailbox chan message
 	// stopped is closed when the task ends.
 	stopped chan struct{}
 	log     logr.Logger
-	small   pool
-	large   pool
+	pools   [kinds]pool
 	peak    int64
 	// loggedAt is when the last line was logged; unlogged counts those since then that weren't.
 	loggedAt time.Time
@@ -55,7 +58,10 @@
 func New(limits Limits, log logr.Logger) *Controller {
 	return &Controller{
 		mailbox: make(chan message, mailboxSize), stopped: make(chan struct{}), log: log,
-		small: pool{limit: limits.Small}, large: pool{limit: limits.Large},
+		pools: [kinds]pool{
+			smallBodies: {limit: limits.SmallBodies}, largeBodies: {limit: limits.LargeBodies},
+			smallAnswers: {limit: limits.SmallAnswers}, largeAnswers: {limit: limits.LargeAnswers},
+		},
 	}
 }
 
@@ -66,7 +72,7 @@
 		select {
 		case m := <-c.mailbox:
 			m.handle(c)
-			c.peak = max(c.peak, c.small.held+c.large.held)
+			c.peak = max(c.peak, c.state().Held())
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -79,12 +85,12 @@
 type (
 	takeMessage struct{ question }
 	giveMessage struct {
-		large bool
-		n     int64
+		kind kind
+		n    int64
 	}
 	leftMessage struct {
 		request  string
-		large    bool
+		kind     kind
 		n        int64
 		patience time.Duration
 	}
@@ -92,7 +98,7 @@
 )
 
 func (m takeMessage) handle(c *Controller) {
-	p := c.pool(m.large)
+	p := &c.pools[m.kind]
 	if len(p.waiting) >= maxWaiting {
 		p.dropLeft()
 	}
@@ -105,39 +111,49 @@
 }
 
 func (m giveMessage) handle(c *Controller) {
-	p := c.pool(m.large)
+	p := &c.pools[m.kind]
 	p.held -= m.n
 	p.grant()
 }
 
 func (m leftMessage) handle(c *Controller) {
-	c.pool(m.large).grant()
+	c.pools[m.kind].grant()
 	c.logRefusal(m)
 }
 
 func (m stateMessage) handle(c *Controller) {
-	c.small.dropLeft()
-	c.large.dropLeft()
-	m.reply <- State{c.small.held, c.large.held, c.peak, len(c.small.waiting) + len(c.large.waiting)}
+	for i := range c.pools {
+		c.pools[i].dropLeft()
+	}
+	m.reply <- c.state()
+}
+
+// state returns what is held.
+func (c *Controller) state() State {
+	s := State{
+		SmallBodies: c.pools[smallBodies].held, LargeBodies: c.pools[largeBodies].held,
+		SmallAnswers: c.pools[smallAnswers].held, LargeAnswers: c.pools[largeAnswers].held, Peak: c.peak,
+	}
+	for i := range c.pools {
+		s.Waiting += len(c.pools[i].waiting)
+	}
+	return s
 }
 
-// logRefusal logs a body that got no memory, at most one each logInterval. leftMessage calls it.
+// logRefusal logs a claim that got no memory, at most one each logInterval. leftMessage calls it.
 func (c *Controller) logRefusal(m leftMessage) {
 	if time.Since(c.loggedAt) < logInterval {
 		c.unlogged++
 		return
 	}
-	c.log.Info("body refused", "request", m.request, "bytes", m.n, "patience_ms", m.patience.Milliseconds(),
-		"small_bytes", c.small.held, "large_bytes", c.large.held, "waiting", len(c.small.waiting)+len(c.large.waiting), "unlogged", c.unlogged)
-	c.loggedAt, c.unlogged = time.Now(), 0
-}
-
-// pool returns the pool of the large bodies or of the small ones.
-func (c *Controller) pool(large bool) *pool {
-	if large {
-		return &c.large
+	s, what := c.state(), "body refused"
+	if m.kind == smallAnswers || m.kind == largeAnswers {
+		what = "answer given up for memory"
 	}
-	return &c.small
+	c.log.Info(what, "request", m.request, "bytes", m.n, "patience_ms", m.patience.Milliseconds(), "small_bytes", s.SmallBodies,
+		"large_bytes", s.LargeBodies, "small_answer_bytes", s.SmallAnswers, "large_answer_bytes", s.LargeAnswers, "waiting", s.Waiting,
+		"unlogged", c.unlogged)
+	c.loggedAt, c.unlogged = time.Now(), 0
 }
 
 // tell puts a message into the mailbox. It waits while that is full, unless the task has ended.
@@ -148,9 +164,14 @@
 	}
 }
 
-// Claim returns the claim of the request's body, which holds nothing yet. patience bounds each wait for memory.
-func (c *Controller) Claim(request string, patience time.Duration) *Claim {
-	return &Claim{controller: c, request: request, patience: patience}
+// BodyClaim returns the claim of the request's body, which holds nothing yet. patience bounds each wait for memory.
+func (c *Controller) BodyClaim(request string, patience time.Duration) *Claim {
+	return &Claim{controller: c, request: request, patience: patience, small: smallBodies, large: largeBodies, kind: smallBodies}
+}
+
+// AnswerClaim returns the claim of an answer to the request, as BodyClaim does that of its body.
+func (c *Controller) AnswerClaim(request string, patience time.Duration) *Claim {
+	return &Claim{controller: c, request: request, patience: patience, small: smallAnswers, large: largeAnswers, kind: smallAnswers}
 }
 
 // State returns what is held.
--- a/internal/memory/controller_test.go
+++ b/internal/memory/controller_test.go
@@ -29,7 +29,7 @@
 // TestLargeBodiesWaitInOrderAndSmallOnesDont fills the memory for large bodies, and then asks for more.
 func TestLargeBodiesWaitInOrderAndSmallOnesDont(t *testing.T) {
 	const patience = time.Second
-	limits := Limits{Small: 2 * SmallBytes, Large: 4 << 20}
+	limits := Limits{SmallBodies: 2 * SmallBytes, LargeBodies: 4 << 20}
 	tests := []struct {
 		name string
 		// before is held by another body until releasedAt.
@@ -55,7 +55,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c, stop := startController(limits)
 				defer stop()
-				first := c.Claim("first", patience)
+				first := c.BodyClaim("first", patience)
 				qt.Assert(t, first.Reserve(t.Context(), test.before), qt.IsNil)
 				timer := time.AfterFunc(test.releasedAt, first.Release)
 				ctx, cancel := context.WithCancel(t.Context())
@@ -64,7 +64,7 @@
 				}
 				defer cancel()
 				began := time.Now()
-				second := c.Claim("second", patience)
+				second := c.BodyClaim("second", patience)
 				err := second.Reserve(ctx, test.n)
 				qt.Check(t, errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
 				qt.Check(t, time.Since(began), qt.Equals, test.waits)
@@ -75,7 +75,7 @@
 				synctest.Wait()
 				s, err := c.State(t.Context())
 				qt.Assert(t, err, qt.IsNil)
-				qt.Check(t, s.Small+s.Large+int64(s.Waiting), qt.Equals, int64(0), qt.Commentf("%+v", s))
+				qt.Check(t, s.Held()+int64(s.Waiting), qt.Equals, int64(0), qt.Commentf("%+v", s))
 			})
 		})
 	}
@@ -84,9 +84,9 @@
 // TestQuestionBehindOneThatLeftIsGranted checks that a body that gives up its place lets those behind it go on at once.
 func TestQuestionBehindOneThatLeftIsGranted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c, stop := startController(Limits{Small: SmallBytes, Large: 4 << 20})
+		c, stop := startController(Limits{SmallBodies: SmallBytes, LargeBodies: 4 << 20})
 		defer stop()
-		first, second, third := c.Claim("1", time.Second), c.Claim("2", 100*time.Millisecond), c.Claim("3", time.Second)
+		first, second, third := c.BodyClaim("1", time.Second), c.BodyClaim("2", 100*time.Millisecond), c.BodyClaim("3", time.Second)
 		qt.Assert(t, first.Reserve(t.Context(), 2<<20), qt.IsNil)
 		ends := make(chan task.End, 1)
 		task.Start(t.Context(), "second", ends, func(ctx context.Context) error { return second.Reserve(ctx, 4<<20) })
@@ -98,11 +98,27 @@
 	})
 }
 
-// TestAccountIsNeverOverItsBoundAndEndsEmpty runs random bodies at once, some of which grow, shrink, wait in vain or leave. None may
+// within reports whether each kind holds no more than its limit, and nothing below zero.
+func within(s State, limits Limits) bool {
+	for _, row := range []struct{ held, limit int64 }{
+		{s.SmallBodies, limits.SmallBodies},
+		{s.LargeBodies, limits.LargeBodies},
+		{s.SmallAnswers, limits.SmallAnswers},
+		{s.LargeAnswers, limits.LargeAnswers},
+	} {
+		if row.held < 0 || row.held > row.limit {
+			return false
+		}
+	}
+	return true
+}
+
+// TestAccountIsNeverOverItsBoundAndEndsEmpty runs random bodies and answers at once, some of which grow, shrink, wait in vain or leave. None may
 // wait for ever, and all is given back.
 func TestAccountIsNeverOverItsBoundAndEndsEmpty(t *testing.T) {
-	limits := Limits{Small: 4 * SmallBytes, Large: 8 << 20}
+	limits := Limits{SmallBodies: 4 * SmallBytes, LargeBodies: 8 << 20, SmallAnswers: 2 * SmallBytes, LargeAnswers: 6 << 20}
 	type step struct {
+		answer      bool
 		sizes       []int64
 		start, hold time.Duration
 		leave       time.Duration
@@ -113,7 +129,7 @@
 		})
 		steps := rapid.SliceOfN(rapid.Custom(func(r *rapid.T) step {
 			size := rapid.OneOf(rapid.Int64Range(1, SmallBytes), rapid.Int64Range(SmallBytes, 4<<20), rapid.Just(int64(4<<20)), rapid.Just(int64(9<<20)))
-			return step{rapid.SliceOfN(size, 1, 3).Draw(r, "sizes"), milliseconds.Draw(r, "start"), milliseconds.Draw(r, "hold"), milliseconds.Draw(r, "leave")}
+			return step{rapid.Bool().Draw(r, "answer"), rapid.SliceOfN(size, 1, 3).Draw(r, "sizes"), milliseconds.Draw(r, "start"), milliseconds.Draw(r, "hold"), milliseconds.Draw(r, "leave")}
 		}), 1, 60).Draw(r, "bodies")
 		synctest.Test(t, func(t *testing.T) {
 			c, stop := startController(limits)
@@ -124,7 +140,10 @@
 					time.Sleep(s.start)
 					ctx, cancel := context.WithTimeout(ctx, s.leave)
 					defer cancel()
-					claim := c.Claim("q", 700*time.Millisecond)
+					claim := c.BodyClaim("q", 700*time.Millisecond)
+					if s.answer {
+						claim = c.AnswerClaim("q", 700*time.Millisecond)
+					}
 					defer claim.Release()
 					for _, n := range s.sizes {
 						if claim.Reserve(ctx, n) != nil {
@@ -141,13 +160,13 @@
 				<-ends
 				state, err := c.State(t.Context())
 				qt.Assert(t, err, qt.IsNil)
-				qt.Assert(t, state.Small <= limits.Small && state.Large <= limits.Large && state.Small >= 0 && state.Large >= 0, qt.IsTrue, qt.Commentf("%+v", state))
-				qt.Assert(t, state.Peak <= limits.Small+limits.Large, qt.IsTrue, qt.Commentf("%+v", state))
+				qt.Assert(t, within(state, limits), qt.IsTrue, qt.Commentf("%+v", state))
+				qt.Assert(t, state.Peak <= limits.SmallBodies+limits.LargeBodies+limits.SmallAnswers+limits.LargeAnswers, qt.IsTrue, qt.Commentf("%+v", state))
 			}
 			qt.Assert(t, time.Since(began) <= 20*time.Second, qt.IsTrue)
 			state, err := c.State(t.Context())
 			qt.Assert(t, err, qt.IsNil)
-			qt.Assert(t, state.Small+state.Large+int64(state.Waiting), qt.Equals, int64(0), qt.Commentf("%+v", state))
+			qt.Assert(t, state.Held()+int64(state.Waiting), qt.Equals, int64(0), qt.Commentf("%+v", state))
 		})
 	})
 }
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -2,7 +2,19 @@
 
 import "cornelmux/internal/task"
 
-// pool is the memory of the bodies of one size. Only the Controller's goroutine uses it.
+// kind is what a pool is for.
+type kind int
+
+const (
+	smallBodies kind = iota
+	largeBodies
+	smallAnswers
+	largeAnswers
+	// kinds is the number of the pools.
+	kinds
+)
+
+// pool is the memory of one kind. Only the Controller's goroutine uses it.
 type pool struct {
 	limit, held int64
 	// waiting holds the questions that wait, the oldest first.
@@ -11,7 +23,7 @@
 
 // question asks for n bytes; the reply says whether they were granted.
 type question struct {
-	large bool
+	kind  kind
 	n     int64
 	reply task.Reply[bool]
 }
--- a/internal/metric/builder.go
+++ b/internal/metric/builder.go
@@ -120,17 +120,24 @@
 }
 
 // observeMemory creates the gauges of the bytes that are held for callers. ObserveMemory calls it.
-func (b *builder) observeMemory(bodies Bodies, answers Answers) {
+func (b *builder) observeMemory(account Memory) {
 	held := b.gauge("cornelmux.memory.held", "By", "Bytes held for callers, by kind.")
-	waiting := b.gauge("cornelmux.memory.waiting", "{request}", "Requests whose bodies wait for memory.")
+	waiting := b.gauge("cornelmux.memory.waiting", "{request}", "Bodies and answers that wait for memory.")
 	b.registerCallback(func(ctx context.Context, o metric.Observer) error {
-		o.ObserveFloat64(held, float64(answers.HeldBytes()), metric.WithAttributes(attribute.String("kind", "answers")))
-		s, err := bodies.State(ctx)
+		s, err := account.State(ctx)
 		if err != nil {
 			return err
 		}
-		o.ObserveFloat64(held, float64(s.Small), metric.WithAttributes(attribute.String("kind", "small_bodies")))
-		o.ObserveFloat64(held, float64(s.Large), metric.WithAttributes(attribute.String("kind", "large_bodies")))
+		for _, row := range []struct {
+			kind  string
+			bytes int64
+		}{
+			{"small_bodies", s.SmallBodies},
+			{"large_bodies", s.LargeBodies},
+			{"answers", s.SmallAnswers + s.LargeAnswers},
+		} {
+			o.ObserveFloat64(held, float64(row.bytes), metric.WithAttributes(attribute.String("kind", row.kind)))
+		}
 		o.ObserveFloat64(waiting, float64(s.Waiting))
 		return nil
 	}, held, waiting)
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -46,14 +46,11 @@
 	Counts(ctx context.Context) (peer.Counts, error)
 }
 
-// Bodies provides the memory that callers' bodies hold.
-type Bodies interface {
+// Memory provides the memory that callers' bodies and endpoints' answers hold.
+type Memory interface {
 	State(ctx context.Context) (memory.State, error)
 }
 
-// Answers provides the memory that buffered answers hold.
-type Answers interface{ HeldBytes() int64 }
-
 // Metrics holds the instruments. It implements filter.Meter and, for scrapes, http.Handler. Its methods may be called from
 // any goroutine.
 type Metrics struct {
@@ -114,9 +111,9 @@
 
 // ObserveMemory adds the metrics of the bytes that are held for callers, which are asked at each scrape. It is called once, before
 // the VM runs.
-func (m *Metrics) ObserveMemory(bodies Bodies, answers Answers, log logr.Logger) {
+func (m *Metrics) ObserveMemory(account Memory, log logr.Logger) {
 	b := &builder{meter: m.meter}
-	b.observeMemory(bodies, answers)
+	b.observeMemory(account)
 	b.logErrors(log)
 }
 
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -49,6 +49,7 @@
 	DeadlinePassed     Code = 3007
 	BillsFull          Code = 3008
 	QualityNotMet      Code = 3009
+	NoMemory           Code = 3010
 	EndpointFailed     Code = 4001
 	OutcomeUnknown     Code = 4002
 	AnswerBroken       Code = 4003
@@ -94,6 +95,7 @@
 	{DeadlinePassed, "deadline_passed", http.StatusGatewayTimeout, NotRun, "The deadline passed before the request was sent."},
 	{BillsFull, "bills_full", http.StatusServiceUnavailable, NotRun, "Too many bills wait for the platform."},
 	{QualityNotMet, "quality_not_met", http.StatusBadGateway, Ran, "No level of the cascade reached the quality target."},
+	{NoMemory, "no_memory", http.StatusBadGateway, Unknown, "An endpoint ran the request, and the VM has no memory for the answer."},
 	{EndpointFailed, "endpoint_failed", http.StatusBadGateway, Unknown, "Every attempt failed after a byte was sent; the request is idempotent and may be sent again."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusGatewayTimeout, Unknown, "A non-idempotent request was sent and its answer is lost; it is never sent again."},
 	{AnswerBroken, "answer_broken", http.StatusBadGateway, Unknown, "The endpoint's answer ended early or belongs to another request."},
