--- a/internal/task/listener.go
+++ b/internal/task/listener.go
@@ -14,8 +14,13 @@
 	connectionsMailboxSize = 256
 	// lastWait is how long a drained server still takes connections and first bytes of requests that are on their way.
 	lastWait = 50 * time.Millisecond
+	// maxHeaderFields bounds the header fields of a request. Short ones take many times as much memory as they have bytes.
+	maxHeaderFields = 256
 )
 
+// errTooManyFields ends the reading of a request with more than maxHeaderFields.
+var errTooManyFields = errors.New("too many header fields")
+
 // errDrained ends Accept once a server is drained.
 var errDrained = errors.New("the server accepts no connections any more")
 
@@ -128,7 +133,7 @@
 		change = 1
 	case http.StateIdle:
 		c := conn.(*connection)
-		c.begun, c.kept = false, true
+		c.begun, c.kept, c.head = false, true, head{}
 	case http.StateHijacked, http.StateClosed:
 		change = -1
 	}
@@ -180,10 +185,20 @@
 	// begun says that a byte of the present request was read, kept that a request was answered before. net/http reads one call at
 	// a time.
 	begun, kept bool
+	head        head
 }
 
 // Read implements net.Conn.
 func (c *connection) Read(p []byte) (int, error) {
+	n, err := c.read(p)
+	if c.head.add(p[:n]); c.head.lines > maxHeaderFields {
+		return 0, errTooManyFields
+	}
+	return n, err
+}
+
+// read reads what comes next, unless draining has ended and no byte of the next request came. Read calls it.
+func (c *connection) read(p []byte) (int, error) {
 	if c.begun {
 		return c.TCPConn.Read(p)
 	}
@@ -203,6 +218,30 @@
 	return n, err
 }
 
+// head counts the lines of a request's head as it arrives.
+type head struct {
+	lines int
+	// blank says that the present line is empty so far, ended that the head is whole.
+	blank, ended bool
+}
+
+// add counts the next bytes of the request, up to the end of its head.
+func (h *head) add(p []byte) {
+	for _, b := range p {
+		switch {
+		case h.ended:
+			return
+		case b == '\n' && h.blank:
+			h.ended = true
+		case b == '\n':
+			h.lines++
+			h.blank = true
+		case b != '\r':
+			h.blank = false
+		}
+	}
+}
+
 // drainedLongAgo reports whether draining ended more than lastWait ago, so that no further request is taken.
 func (c *connection) drainedLongAgo() bool {
 	cause, ok := context.Cause(c.draining).(drainCause)
