--- a/internal/endpoint/http.go
+++ b/internal/endpoint/http.go
@@ -28,6 +28,8 @@
 	// maxIdleConns bounds the idle connections to one endpoint. With fewer than the runs in flight, connections would
 	// be dialed over and over.
 	maxIdleConns = 1024
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 64 << 10
 )
 
 // Client calls endpoints over HTTP.
@@ -44,7 +46,7 @@
 	c := &Client{dialer: net.Dialer{Timeout: dialTimeout}, silenceTimeout: silenceTimeout}
 	c.pooled = &http.Client{
 		CheckRedirect: noRedirect,
-		Transport:     &http.Transport{DialContext: c.dial, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: 30 * time.Second},
+		Transport:     &http.Transport{DialContext: c.dial, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes},
 	}
 	return c
 }
@@ -177,7 +179,7 @@
 			return nil, errors.New("dedicated connection was already used")
 		}
 	}
-	return &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{DialContext: dialOnce, DisableKeepAlives: true}}, nil
+	return &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{DialContext: dialOnce, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}}, nil
 }
 
 // dial connects to an endpoint and applies the silence timeout to the connection.
--- a/internal/endpoint/http_test.go
+++ b/internal/endpoint/http_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -126,3 +127,44 @@
 		})
 	}
 }
+
+// TestEndlessHeadIsGivenUp guards against an endpoint whose answer's head never ends, which would be kept until memory runs out.
+func TestEndlessHeadIsGivenUp(t *testing.T) {
+	// most is what may be sent before the connection is closed, with what the sockets buffer.
+	const most = 9 << 20
+	tests := []struct {
+		name string
+		call Call
+	}{
+		{"pooled connection", Call{RunID: "r1", Method: http.MethodGet, Path: "/", Idempotent: true}},
+		{"dedicated connection", Call{RunID: "r1", Method: http.MethodGet, Path: "/"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			sent, ends := make(chan int, 1), make(chan task.End, 1)
+			task.Start(t.Context(), "endpoint", ends, func(context.Context) error {
+				defer l.Close()
+				conn, err := l.Accept()
+				if err != nil {
+					return err
+				}
+				defer conn.Close()
+				n, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nX: ")
+				for more := 0; err == nil; n += more {
+					more, err = io.WriteString(conn, strings.Repeat("x", 4<<10))
+				}
+				sent <- n
+				return nil
+			})
+			client := NewClient(time.Second, time.Minute)
+			defer client.Close()
+			_, err = client.Open(t.Context(), Endpoint{ID: "e1", Address: l.Addr().String()}, test.call, func() error { return nil })
+			qt.Check(t, errors.Is(err, ErrBroken), qt.IsTrue, qt.Commentf("%v", err))
+			n := <-sent
+			qt.Check(t, n <= most, qt.IsTrue, qt.Commentf("%d bytes", n))
+			qt.Check(t, (<-ends).Err, qt.IsNil)
+		})
+	}
+}
