Tell a VM that is behind of deletions before the teller's start

Callers' requests went on to a runner whose entry had been removed, for as long as it answered.

Cause: a VM that has just started knows the items of the store, but no deletion before its full scan. Replica.Since claimed to be complete all the same, so that its replies took the others past the deletion for good.

Now a replica knows since when it misses no deletion, and a reply that goes back further also lists all keys. The receiver treats these as the end of a full scan, which drops what isn't listed. Requests that reach back beyond the tombstones that are kept are answered in the same way now, where they weren't.

--- a/internal/feed/exchange.go
+++ b/internal/feed/exchange.go
@@ -120,6 +120,9 @@
 		c.noteApplied(u.Number)
 		c.apply(ctx, u.Items)
 		c.revision = u.To
+		if len(u.Keys) > 0 {
+			c.scanKeys = u.Keys
+		}
 		if c.scanKeys != nil {
 			c.finishScan(ctx, u.Items)
 		}
@@ -231,8 +234,8 @@
 	c.startRead(ctx, now)
 }
 
-// reply sends a VM the changes that it requested, unless they are incomplete or too large; that VM then reads the store. The
-// VMs that lack the same changes get the same message. The handler of packetMessage calls it.
+// reply sends a VM the changes that it requested, with all keys if deletions may be missing among them. If they are too large, that VM
+// reads the store. The VMs that lack the same changes get the same message. The handler of packetMessage calls it.
 func (c *Controller) reply(u Update) {
 	if c.outbox.WaitsFor(u.Address) {
 		return // what it asks for may wait already, and it asks again
@@ -240,10 +243,12 @@
 	m, encoded := c.outbox.Reply(u.From, c.revision)
 	if !encoded {
 		items, complete := c.replica.Since(u.From)
-		if complete {
-			m, encoded = c.encode(Update{From: u.From, To: c.revision, Items: items})
+		answer := Update{From: u.From, To: c.revision, Items: items}
+		if !complete {
+			answer.Keys = c.replica.Keys()
 		}
-		if !complete || !encoded || len(m.packets) > maxReplyDatagrams {
+		m, encoded = c.encode(answer)
+		if !encoded || len(m.packets) > maxReplyDatagrams {
 			c.log.Info("update request not answered", "vm", u.VM, "from", u.From, "bytes", totalBytes(items), "datagrams", len(m.packets), "whole", complete)
 			return
 		}
--- a/internal/feed/fakes_test.go
+++ b/internal/feed/fakes_test.go
@@ -90,6 +90,15 @@
 	})
 }
 
+// remove deletes a key.
+func (s store) remove(ctx context.Context, key string) {
+	_ = s.do(ctx, func(st *state) {
+		st.revision++
+		st.items = slices.DeleteFunc(st.items, func(i Item) bool { return i.Key == key })
+		st.items = append(st.items, Item{Key: key, Revision: st.revision, Deleted: true})
+	})
+}
+
 // vmStore is the store as one VM uses it.
 type vmStore struct {
 	store
@@ -99,7 +108,10 @@
 var errRefused = errors.New("refused")
 
 func (r vmStore) Range(ctx context.Context, _ string, _ bool) (p Page, err error) {
-	err = r.do(ctx, func(st *state) { p = Page{Items: slices.Clone(st.items), Revision: st.revision} })
+	err = r.do(ctx, func(st *state) {
+		there := slices.DeleteFunc(slices.Clone(st.items), func(i Item) bool { return i.Deleted })
+		p = Page{Items: there, Revision: st.revision}
+	})
 	return p, err
 }
 
--- a/internal/feed/replica.go
+++ b/internal/feed/replica.go
@@ -11,8 +11,9 @@
 // Replica is a VM's copy of the store: the newest item of each key, with tombstones of deleted keys.
 type Replica struct {
 	items map[string]Item
-	// prunedRevision is the highest of the store's revisions of the tombstones that were dropped; 0 if none was.
-	prunedRevision uint64
+	// completeSince is the store's revision after which no deletion is missing: tombstones up to it were dropped, or keys were deleted
+	// before the replica was read.
+	completeSince uint64
 }
 
 // NewReplica returns an empty Replica.
@@ -28,6 +29,22 @@
 	return true
 }
 
+// BeginAt notes that the replica is read from the store at the revision, so that deletions before it may be missing. It is called for
+// each full scan.
+func (r *Replica) BeginAt(revision uint64) { r.completeSince = max(r.completeSince, revision) }
+
+// Keys returns the keys that aren't deleted.
+func (r *Replica) Keys() []string {
+	var keys []string
+	for k, i := range r.items {
+		if !i.Deleted {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // KeepOnly marks every key outside keys as deleted; keys are those that the store had at the revision. Items that
 // changed later stay. It is called at the end of a full scan.
 func (r *Replica) KeepOnly(keys []string, revision uint64) {
@@ -57,17 +74,14 @@
 	slices.SortFunc(deleted, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	for _, i := range deleted[:len(deleted)-maxTombstones] {
 		delete(r.items, i.Key)
-		r.prunedRevision = max(r.prunedRevision, i.Revision)
+		r.completeSince = max(r.completeSince, i.Revision)
 	}
 }
 
 // Since returns the items that changed after the revision, also tombstones, in the order of their changes, without the
-// secret of the datagrams. It returns false if tombstones since then were dropped; the items are not sent then, and a VM
-// that lacks them reads the store. The Controller calls it to forward changes and to reply to a request for them.
+// secret of the datagrams. It returns false if deletions since then may be missing: a VM that lacks the changes then also needs the
+// Keys. The Controller calls it to forward changes and to reply to a request for them.
 func (r *Replica) Since(revision uint64) ([]Item, bool) {
-	if revision < r.prunedRevision {
-		return nil, false
-	}
 	var out []Item
 	for _, i := range r.items {
 		if i.Revision > revision && i.Key != secretKey {
@@ -75,5 +89,5 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
-	return out, true
+	return out, revision >= r.completeSince
 }
--- a/internal/feed/scan.go
+++ b/internal/feed/scan.go
@@ -62,13 +62,14 @@
 	_ = task.Tell(c.leases, lease) // only the first lease is used
 	// Stale pages may be older than the replica, so the changes since the scan are read in any case.
 	c.synced, c.revision, c.nextRead = true, m.revision, now
+	c.replica.BeginAt(m.revision)
 	c.updateRanks(ctx)
 	c.startRead(ctx, now)
 }
 
 // finishScan completes a full scan with the changes since then: it drops keys that the store no longer has, tells the
 // receiver and, if there is no secret, schedules its creation. It is called after the first watch or peer's update that
-// brings the changes.
+// brings the changes, and for a peer's update with all keys.
 func (c *Controller) finishScan(ctx context.Context, items []Item) {
 	deleted := map[string]bool{}
 	for _, i := range items {
--- a/internal/feed/update.go
+++ b/internal/feed/update.go
@@ -23,6 +23,8 @@
 	To      uint64 `json:"to"`
 	Request bool   `json:"wants,omitempty"`
 	Items   []Item `json:"items,omitempty"`
+	// Keys lists all keys of the store if the Items may lack deletions; any other key is deleted.
+	Keys []string `json:"keys,omitempty"`
 	// Number is the message number; in a request, that of the message whose Parts are missing.
 	Number uint64   `json:"number,omitempty"`
 	Parts  []uint16 `json:"parts,omitempty"`
