--- a/internal/task/listener.go
+++ b/internal/task/listener.go
@@ -14,7 +14,7 @@
 	connectionsMailboxSize = 256
 	// lastWait is how long a drained server still takes connections and first bytes of requests that are on their way.
 	lastWait = 50 * time.Millisecond
-	// maxHeaderFields bounds the header fields of a request. Short ones take many times as much memory as they have bytes.
+	// maxHeaderFields bounds the header fields of a request, the request line counted with them. Short ones take many times as much memory as they have bytes.
 	maxHeaderFields = 256
 )
 
