--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -221,7 +221,11 @@
 func (f *forwardRun) query() pool.Query {
 	x := f.x
 	q := pool.Query{
-		Service: x.Routed.Service, Exclude: f.tried, Retry: x.Routed.Attempts > 0,
+		Service: x.Routed.Service, Exclude: f.tried, Retry: x.Routed.Attempts > 0, Config: x.Routed.Table.Service(x.Routed.Service),
+		Homes: x.Routed.Homes, Account: x.Routed.Account, Priority: x.Routed.Priority, Deadline: x.Request.Deadline,
+	}
+	if objective := x.Routed.Route.Objective; objective > 0 {
+		q.Objective = x.Arrived.Add(objective)
 	}
 	if x.Routed.Route.Kind == routing.KindStream {
 		q.Model, q.Prompt, q.Weight = x.Attempt.Model, x.Routed.Prompt, f.weight(x.Attempt.Model)
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -26,7 +26,9 @@
 	Account string
 	// Priority is that of the client account, or else of the route; 0 goes first, unlike in package endpoint.
 	Priority int
-	Prompt   routing.Prompt
+	// Homes holds the regions that the route and the client account both allow.
+	Homes  routing.Regions
+	Prompt routing.Prompt
 	// LastEventID is the ID of the last event that the caller has of an earlier answer.
 	LastEventID string
 	// Attempts counts how often the request was placed on an endpoint, also if nothing was sent there.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"cornelmux/internal/engine"
 	"cornelmux/pkg/routing"
 )
 
@@ -25,6 +26,8 @@
 	Slots int
 	// Leaving says that the endpoint is shutting down and gets no new runs.
 	Leaving bool
+	// ColdFor is how much longer the endpoint is cold, from when its entry was read.
+	ColdFor time.Duration
 }
 
 // String implements fmt.Stringer.
@@ -56,6 +59,16 @@
 	Retry bool
 	// Escalation says that the retry goes to a stronger model; it leaves a part of the budget to other retries.
 	Escalation bool
+	// Homes holds the regions whose endpoints may get the run.
+	Homes routing.Regions
+	// Config is the service's configuration; nil if the route table has none.
+	Config *routing.Service
+	// Account is the client account, Priority its rank or the route's, where 0 goes first.
+	Account  string
+	Priority int
+	// Deadline is when the caller or the route gives up, Objective when the answer should begin; zero if there is none.
+	Deadline  time.Time
+	Objective time.Time
 
 	// blocks are those of the prompt as endpoints remember them, sharedTokens the length of its shared prefix; Table.Choose sets both.
 	blocks       []routing.PrefixBlock
@@ -74,6 +87,8 @@
 	// TypicalLatency is that of such runs, StrongerLatency that of runs of the stronger model.
 	TypicalLatency  Latency
 	StrongerLatency Latency
+	// Forecast is when the run is expected to begin and end there.
+	Forecast engine.Forecast
 	// PrefillTime is how long the endpoint's most expensive model takes at least to process the part of the prompt that it has
 	// not cached.
 	PrefillTime time.Duration
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -34,6 +34,8 @@
 	ChoiceLater
 	// ChoicePausing means that all endpoints that may run it asked for a pause.
 	ChoicePausing
+	// ChoiceFull means that no endpoint that may run it has room now.
+	ChoiceFull
 )
 
 // Crash says that an endpoint crashed while it ran the request with the fingerprint. Endpoint is its ID and its incarnation,
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -64,6 +64,8 @@
 	MaxAttempts int
 	// Anonymous permits requests without a known key.
 	Anonymous bool
+	// Homes holds the regions in which the route's requests may be served.
+	Homes Regions
 	// Resumable reports that a stream may continue at another endpoint after its last whole event.
 	Resumable bool
 }
@@ -100,6 +102,10 @@
 	MaxConnections int
 	// Engine is set if the endpoints are model engines.
 	Engine Engine
+	// ColdTime is how long an endpoint is cold after it started. ColdRate is how many requests a second a cold endpoint takes
+	// from all VMs together; 0 means that its endpoints don't start cold.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // minWeight is the least share of an engine, 0 to 1, that a run takes, however cheap its model.
@@ -129,6 +135,8 @@
 	// Priority takes precedence over the route's if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Homes holds the regions in which the account's requests may be served.
+	Homes Regions
 }
 
 // Limits bounds the requests of callers. Sizes are in bytes. Only BodyBytes is applied, by filter Route; 0 stands for
