A request stays in the regions that its route and its client account allow

allowed_regions of routes and accounts was not read, so requests ran in any region.

No region in both lists, or no endpoint listed in any: refused with 2007 no_home, 503, not run; Retry-After only in the second case. The line of the request names both lists. Homes whose endpoints are down, leaving or full are refused as before.

--- a/internal/filter/accesslog.go
+++ b/internal/filter/accesslog.go
@@ -47,6 +47,9 @@
 	}
 	if t, r := x.Routed.Table, x.Routed.Route; t != nil && r != nil {
 		values = append(values, "configuration", t.Version, "route", r.Name)
+		if x.Routed.Homes.Limited {
+			values = append(values, "route_regions", r.Homes.Names, "account_regions", x.Routed.AccountHomes.Names)
+		}
 	}
 	f.Log.Info("request ended", values...)
 	return err
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -26,9 +26,10 @@
 	Account string
 	// Priority is that of the client account, or else of the route; 0 goes first, unlike in package endpoint.
 	Priority int
-	// Homes holds the regions that the route and the client account both allow.
-	Homes  routing.Regions
-	Prompt routing.Prompt
+	// AccountHomes holds the regions that the client account allows, Homes those that it and the route both allow.
+	AccountHomes routing.Regions
+	Homes        routing.Regions
+	Prompt       routing.Prompt
 	// LastEventID is the ID of the last event that the caller has of an earlier answer.
 	LastEventID string
 	// Attempts counts how often the request was placed on an endpoint, also if nothing was sent there.
@@ -125,9 +126,13 @@
 	}
 	x.Routed.Table, x.Routed.Route = t, r
 	x.Routed.Priority = r.Priority
+	x.Routed.Homes = requestHomes(r, nil)
 	if err := findAccount(x, t, r); err != nil {
 		return err
 	}
+	if err := checkHomes(x); err != nil {
+		return err
+	}
 	x.Idempotent = r.Idempotent()
 	x.Routed.Service = r.Pick(f.Rand())
 	x.Request.Service = x.Routed.Service
@@ -179,8 +184,8 @@
 	}
 }
 
-// findAccount finds the client account by its key. The account's priority takes precedence over the route's. A table
-// without accounts lets every request through. Handle calls it once.
+// findAccount finds the client account by its key. The account's priority takes precedence over the route's, its
+// homes bind beside them. A table without accounts lets every request through. Handle calls it once.
 func findAccount(x *Exchange, t *routing.Table, r *routing.Route) error {
 	if len(t.Accounts) == 0 {
 		return nil
@@ -194,6 +199,7 @@
 	}
 	x.Routed.Account = a.Name
 	x.Account = catalog.ClientAccount{Name: a.Name}
+	x.Routed.AccountHomes, x.Routed.Homes = a.Homes, requestHomes(r, a)
 	if a.HasPriority {
 		x.Routed.Priority = a.Priority
 	}
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -24,6 +24,8 @@
 	tellTimeout = time.Second
 	// retryAfter is the Retry-After of a run that was not placed.
 	retryAfter = 300 * time.Millisecond
+	// homeRetryAfter is that of a run in whose homes no endpoint is listed; a new one takes longer to come than a busy one to get free.
+	homeRetryAfter = 2 * time.Second
 )
 
 // Crashes counts the crashes of endpoints. Crashed must not block.
@@ -186,6 +188,8 @@
 		return Placement{}, result.Errorf(result.QueueFull, "service %s: its endpoints want no runs for a while", q.Service).WithRetryAfter(r.pause)
 	case ChoiceLater:
 		return Placement{}, result.Errorf(result.QueueFull, "endpoint %s: other silent runs are moved first", q.Silent).WithRetryAfter(retryAfter)
+	case ChoiceNoHome:
+		return Placement{}, result.Errorf(result.NoHome, "service %s: no endpoint is listed in regions %q", q.Service, q.Homes.Names).WithRetryAfter(homeRetryAfter)
 	default:
 		return Placement{}, result.Errorf(result.NoEndpoint, "service %s version %q", q.Service, q.Version).WithRetryAfter(retryAfter)
 	}
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -117,7 +117,7 @@
 // eligible reports whether the query may run on the endpoint at all, whatever its backoff and load. Table.best and
 // affinityRanks call it.
 func (r *Record) eligible(q *Query) bool {
-	if !r.acceptsRuns() || (q.Version != "" && r.Version != q.Version) {
+	if !r.acceptsRuns() || !r.inHomes(q) || (q.Version != "" && r.Version != q.Version) {
 		return false
 	}
 	for _, v := range q.ExcludedVersions {
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -36,6 +36,8 @@
 	ChoicePausing
 	// ChoiceFull means that no endpoint that may run it has room now.
 	ChoiceFull
+	// ChoiceNoHome means that the service has no endpoint in any region that the run may be served in.
+	ChoiceNoHome
 )
 
 // Crash says that an endpoint crashed while it ran the request with the fingerprint. Endpoint is its ID and its incarnation,
@@ -226,10 +228,7 @@
 		best = t.best(q, now, false)
 	}
 	if best == nil {
-		if t.pauseLeft(q, now) > 0 {
-			return Placement{}, ChoicePausing
-		}
-		return Placement{}, ChoiceNone
+		return Placement{}, t.refusal(q, now)
 	}
 	inFlight, _, _ := best.peerTotals(now)
 	best.InFlight++
@@ -241,6 +240,18 @@
 	}, ChoicePlaced
 }
 
+// refusal returns why no endpoint is left for a run. Choose calls it.
+func (t *Table) refusal(q *Query, now time.Time) Choice {
+	switch {
+	case !t.hasHome(q):
+		return ChoiceNoHome
+	case t.pauseLeft(q, now) > 0:
+		return ChoicePausing
+	default:
+		return ChoiceNone
+	}
+}
+
 // TakeMove reports whether a silent run may be moved away from the endpoint now, and counts it. The Controller calls it before it
 // chooses another.
 func (t *Table) TakeMove(id string, now time.Time) bool {
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -40,6 +40,7 @@
 	ServiceNotAllowed  Code = 2004
 	VersionWithdrawn   Code = 2005
 	RequestQuarantined Code = 2006
+	NoHome             Code = 2007
 	LimitReached       Code = 3001
 	QueueFull          Code = 3002
 	NoEndpoint         Code = 3003
@@ -86,6 +87,7 @@
 	{ServiceNotAllowed, "service_not_allowed", http.StatusForbidden, NotRun, "The client account may not use this service or route."},
 	{VersionWithdrawn, "version_withdrawn", http.StatusServiceUnavailable, NotRun, "The version was withdrawn and no other is allowed."},
 	{RequestQuarantined, "request_quarantined", http.StatusUnprocessableEntity, NotRun, "The request, or a block of its prompt, crashed endpoints before and is refused for a while."},
+	{NoHome, "no_home", http.StatusServiceUnavailable, NotRun, "No endpoint is in a region in which the route and the client account both let the request be served; the detail names the regions."},
 	{LimitReached, "limit_reached", http.StatusTooManyRequests, NotRun, "The client account's limit is reached; Retry-After says when to come back."},
 	{QueueFull, "queue_full", http.StatusServiceUnavailable, NotRun, "The queue for the model is full; Retry-After says when to come back."},
 	{NoEndpoint, "no_endpoint", http.StatusServiceUnavailable, NotRun, "No endpoint in reach serves the version."},
