--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -24,8 +24,9 @@
 	tellTimeout = time.Second
 	// retryAfter is the Retry-After of a run that was not placed.
 	retryAfter = 300 * time.Millisecond
-	// homeRetryAfter is that of a run in whose homes no endpoint is listed; a new one takes longer to come than a busy one to get free.
-	homeRetryAfter = 2 * time.Second
+	// placesRetryAfter is that of a run for which no endpoint is listed where it may go, or only in evacuated zones: that lasts longer
+	// than the work of a busy endpoint.
+	placesRetryAfter = 2 * time.Second
 )
 
 // Crashes counts the crashes of endpoints. Crashed must not block.
@@ -83,6 +84,8 @@
 		choice    Choice
 		// pause is the time until an endpoint wants runs again, with ChoicePausing.
 		pause time.Duration
+		// evacuated holds the evacuated zones, with ChoiceEvacuated.
+		evacuated []string
 	}
 	doneMessage     struct{ outcome Outcome }
 	versionsMessage struct {
@@ -189,7 +192,9 @@
 	case ChoiceLater:
 		return Placement{}, result.Errorf(result.QueueFull, "endpoint %s: other silent runs are moved first", q.Silent).WithRetryAfter(retryAfter)
 	case ChoiceNoHome:
-		return Placement{}, result.Errorf(result.NoHome, "service %s: no endpoint is listed in regions %q", q.Service, q.Homes.Names).WithRetryAfter(homeRetryAfter)
+		return Placement{}, result.Errorf(result.NoHome, "service %s: no endpoint is listed in regions %q", q.Service, q.Homes.Names).WithRetryAfter(placesRetryAfter)
+	case ChoiceEvacuated:
+		return Placement{}, result.Errorf(result.NoEndpoint, "service %s: all its endpoints that may serve it are in evacuated zones %q", q.Service, r.evacuated).WithRetryAfter(placesRetryAfter)
 	default:
 		return Placement{}, result.Errorf(result.NoEndpoint, "service %s version %q", q.Service, q.Version).WithRetryAfter(retryAfter)
 	}
@@ -280,6 +285,9 @@
 	if choice == ChoicePausing {
 		reply.pause = c.table.pauseLeft(&m.query, now)
 	}
+	if choice == ChoiceEvacuated {
+		reply.evacuated = c.evacuatedZones()
+	}
 	if !m.reply.Send(reply) && choice == ChoicePlaced {
 		c.giveBack(&m.query, &p, now)
 	}
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -111,12 +111,15 @@
 	return restarted
 }
 
-// acceptsRuns reports whether the endpoint gets new runs at all.
-func (r *Record) acceptsRuns() bool { return !r.Leaving && !r.withdrawn && !r.replaced && !r.evacuated }
+// acceptsRuns reports whether the endpoint gets new runs at all. One in an evacuated zone gets them again later.
+func (r *Record) acceptsRuns() bool { return !r.Leaving && !r.withdrawn && !r.replaced }
 
 // eligible reports whether the query may run on the endpoint at all, whatever its backoff and load. Table.best and
 // affinityRanks call it.
-func (r *Record) eligible(q *Query) bool {
+func (r *Record) eligible(q *Query) bool { return !r.evacuated && r.mayServe(q) }
+
+// mayServe reports whether the query might run on the endpoint if its zone weren't evacuated.
+func (r *Record) mayServe(q *Query) bool {
 	if !r.acceptsRuns() || !r.inHomes(q) || (q.Version != "" && r.Version != q.Version) {
 		return false
 	}
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -38,6 +38,8 @@
 	ChoiceFull
 	// ChoiceNoHome means that the service has no endpoint in any region that the run may be served in.
 	ChoiceNoHome
+	// ChoiceEvacuated means that each endpoint that may run it is in an evacuated availability zone.
+	ChoiceEvacuated
 )
 
 // Crash says that an endpoint crashed while it ran the request with the fingerprint. Endpoint is its ID and its incarnation,
@@ -245,6 +247,8 @@
 	switch {
 	case !t.hasHome(q):
 		return ChoiceNoHome
+	case t.onlyEvacuated(q):
+		return ChoiceEvacuated
 	case t.pauseLeft(q, now) > 0:
 		return ChoicePausing
 	default:
