--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -51,6 +51,8 @@
 	saidLeavingAt time.Time
 	// withdrawn says that the directory has no usable entry of the endpoint now.
 	withdrawn bool
+	// evacuated says that its availability zone is evacuated.
+	evacuated bool
 	// replaced says that another endpoint answers on the address.
 	replaced bool
 
@@ -110,7 +112,7 @@
 }
 
 // acceptsRuns reports whether the endpoint gets new runs at all.
-func (r *Record) acceptsRuns() bool { return !r.Leaving && !r.withdrawn && !r.replaced }
+func (r *Record) acceptsRuns() bool { return !r.Leaving && !r.withdrawn && !r.replaced && !r.evacuated }
 
 // eligible reports whether the query may run on the endpoint at all, whatever its backoff and load. Table.best and
 // affinityRanks call it.
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -52,6 +52,8 @@
 	records  map[string]*Record
 	services map[string][]*Record
 	unlisted unlisted
+	// evacuations holds the availability zones that are evacuated, and those that were.
+	evacuations evacuations
 	// typical holds the typical latency of the runs by service and model.
 	typical map[latencyKey]Latency
 	// directoryDown says that the directory cannot be read now; directoryUpAt is when it last became readable again.
@@ -67,7 +69,10 @@
 
 // NewTable makes an empty Table for a VM at the location.
 func NewTable(location endpoint.Location) *Table {
-	return &Table{location: location, records: map[string]*Record{}, services: map[string][]*Record{}, unlisted: unlisted{}, typical: map[latencyKey]Latency{}}
+	return &Table{
+		location: location, records: map[string]*Record{}, services: map[string][]*Record{}, unlisted: unlisted{}, evacuations: evacuations{},
+		typical: map[latencyKey]Latency{},
+	}
 }
 
 // Put adds or updates an entry, unless it is of an earlier incarnation. It returns the crashes that a new incarnation
@@ -76,6 +81,7 @@
 	r, ok := t.records[e.ID]
 	if !ok {
 		r = newRecord(e)
+		r.evacuated = t.evacuations.inForce(e.Zone)
 		t.unlisted.restore(r)
 		t.records[e.ID] = r
 		t.list(r)
@@ -89,6 +95,7 @@
 		t.unlist(r)
 	}
 	restarted := r.update(e)
+	r.evacuated = t.evacuations.inForce(e.Zone)
 	if before.Service != e.Service {
 		t.list(r)
 	}
