The pool keeps cold endpoints within this VM's share of their rate

A run is placed at a cold endpoint only while this VM has a share left there; otherwise it goes elsewhere, also to another region, and is refused at once as not run if all endpoints that may run it are cold. All sends come through Table.Choose, so retries, replacements, escalations and resumed streams draw on the same share. An endpoint is cold by its entry, as a new incarnation, after an evacuation of its zone, and after it couldn't be reached, until an entry shows that it goes on.

Without a tolerance in the settings or a rate of the service nothing changes: the tests of internal/pool, filter and metric pass.

--- a/internal/filter/call.go
+++ b/internal/filter/call.go
@@ -47,6 +47,9 @@
 				return err
 			}
 		}
+		if by := s.place.SendBy; !by.IsZero() && time.Now().After(by) {
+			return errPlacedTooLate
+		}
 		s.sent = true
 		return nil
 	}
--- a/internal/filter/outcome.go
+++ b/internal/filter/outcome.go
@@ -18,6 +18,8 @@
 	errOvertaken = errors.New("the send before it went on")
 	// errRequestEnded is the reason to cancel a replacement of a request that ended before.
 	errRequestEnded = errors.New("the request ended before the endpoint accepted it")
+	// errPlacedTooLate is the reason not to send to a cold endpoint: too much time has passed since the placement.
+	errPlacedTooLate = fmt.Errorf("%w: too much time has passed since it was placed at a cold endpoint", endpoint.ErrNotSent)
 )
 
 // dropped reports whether the send was cancelled for another reason than its silence.
@@ -107,6 +109,9 @@
 		return pool.EndFailed
 	case errors.As(err, &refused):
 		return pool.EndRefused
+	case errors.Is(err, errPlacedTooLate):
+		f.x.Routed.Unreached++
+		return pool.EndAbandoned
 	case errors.Is(err, endpoint.ErrReplaced):
 		return pool.EndReplaced
 	case errors.Is(err, endpoint.ErrMisdirected):
--- a/internal/filter/reserve.go
+++ b/internal/filter/reserve.go
@@ -56,7 +56,7 @@
 	}
 	o := pool.Outcome{
 		Endpoint: r.Placement.ID, Incarnation: r.Placement.Incarnation, End: pool.EndUnused, Service: r.Query.Service,
-		Model: r.Query.Model, Weight: r.Query.Weight,
+		Model: r.Query.Model, Weight: r.Query.Weight, SendBy: r.Placement.SendBy,
 	}
 	_ = p.Pool.Done(ctx, o) // Done waits for room; if it fails even so, the run stays counted as in flight
 }
--- a/internal/metric/builder.go
+++ b/internal/metric/builder.go
@@ -143,6 +143,25 @@
 	}, held, waiting)
 }
 
+// observeCold creates the gauges of cold endpoints: for each, the time that is left and the runs that this VM may place now. ObserveCold
+// calls it.
+func (b *builder) observeCold(cold Cold) {
+	left := b.gauge("cornelmux.cold.left", "s", "Time until the endpoint counts as warm, by endpoint and service.")
+	runs := b.gauge("cornelmux.cold.runs_left", "{run}", "Runs that this VM may place at the cold endpoint now.")
+	b.registerCallback(func(ctx context.Context, o metric.Observer) error {
+		list, err := cold.ColdEndpoints(ctx)
+		if err != nil {
+			return err
+		}
+		for _, e := range list {
+			attributes := metric.WithAttributes(attribute.String("endpoint", e.Endpoint), attribute.String("service", e.Service))
+			o.ObserveFloat64(left, e.Left.Seconds(), attributes)
+			o.ObserveFloat64(runs, float64(e.RunsLeft), attributes)
+		}
+		return nil
+	}, left, runs)
+}
+
 // countHealth returns the number of members for each health, zeros included.
 func countHealth(list []peer.Member) map[string]int {
 	counts := map[string]int{"alive": 0, "suspect": 0, "dead": 0}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -19,6 +19,7 @@
 	"cornelmux/internal/filter"
 	"cornelmux/internal/memory"
 	"cornelmux/internal/peer"
+	"cornelmux/internal/pool"
 )
 
 const (
@@ -51,6 +52,11 @@
 	State(ctx context.Context) (memory.State, error)
 }
 
+// Cold provides the endpoints that count as cold.
+type Cold interface {
+	ColdEndpoints(ctx context.Context) ([]pool.ColdEndpoint, error)
+}
+
 // Metrics holds the instruments. It implements filter.Meter and, for scrapes, http.Handler. Its methods may be called from
 // any goroutine.
 type Metrics struct {
@@ -117,6 +123,13 @@
 	b.logErrors(log)
 }
 
+// ObserveCold adds the metrics of cold endpoints, which are asked at each scrape. It is called once, before the VM runs.
+func (m *Metrics) ObserveCold(cold Cold, log logr.Logger) {
+	b := &builder{meter: m.meter}
+	b.observeCold(cold)
+	b.logErrors(log)
+}
+
 // ServeHTTP implements http.Handler.
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.handler.ServeHTTP(w, r) }
 
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -36,6 +36,8 @@
 	Location endpoint.Location
 	// RetryLimit bounds the retries of each service.
 	RetryLimit RetryLimit
+	// Cold bounds the runs at cold endpoints.
+	Cold ColdOptions
 	// Meter records the time of the Controller's messages; it may be nil.
 	Meter task.Meter
 }
@@ -54,6 +56,8 @@
 	table   *Table
 	// budgets holds the retry budgets by service.
 	budgets map[string]*RetryBudget
+	// loggedCold holds the cold endpoints of the last log lines, by ID.
+	loggedCold map[string]ColdEndpoint
 	// scanned is set after the first full scan of the directory; scanWaiters are the callers of WaitFirstScan until
 	// then.
 	scanned     bool
@@ -79,7 +83,7 @@
 	chooseReply struct {
 		placement Placement
 		choice    Choice
-		// pause is the time until an endpoint wants runs again, with ChoicePausing.
+		// pause is the time until an endpoint wants runs again, with ChoicePausing, or takes one, with ChoiceCold.
 		pause time.Duration
 	}
 	doneMessage     struct{ outcome Outcome }
@@ -101,9 +105,11 @@
 
 // New makes a Controller; Run starts it.
 func New(crashes Crashes, o Options, log logr.Logger) *Controller {
+	table := NewTable(o.Location)
+	table.cold.ColdOptions = o.Cold
 	return &Controller{
 		mailbox: make(chan message, mailboxSize), questions: make(chan struct{}, maxQuestions), stopped: make(chan struct{}), crashes: crashes, opts: o, log: log,
-		watch: task.NewStopwatch("pool", o.Meter, log), table: NewTable(o.Location), budgets: map[string]*RetryBudget{},
+		watch: task.NewStopwatch("pool", o.Meter, log), table: table, budgets: map[string]*RetryBudget{},
 	}
 }
 
@@ -123,6 +129,7 @@
 			for _, id := range c.table.Sweep(now) {
 				c.log.Info("endpoint gone", "endpoint", id, "why", "not relisted after the directory became readable again")
 			}
+			c.logCold(now)
 			c.watch.Ticked(started)
 		case <-ctx.Done():
 			return ctx.Err()
@@ -184,6 +191,8 @@
 		return Placement{}, result.Errorf(result.QueueFull, "service %s: retry budget is used up", q.Service).WithRetryAfter(retryAfter)
 	case ChoicePausing:
 		return Placement{}, result.Errorf(result.QueueFull, "service %s: its endpoints want no runs for a while", q.Service).WithRetryAfter(r.pause)
+	case ChoiceCold:
+		return Placement{}, result.Errorf(result.QueueFull, "service %s: its endpoints are cold and take no more runs of this VM", q.Service).WithRetryAfter(r.pause)
 	case ChoiceLater:
 		return Placement{}, result.Errorf(result.QueueFull, "endpoint %s: other silent runs are moved first", q.Silent).WithRetryAfter(retryAfter)
 	default:
@@ -273,8 +282,11 @@
 	}
 	p.RetryAllowed = budget.AllowsEscalation(now)
 	reply := chooseReply{placement: p, choice: choice}
-	if choice == ChoicePausing {
+	switch choice {
+	case ChoicePausing:
 		reply.pause = c.table.pauseLeft(&m.query, now)
+	case ChoiceCold:
+		reply.pause = c.table.coldWait(&m.query, now)
 	}
 	if !m.reply.Send(reply) && choice == ChoicePlaced {
 		c.giveBack(&m.query, &p, now)
@@ -299,7 +311,7 @@
 
 // giveBack takes a placement back whose request left while it was placed. The handler of chooseMessage calls it.
 func (c *Controller) giveBack(q *Query, p *Placement, now time.Time) {
-	o := Outcome{Endpoint: p.ID, Incarnation: p.Incarnation, End: EndUnused, Service: q.Service, Model: q.Model, Weight: q.Weight}
+	o := Outcome{Endpoint: p.ID, Incarnation: p.Incarnation, End: EndUnused, Service: q.Service, Model: q.Model, Weight: q.Weight, SendBy: p.SendBy}
 	_ = c.table.Done(&o, now) // a run that wasn't sent proves no crash
 	if q.Retry {
 		c.budget(q.Service).ReturnRetry(now)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -89,6 +89,8 @@
 	StrongerLatency Latency
 	// Forecast is when the run is expected to begin and end there.
 	Forecast engine.Forecast
+	// SendBy is when the send has to begin, because the endpoint is cold and its runs are spaced; zero if there is no bound.
+	SendBy time.Time
 	// PrefillTime is how long the endpoint's most expensive model takes at least to process the part of the prompt that it has
 	// not cached.
 	PrefillTime time.Duration
@@ -148,6 +150,8 @@
 	Prompt      routing.Prompt
 	// Weight is the same as in the Query.
 	Weight float64
+	// SendBy is that of the placement.
+	SendBy time.Time
 	// TTFB is the time to first byte; 0 if none arrived.
 	TTFB time.Duration
 	// MeanGap is the mean time between two events; 0 if there were too few.
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"cornelmux/internal/warmup"
 )
 
 const (
@@ -74,6 +76,9 @@
 	failureRate float64
 	// latencyRatio is the moving mean of the time to first byte, divided by the typical one.
 	latencyRatio float64
+	// warmth is what is known of whether the endpoint is cold, and cold the runs of this VM there while it is; nil if it isn't.
+	warmth warmup.Knowledge
+	cold   *coldRecord
 	// prefixBlocks holds the blocks that the endpoint has probably cached.
 	prefixBlocks *prefixCache
 	// movesLeft is how many silent runs may still be moved away in the moveInterval that began at movesSince.
@@ -195,6 +200,9 @@
 			r.backOff(now)
 		}
 	case EndLost, EndTimeout, EndUnreachable:
+		if o.End == EndUnreachable {
+			r.warmth.NoteUnreached(now)
+		}
 		if o.End == EndTimeout && now.Before(r.backoffUntil) {
 			break // runs that fell silent together are one failure
 		}
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cornelmux/internal/endpoint"
+	"cornelmux/pkg/routing"
 )
 
 const (
@@ -36,6 +37,8 @@
 	ChoicePausing
 	// ChoiceFull means that no endpoint that may run it has room now.
 	ChoiceFull
+	// ChoiceCold means that all endpoints that may run it are cold and take no more runs of this VM now.
+	ChoiceCold
 )
 
 // Crash says that an endpoint crashed while it ran the request with the fingerprint. Endpoint is its ID and its incarnation,
@@ -54,6 +57,7 @@
 	unlisted unlisted
 	// evacuations holds the availability zones that are evacuated, and those that were.
 	evacuations evacuations
+	cold        coldShares
 	// typical holds the typical latency of the runs by service and model.
 	typical map[latencyKey]Latency
 	// directoryDown says that the directory cannot be read now; directoryUpAt is when it last became readable again.
@@ -71,7 +75,7 @@
 func NewTable(location endpoint.Location) *Table {
 	return &Table{
 		location: location, records: map[string]*Record{}, services: map[string][]*Record{}, unlisted: unlisted{}, evacuations: evacuations{},
-		typical: map[latencyKey]Latency{},
+		typical: map[latencyKey]Latency{}, cold: coldShares{services: map[string]*routing.Service{}, removed: map[string]removedIncarnation{}},
 	}
 }
 
@@ -81,7 +85,7 @@
 	r, ok := t.records[e.ID]
 	if !ok {
 		r = newRecord(e)
-		r.evacuated = t.evacuations.inForce(e.Zone)
+		r.evacuated, r.warmth = t.evacuations.inForce(e.Zone), t.firstKnowledge(&e, now)
 		t.unlisted.restore(r)
 		t.records[e.ID] = r
 		t.list(r)
@@ -100,8 +104,10 @@
 		t.list(r)
 	}
 	if !restarted {
+		r.warmth.Update(e.ColdFor, now)
 		return nil
 	}
+	r.warmth, r.cold = t.firstKnowledge(&e, now), nil
 	t.unlisted.restore(r)
 	return newCrashes(r.takeCrashes(now), before.ID, before.Incarnation)
 }
@@ -140,6 +146,7 @@
 // Retain drops every entry that is not in ids, the result of a full scan, and returns the crashes that this proves. The
 // Controller calls it after each.
 func (t *Table) Retain(ids []string, now time.Time) []Crash {
+	t.cold.listed = true
 	listed := make(map[string]bool, len(ids))
 	for _, id := range ids {
 		listed[id] = true
@@ -170,6 +177,7 @@
 // sweepInterval.
 func (t *Table) Sweep(now time.Time) (gone []string) {
 	t.unlisted.forget(now)
+	t.cold.forget(now)
 	if t.directoryUnreliable(now) {
 		return nil
 	}
@@ -188,6 +196,7 @@
 	r.withdrawn = true
 	if r.InFlight == 0 {
 		t.unlisted.addRemoved(r, now)
+		t.cold.noteRemoved(r, now)
 		delete(t.records, r.ID)
 		t.unlist(r)
 	}
@@ -220,6 +229,7 @@
 // Choose places a run and counts it as in flight until Done. It considers endpoints that are not available only if no
 // other is eligible, and none that asked for a pause. The Controller calls it for each run.
 func (t *Table) Choose(q *Query, now time.Time) (Placement, Choice) {
+	t.cold.noteService(q.Config)
 	q.blocks, q.sharedTokens = joinBlocks(q.Prompt.Blocks), q.Prompt.SharedPrefixTokens()
 	best := t.best(q, now, true)
 	if best == nil {
@@ -229,12 +239,16 @@
 		if t.pauseLeft(q, now) > 0 {
 			return Placement{}, ChoicePausing
 		}
+		if t.coldWait(q, now) > 0 {
+			return Placement{}, ChoiceCold
+		}
 		return Placement{}, ChoiceNone
 	}
 	inFlight, _, _ := best.peerTotals(now)
 	best.InFlight++
 	best.engineLoad += q.weight()
 	return Placement{
+		SendBy:      best.takeColdRun(now),
 		PrefillTime: prefillTime(best.uncachedTokens(q)),
 		Entry:       best.Entry, Running: best.InFlight + inFlight, Load: slotUtilization(best.InFlight+inFlight, best.Slots),
 		TypicalLatency: t.typical[latencyKey{q.Service, q.Model}], StrongerLatency: t.typical[latencyKey{q.Service, q.StrongerModel}],
@@ -262,7 +276,14 @@
 		if !r.eligible(q) || r.pauses(now) || (onlyAvailable && !r.available(now)) {
 			continue
 		}
+		cold, left := t.coldRunsLeft(r, q.Config, now)
+		if cold && left == 0 {
+			continue
+		}
 		s := r.Score(q, t.location, ranks[i], now)
+		if cold {
+			s += coldCost
+		}
 		if !onlyAvailable {
 			s += max(r.backoffUntil.Sub(now), 0)
 		}
@@ -309,6 +330,7 @@
 	}
 	r.InFlight = max(r.InFlight-1, 0)
 	r.engineLoad = max(r.engineLoad-cmp.Or(o.Weight, 1), 0)
+	r.returnColdRun(o)
 	if r.Incarnation != o.Incarnation {
 		if o.End == EndLost && o.Events <= maxCrashEvents {
 			return newCrashes([]uint64{o.Fingerprint}, o.Endpoint, o.Incarnation)
