--- a/internal/feed/controller.go
+++ b/internal/feed/controller.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -90,6 +91,8 @@
 	readFailed     bool
 	// members holds the VMs that have a member key, by name.
 	members map[string]Member
+	// zoneMembers holds the names that the receiver was last told; nil before the first full scan is complete.
+	zoneMembers []string
 	// secret is the key of the datagrams' MAC; empty before it was read.
 	secret []byte
 	// leases receives the lease of the VM's member key after the first scan; 0 if there is none.
@@ -296,6 +299,7 @@
 		c.applyItem(ctx, i)
 	}
 	c.updateRanks(ctx)
+	c.tellZoneMembers(ctx)
 }
 
 // applyItem stores an item in the replica unless that has the same or a newer one. Members and the secret are kept here, all
@@ -336,5 +340,19 @@
 	}
 }
 
+// tellZoneMembers tells the receiver the VMs of the zone if they have changed, and not before the replica is complete. It is called
+// when members may have changed.
+func (c *Controller) tellZoneMembers(ctx context.Context) {
+	if !c.completed {
+		return
+	}
+	names := ZoneMembers(c.opts.Self.Zone, c.members)
+	if c.zoneMembers != nil && slices.Equal(names, c.zoneMembers) {
+		return
+	}
+	c.zoneMembers = names
+	c.receiver.SetZoneMembers(ctx, names)
+}
+
 // jitter returns a random duration from d/2 up to 3d/2.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
--- a/internal/feed/cost_bench_test.go
+++ b/internal/feed/cost_bench_test.go
@@ -15,6 +15,7 @@
 func (ignored) ApplyFullScan(context.Context, []string)   {}
 func (ignored) SetReachable(context.Context, bool, error) {}
 func (ignored) SetFleetRank(context.Context, int)         {}
+func (ignored) SetZoneMembers(context.Context, []string)  {}
 
 // BenchmarkFeed measures the feed's own work on changes, without the receiver's, while it knows so many VMs and keys.
 func BenchmarkFeed(b *testing.B) {
--- a/internal/feed/fakes_test.go
+++ b/internal/feed/fakes_test.go
@@ -179,6 +179,7 @@
 }
 func (recorder) ApplyFullScan(context.Context, []string)   {}
 func (recorder) SetFleetRank(context.Context, int)         {}
+func (recorder) SetZoneMembers(context.Context, []string)  {}
 func (recorder) SetReachable(context.Context, bool, error) {}
 
 // everyThird drops every third datagram to a VM, from the second on.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -64,6 +64,9 @@
 	SetReachable(ctx context.Context, ok bool, err error)
 	// SetFleetRank tells the VM's rank among all VMs, from 0.
 	SetFleetRank(ctx context.Context, rank int)
+	// SetZoneMembers tells the names of the VMs of this VM's availability zone that have a member key, sorted. It is called once the
+	// first full scan is complete, and with each change.
+	SetZoneMembers(ctx context.Context, vms []string)
 }
 
 // Keys of the store that this package owns: memberPrefix begins a member key, before the VM's name, and secretKey holds
@@ -150,6 +153,18 @@
 // nameHash is the hash that VMs are ranked by.
 func nameHash(vm string) uint64 { return xxhash.Sum64String(vm) }
 
+// ZoneMembers returns the names of the VMs of the zone, sorted.
+func ZoneMembers(zone string, members map[string]Member) []string {
+	names := []string{}
+	for name, m := range members {
+		if m.Zone == zone {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // ZonePeers returns the addresses of the other VMs of the zone, sorted.
 func ZonePeers(vm, zone string, members map[string]Member) []string {
 	return addresses(members, func(m Member) bool { return m.Zone == zone && m.VM != vm })
--- a/internal/feed/restart_test.go
+++ b/internal/feed/restart_test.go
@@ -84,6 +84,7 @@
 	r.complete <- state
 }
 func (*snapshotReceiver) SetFleetRank(context.Context, int)         {}
+func (*snapshotReceiver) SetZoneMembers(context.Context, []string)  {}
 func (*snapshotReceiver) SetReachable(context.Context, bool, error) {}
 
 // TestRestartForgetsWhatIsGone checks that a VM that starts with stale pages isn't ready before it knows that a server has left
--- a/internal/feed/scan.go
+++ b/internal/feed/scan.go
@@ -88,6 +88,7 @@
 	c.updateRanks(ctx)
 	c.receiver.ApplyFullScan(ctx, keys)
 	c.scanKeys, c.requireFresh, c.completed = nil, false, true
+	c.tellZoneMembers(ctx)
 	if len(c.secret) == 0 && c.secretDueAt.IsZero() {
 		c.secretDueAt = time.Now().Add(rand.N(secretDelay))
 	}
