--- a/internal/pool/cost_bench_test.go
+++ b/internal/pool/cost_bench_test.go
@@ -8,6 +8,7 @@
 
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/peer"
+	"cornelmux/internal/warmup"
 	"cornelmux/pkg/routing"
 )
 
@@ -148,3 +149,33 @@
 		})
 	}
 }
+
+// BenchmarkColdPlacement measures the placement of a run of a service whose endpoints may be cold: none or all of them are.
+func BenchmarkColdPlacement(b *testing.B) {
+	service := &routing.Service{Name: "s0", ColdTime: time.Hour, ColdRate: 9.1}
+	for _, coldFor := range []time.Duration{0, time.Hour} {
+		for _, s := range tableSizes {
+			b.Run(fmt.Sprintf("cold for %v/%d endpoints", coldFor, s.endpoints), func(b *testing.B) {
+				t := sizedTable(s.endpoints, s.services)
+				t.cold.ColdOptions = ColdOptions{"vm0", warmup.Tolerance{Overage: 1.5, Slack: 5}}
+				var vms []string
+				for i := range 31 {
+					vms = append(vms, fmt.Sprint("vm", i))
+				}
+				t.SetMembers(vms, listedLongAgo)
+				for i := range s.endpoints {
+					e := sizedEntry(i, s.services)
+					e.ColdFor = coldFor
+					t.Put(e, start)
+				}
+				q := Query{Service: "s0", Config: service}
+				for n := 0; b.Loop(); n++ {
+					now := start.Add(time.Duration(n) * time.Microsecond)
+					if placed, choice := t.Choose(&q, now); choice == ChoicePlaced {
+						t.Done(&Outcome{Endpoint: placed.ID, Incarnation: 5, End: EndAnswered, Service: "s0"}, now)
+					}
+				}
+			})
+		}
+	}
+}
