A request that goes on for long keeps to the newest homes; an aged placement is confirmed

A retry, a resumed stream or a request that waited went by the configuration that it arrived under, and a reservation by what the pool knew when it was made. Before each placement that comes a second or more after the route table was read, the newest table is asked for, and both homes bind. Before the first byte of a send whose placement was asked for a second or more ago, the pool confirms that the endpoint may still get it: if not, nothing is sent, the endpoint isn't blamed, and the request goes to another one. The metrics show the evacuations in force by zone.

--- a/internal/filter/answermemory_test.go
+++ b/internal/filter/answermemory_test.go
@@ -112,7 +112,7 @@
 				{head: head(200, "2"), chunks: []endpoint.Chunk{last("yes")}},
 			}}
 			x, _ := routedExchange(test.kind)
-			err := Forward{p, noShift{}, sender, noQuarantine{}, nil}.Handle(t.Context(), x, nil)
+			err := Forward{p, noShift{}, sender, noQuarantine{}, nil, nil}.Handle(t.Context(), x, nil)
 			qt.Check(t, result.From(err).Code, qt.Equals, test.code)
 			qt.Check(t, result.From(err).Run, qt.Equals, result.Unknown)
 			qt.Check(t, p.ends, qt.DeepEquals, []pool.End{pool.EndAbandoned})
@@ -132,7 +132,7 @@
 		sink := &pacedSink{pause: time.Second, steps: steps}
 		x.Sink = sink
 		sender := &countedSender{200, chunks, 0, steps}
-		qt.Check(t, Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, account}.Handle(t.Context(), x, nil), qt.IsNil)
+		qt.Check(t, Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, account, nil}.Handle(t.Context(), x, nil), qt.IsNil)
 		qt.Check(t, sink.text, qt.Equals, "abcd")
 		for range chunks {
 			qt.Check(t, <-steps, qt.Equals, "read")
@@ -168,7 +168,7 @@
 				defer timer.Stop()
 				x, sink := routedExchange(routing.KindStream)
 				p, sender := &fakePool{}, &countedSender{200, []endpoint.Chunk{event("1", "a"), end}, 0, nil}
-				err := Forward{p, noShift{}, sender, noQuarantine{}, account}.Handle(t.Context(), x, nil)
+				err := Forward{p, noShift{}, sender, noQuarantine{}, account, nil}.Handle(t.Context(), x, nil)
 				qt.Check(t, err == nil, qt.Equals, test.whole, qt.Commentf("%v", err))
 				qt.Check(t, sink.whole, qt.Equals, test.whole)
 				qt.Check(t, sender.sends, qt.Equals, 1)
@@ -186,7 +186,7 @@
 		defer stop()
 		x, sink := routedExchange(routing.KindIdempotent)
 		sender := &countedSender{500, []endpoint.Chunk{last("no")}, 0, nil}
-		err := Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, account}.Handle(t.Context(), x, nil)
+		err := Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, account, nil}.Handle(t.Context(), x, nil)
 		qt.Check(t, err, qt.IsNil)
 		qt.Check(t, sink.text, qt.Equals, "no")
 		qt.Check(t, sender.sends, qt.Equals, 2) // the failure that is held back leaves no memory for the next
--- a/internal/filter/call.go
+++ b/internal/filter/call.go
@@ -32,8 +32,8 @@
 }
 
 // sendCheck returns the check that the sender calls before the first byte: the deadline must leave enough time for the
-// send, whose context ctx is. The task of the send calls the check, which reads only what doesn't change while the request runs.
-func (f *forwardRun) sendCheck(ctx context.Context, s *sendTask) endpoint.SendCheck {
+// send, whose context ctx is, and the endpoint of the reservation r may still get it. The task of the send calls the check, which reads only what doesn't change while the request runs.
+func (f *forwardRun) sendCheck(ctx context.Context, s *sendTask, r *Reservation) endpoint.SendCheck {
 	fresh := f.current == nil && !f.x.Relayed && !f.x.Routed.MayHaveRun // nothing is lost if it is refused
 	return func() error {
 		if ctx.Err() != nil || f.x.Routed.callerLeft() {
@@ -42,6 +42,9 @@
 		if d := f.x.Request.Deadline; !d.IsZero() && time.Until(d) < minSendTime {
 			return result.Errorf(result.DeadlinePassed, "too little time is left before the deadline")
 		}
+		if err := f.confirm(ctx, r); err != nil {
+			return err
+		}
 		if fresh {
 			if err := f.x.Flight.checkFirstSend(s.call.Deadline); err != nil {
 				return err
--- a/internal/filter/caller_gone_test.go
+++ b/internal/filter/caller_gone_test.go
@@ -60,7 +60,7 @@
 				ctx, cancel := context.WithTimeout(t.Context(), left)
 				defer cancel()
 				sender := &refusingSender{after: refused}
-				_ = Chain(f, Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, nil})(ctx, x)
+				_ = Chain(f, Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, nil, nil})(ctx, x)
 				qt.Check(t, sender.to, qt.DeepEquals, []string{"e1"})
 			})
 		})
@@ -90,7 +90,7 @@
 				ctx, cancel := context.WithTimeout(t.Context(), left)
 				defer cancel()
 				sender := &pausingSender{script: []pausingSend{{silent, []time.Duration{0}, []endpoint.Chunk{last("x")}}}}
-				_ = Chain(f, Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, nil})(ctx, x)
+				_ = Chain(f, Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, nil, nil})(ctx, x)
 				qt.Check(t, time.Since(x.Arrived), qt.Equals, test.took)
 			})
 		})
--- a/internal/filter/escalate_test.go
+++ b/internal/filter/escalate_test.go
@@ -38,7 +38,7 @@
 			sender := &scriptedSender{script: []scriptedSend{{head: head(200, "1"), chunks: []endpoint.Chunk{event("1", "a"), end}}}}
 			x, _ := routedExchange(routing.KindStream, test.cascade...)
 			x.Request.Model = test.model
-			err := Chain(Escalate{}, Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, nil})(t.Context(), x)
+			err := Chain(Escalate{}, Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, nil, nil})(t.Context(), x)
 			if !test.refused {
 				qt.Assert(t, err, qt.IsNil)
 				qt.Check(t, x.Routed.Trace, qt.HasLen, 1)
@@ -79,7 +79,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			x, _ := routedExchange(test.kind, test.cascade...)
 			x.Request.Model = test.model
-			err := Chain(Escalate{}, Forward{&fakePool{}, noShift{}, &scriptedSender{script: test.script}, noQuarantine{}, nil})(t.Context(), x)
+			err := Chain(Escalate{}, Forward{&fakePool{}, noShift{}, &scriptedSender{script: test.script}, noQuarantine{}, nil, nil})(t.Context(), x)
 			for i, s := range x.Routed.Trace {
 				qt.Check(t, s.End == "misdirected", qt.Equals, errors.Is(test.script[i].err, endpoint.ErrMisdirected))
 			}
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -22,6 +22,8 @@
 	// Choose places the run on an endpoint and counts it as in flight there until Done.
 	Choose(ctx context.Context, q pool.Query) (pool.Placement, error)
 	Done(ctx context.Context, o pool.Outcome) error
+	// Confirm reports whether the endpoint that a run was placed on may still get it. It must be safe for use by several goroutines.
+	Confirm(ctx context.Context, q pool.Query, id string) (bool, error)
 	// Note records what an endpoint said of itself with an answer; it must be safe for use by several goroutines.
 	Note(ctx context.Context, n pool.Notice) error
 }
@@ -69,13 +71,15 @@
 	Quarantines Quarantines
 	// Memory accounts for the answers; nil counts nothing.
 	Memory AnswerMemory
+	// Routes provides the newest route table, which narrows the homes of a request that goes on for long; nil keeps them.
+	Routes Routes
 }
 
 // Handle implements Filter. Forward is the last filter of its chain. If the sink refuses an answer with errEscalate, it asks the
 // strongest model of the route's cascade beside it.
 func (f Forward) Handle(ctx context.Context, x *Exchange, _ Next) error {
 	run := &forwardRun{
-		placer: placer{f.Pool, f.Shifts, x.Request.Session}, sender: f.Sender, quarantines: f.Quarantines, memory: f.Memory, x: x,
+		placer: placer{f.Pool, f.Shifts, x.Request.Session, newHomeKeeper(f.Routes, x)}, sender: f.Sender, quarantines: f.Quarantines, memory: f.Memory, x: x,
 		lastEventID: x.Routed.LastEventID,
 	}
 	defer func() { run.release(ctx, run.reserved) }()
@@ -202,7 +206,7 @@
 	s.first = f.firstSilenceLimit(place)
 	s.gap = f.eventGapLimit(s.first)
 	ctx, s.cancel = context.WithCancel(ctx)
-	s.check = f.sendCheck(ctx, s)
+	s.check = f.sendCheck(ctx, s, r)
 	_ = f.Shifts.AttemptStarted(ctx, s.present) // a full mailbox loses the binding of the session
 	task.Start(ctx, "send", s.ends, s.run)
 	return s
--- a/internal/filter/forward_test.go
+++ b/internal/filter/forward_test.go
@@ -88,7 +88,8 @@
 	return nil
 }
 
-func (p *fakePool) Note(context.Context, pool.Notice) error { return nil }
+func (p *fakePool) Note(context.Context, pool.Notice) error                   { return nil }
+func (p *fakePool) Confirm(context.Context, pool.Query, string) (bool, error) { return true, nil }
 
 // noShift implements Shifts without a traffic shift.
 type noShift struct{}
@@ -344,7 +345,7 @@
 			x, sink := routedExchange(routing.KindStream, "s", "l")
 			x.Routed.Route.MaxAttempts = len(test.script)
 			p := &excludePool{}
-			chain := Chain(Escalate{}, Forward{p, noShift{}, &scriptedSender{script: test.script}, noQuarantine{}, nil})
+			chain := Chain(Escalate{}, Forward{p, noShift{}, &scriptedSender{script: test.script}, noQuarantine{}, nil, nil})
 			qt.Assert(t, chain(t.Context(), x), qt.IsNil)
 			qt.Check(t, sink.text, qt.Equals, "large")
 			qt.Check(t, p.excluded, qt.DeepEquals, test.excluded)
--- a/internal/filter/handover_random_test.go
+++ b/internal/filter/handover_random_test.go
@@ -86,7 +86,7 @@
 			x.Sink = sink
 			ctx, cancel := context.WithTimeout(tt.Context(), left)
 			defer cancel()
-			err := Chain(Escalate{}, Forward{p, noShift{}, sender, noQuarantine{}, nil})(ctx, x)
+			err := Chain(Escalate{}, Forward{p, noShift{}, sender, noQuarantine{}, nil, nil})(ctx, x)
 			problems = handoverProblems(x, &sink.textSink, p, sender, err)
 			if took := time.Since(x.Arrived); took > left+slow {
 				problems = append(problems, fmt.Sprintf("it took %v", took))
--- a/internal/filter/handover_test.go
+++ b/internal/filter/handover_test.go
@@ -31,7 +31,7 @@
 	ctx, cancel := contextUntil(t, x)
 	defer cancel()
 	sender, p := &handoverSender{script: script, events: 3}, &fakePool{}
-	err := Forward{p, noShift{}, sender, noQuarantine{}, nil}.Handle(ctx, x, nil)
+	err := Forward{p, noShift{}, sender, noQuarantine{}, nil, nil}.Handle(ctx, x, nil)
 	return x, sink, sender, p, err
 }
 
@@ -270,7 +270,7 @@
 				defer cancel()
 				test.first.silentAt = test.again
 				sender, p := &handoverSender{script: []handoverSend{test.first, {}}, events: events}, &busyPool{placing: test.placing}
-				qt.Check(t, Forward{p, noShift{}, sender, noQuarantine{}, nil}.Handle(ctx, x, nil), qt.IsNil)
+				qt.Check(t, Forward{p, noShift{}, sender, noQuarantine{}, nil, nil}.Handle(ctx, x, nil), qt.IsNil)
 				qt.Check(t, sink.whole, qt.IsTrue)
 				qt.Check(t, p.ends, qt.DeepEquals, test.ends)
 			})
@@ -287,7 +287,7 @@
 		defer cancel()
 		late := handoverSend{head: objective + placing/2, pauseAt: 1, pause: time.Hour}
 		sender, p := &handoverSender{script: []handoverSend{{head: time.Hour}, late, {}}, events: 3}, &busyPool{placing: placing}
-		qt.Check(t, Forward{p, noShift{}, sender, noQuarantine{}, nil}.Handle(ctx, x, nil), qt.IsNil)
+		qt.Check(t, Forward{p, noShift{}, sender, noQuarantine{}, nil, nil}.Handle(ctx, x, nil), qt.IsNil)
 		qt.Check(t, sink.text, qt.Equals, wholeText)
 		qt.Check(t, p.ends, qt.DeepEquals, []pool.End{pool.EndTimeout, pool.EndUnused, pool.EndTimeout, pool.EndAnswered})
 	})
@@ -301,7 +301,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), left)
 		defer cancel()
 		sender, p := &handoverSender{script: []handoverSend{{head: time.Hour}}, events: 3}, &fakePool{}
-		qt.Check(t, Forward{p, noShift{}, sender, noQuarantine{}, nil}.Handle(ctx, x, nil), qt.IsNotNil)
+		qt.Check(t, Forward{p, noShift{}, sender, noQuarantine{}, nil, nil}.Handle(ctx, x, nil), qt.IsNotNil)
 		qt.Check(t, time.Since(x.Arrived), qt.Equals, left)
 		qt.Assert(t, sender.sends, qt.HasLen, 2)
 		for _, s := range sender.sends {
--- a/internal/filter/kept_model_test.go
+++ b/internal/filter/kept_model_test.go
@@ -46,7 +46,7 @@
 		defer cancel()
 		p := &slowStrongerPool{placing: timeout * 3 / 4}
 		sender := &handoverSender{script: []handoverSend{{head: short, confidence: 5, breakAt: 2}, {head: short, confidence: 95}}, events: 3}
-		qt.Check(t, Chain(Escalate{}, Forward{gapPool{p}, noShift{}, sender, noQuarantine{}, nil})(ctx, x), qt.IsNil)
+		qt.Check(t, Chain(Escalate{}, Forward{gapPool{p}, noShift{}, sender, noQuarantine{}, nil, nil})(ctx, x), qt.IsNil)
 		qt.Check(t, sink.text, qt.Equals, wholeText)
 		for _, placed := range p.placed {
 			qt.Check(t, p.ended, qt.Contains, placed)
--- a/internal/filter/kept_test.go
+++ b/internal/filter/kept_test.go
@@ -71,7 +71,7 @@
 				defer cancel()
 				sender := &handoverSender{script: append([]handoverSend{low}, test.stronger...), events: 3}
 				p := &fewPool{endpoints: test.endpoints, gap: 20 * time.Millisecond}
-				qt.Check(t, Chain(Escalate{}, Forward{p, noShift{}, sender, noQuarantine{}, nil})(ctx, x), qt.IsNil)
+				qt.Check(t, Chain(Escalate{}, Forward{p, noShift{}, sender, noQuarantine{}, nil, nil})(ctx, x), qt.IsNil)
 				qt.Check(t, sink.whole, qt.IsTrue)
 				qt.Check(t, sink.text, qt.Equals, wholeText)
 				qt.Check(t, sink.head.Fields, qt.DeepEquals, head(200, "0").Fields)
@@ -123,7 +123,7 @@
 				ctx, cancel := contextUntil(t, x)
 				defer cancel()
 				sender, p := &handoverSender{script: test.script, events: 3}, &fakePool{}
-				qt.Check(t, Chain(Escalate{}, Forward{p, noShift{}, sender, noQuarantine{}, nil})(ctx, x), qt.IsNil)
+				qt.Check(t, Chain(Escalate{}, Forward{p, noShift{}, sender, noQuarantine{}, nil, nil})(ctx, x), qt.IsNil)
 				qt.Check(t, sink.text, qt.Equals, wholeText)
 				qt.Check(t, sink.head.Model, qt.Equals, "l")
 				qt.Check(t, x.Attempt.Level, qt.Equals, 1)
@@ -150,7 +150,7 @@
 		sender := &handoverSender{script: []handoverSend{{head: short, confidence: 5, breakAt: 2}, refused, {head: short, confidence: 95}}, events: 3}
 		x.Routed.Route.MaxAttempts = 3
 		p := &excludePool{fakePool: fakePool{}}
-		f := Forward{&onceStrongerPool{excludePool: p}, noShift{}, sender, noQuarantine{}, nil}
+		f := Forward{&onceStrongerPool{excludePool: p}, noShift{}, sender, noQuarantine{}, nil, nil}
 		qt.Check(t, Chain(Escalate{}, f)(ctx, x), qt.IsNil)
 		qt.Check(t, sink.text, qt.Equals, wholeText)
 		qt.Check(t, p.excluded, qt.DeepEquals, [][]string{{}, {}, {"e2", "e1"}})
--- a/internal/filter/kept_time_test.go
+++ b/internal/filter/kept_time_test.go
@@ -35,7 +35,7 @@
 				defer cancel()
 				sender := &handoverSender{script: []handoverSend{{head: short, confidence: 5}, {head: time.Hour}}, events: 3}
 				p := &fewPool{endpoints: 20, gap: test.gap}
-				qt.Check(t, Chain(Escalate{}, Forward{p, noShift{}, sender, noQuarantine{}, nil})(ctx, x), qt.IsNil)
+				qt.Check(t, Chain(Escalate{}, Forward{p, noShift{}, sender, noQuarantine{}, nil, nil})(ctx, x), qt.IsNil)
 				qt.Check(t, sink.text, qt.Equals, wholeText)
 				qt.Check(t, sink.whole, qt.IsTrue)
 			})
--- a/internal/filter/outcome.go
+++ b/internal/filter/outcome.go
@@ -121,6 +121,9 @@
 	case errors.Is(err, endpoint.ErrNoMemory):
 		f.x.Routed.MayHaveRun = true
 		return pool.EndAbandoned
+	case errors.Is(err, errOutdated):
+		f.x.Routed.Unreached++
+		return pool.EndAbandoned
 	case errors.Is(err, endpoint.ErrNotSent):
 		if ctx.Err() != nil || s.dropped() {
 			return pool.EndAbandoned
--- a/internal/filter/owners_test.go
+++ b/internal/filter/owners_test.go
@@ -92,7 +92,7 @@
 						close(loaded)
 						err := Chain(
 							Route{routes, loaded, func() float64 { return 0 }}, Quarantine{owner.check},
-							Forward{owner.pool, owner.shifts, &scriptedSender{}, noQuarantine{}, nil},
+							Forward{owner.pool, owner.shifts, &scriptedSender{}, noQuarantine{}, nil, nil},
 						)(t.Context(), x)
 						qt.Assert(t, err, qt.IsNotNil)
 						qt.Check(t, result.From(err).Code, qt.Equals, result.DeadlinePassed)
--- a/internal/filter/quarantine_test.go
+++ b/internal/filter/quarantine_test.go
@@ -124,7 +124,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			sender := &scriptedSender{script: []scriptedSend{begun, test.next, {head: head(200, "3"), chunks: []endpoint.Chunk{event("4", "d"), end}}}}
 			quarantines := &recordingQuarantine{}
-			qt.Check(t, Forward{&fakePool{}, noShift{}, sender, quarantines, nil}.Handle(context.Background(), blockExchange(), nil), qt.IsNil)
+			qt.Check(t, Forward{&fakePool{}, noShift{}, sender, quarantines, nil, nil}.Handle(context.Background(), blockExchange(), nil), qt.IsNil)
 			qt.Check(t, quarantines.lost, qt.HasLen, 0)
 		})
 	}
--- a/internal/filter/reservation_test.go
+++ b/internal/filter/reservation_test.go
@@ -57,7 +57,8 @@
 	return nil
 }
 
-func (p *countedPool) Note(context.Context, pool.Notice) error { return nil }
+func (p *countedPool) Note(context.Context, pool.Notice) error                   { return nil }
+func (p *countedPool) Confirm(context.Context, pool.Query, string) (bool, error) { return true, nil }
 
 // randomSend is one send of a randomSender.
 type randomSend struct {
@@ -163,7 +164,7 @@
 			x.Routed.CallerTimeout, x.Request.Deadline = timeout, x.Arrived.Add(timeout)
 			ctx, cancel := context.WithTimeout(tt.Context(), min(left, timeout))
 			defer cancel()
-			err := Chain(Escalate{}, Forward{p, noShift{}, sender, noQuarantine{}, nil})(ctx, x)
+			err := Chain(Escalate{}, Forward{p, noShift{}, sender, noQuarantine{}, nil, nil})(ctx, x)
 			problems = randomRunProblems(x, &sink.textSink, p, sender, err)
 			if took := time.Since(x.Arrived); took > min(left, timeout)+slow {
 				problems = append(problems, fmt.Sprintf("it took %v", took))
--- a/internal/filter/reserve.go
+++ b/internal/filter/reserve.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"cornelmux/internal/endpoint"
 	"cornelmux/internal/pool"
 	"cornelmux/internal/shift"
 )
@@ -14,8 +16,9 @@
 	Binding   shift.Binding
 	// Query is that of the placement.
 	Query pool.Query
-	// Took is how long it took to get it.
-	Took time.Duration
+	// AskedAt is when it was asked for, Took how long it took to get it.
+	AskedAt time.Time
+	Took    time.Duration
 }
 
 // placer reserves placements for the sends of one request.
@@ -23,12 +26,18 @@
 	Pool    Pool
 	Shifts  Shifts
 	session string
+	homes   homeKeeper
 }
 
 // reserve binds the session to a version and places the run. A filter calls it before it sends, and before it gives up a send
 // or an answer for another one.
 func (p placer) reserve(ctx context.Context, q pool.Query) (*Reservation, error) {
 	asked := time.Now()
+	homes, err := p.homes.narrow(ctx, q.Homes)
+	if err != nil {
+		return nil, err
+	}
+	q.Homes = homes
 	binding, err := p.Shifts.Bind(ctx, q.Service, p.session)
 	if err != nil {
 		return nil, ownerError("bind the session to a version", err)
@@ -38,7 +47,32 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Reservation{Placement: place, Binding: binding, Query: q, Took: time.Since(asked)}, nil
+	return &Reservation{Placement: place, Binding: binding, Query: q, AskedAt: asked, Took: time.Since(asked)}, nil
+}
+
+// errOutdated ends a send whose endpoint may no longer get it: nothing was sent, and the endpoint isn't to blame.
+var errOutdated = fmt.Errorf("%w: the placement is out of date", endpoint.ErrNotSent)
+
+// confirm checks immediately before a send that its endpoint may still get it, if its placement has aged. It fails with errOutdated if
+// the endpoint may not. The task of the send calls it.
+func (p placer) confirm(ctx context.Context, r *Reservation) error {
+	if time.Since(r.AskedAt) < freshFor {
+		return nil
+	}
+	q := r.Query
+	homes, err := p.homes.narrow(ctx, q.Homes)
+	if err != nil {
+		return err
+	}
+	q.Homes = homes
+	ok, err := p.Pool.Confirm(ctx, q, r.Placement.ID)
+	if err != nil {
+		return err
+	}
+	if !ok {
+		return errOutdated
+	}
+	return nil
 }
 
 // reserveNext reserves a placement for which the request waits, and notes how long, also if it gets none.
--- a/internal/filter/rest_test.go
+++ b/internal/filter/rest_test.go
@@ -34,7 +34,7 @@
 		t.Run(test.name+", resumed by us", func(t *testing.T) {
 			x, sink := routedExchange(routing.KindStream)
 			sender := &scriptedSender{script: []scriptedSend{{head: head(200, "1"), chunks: begun, broken: endpoint.ErrBroken}, rest}}
-			qt.Check(t, Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, nil}.Handle(context.Background(), x, nil), qt.IsNil)
+			qt.Check(t, Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, nil, nil}.Handle(context.Background(), x, nil), qt.IsNil)
 			qt.Check(t, sink.text, qt.Equals, "abc"+want)
 			qt.Check(t, sink.whole, qt.IsTrue)
 		})
@@ -42,7 +42,7 @@
 			x, sink := routedExchange(routing.KindStream)
 			x.Routed.LastEventID = "3"
 			sender := &scriptedSender{script: []scriptedSend{rest}}
-			qt.Check(t, Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, nil}.Handle(context.Background(), x, nil), qt.IsNil)
+			qt.Check(t, Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, nil, nil}.Handle(context.Background(), x, nil), qt.IsNil)
 			qt.Check(t, sink.text, qt.Equals, want)
 			qt.Check(t, sink.whole, qt.IsTrue)
 		})
--- a/internal/filter/resume_test.go
+++ b/internal/filter/resume_test.go
@@ -76,7 +76,7 @@
 					first.lastPause = pause
 				}
 				sender := &pacedSender{streams: []pacedStream{first, {chunks: []endpoint.Chunk{end}}}}
-				err := Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, nil}.Handle(t.Context(), x, nil)
+				err := Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, nil, nil}.Handle(t.Context(), x, nil)
 				qt.Check(t, err, qt.IsNil)
 				qt.Check(t, sink.whole, qt.IsTrue)
 				qt.Check(t, sender.sends, qt.Equals, 1)
@@ -105,7 +105,7 @@
 				{head: head(200, "a"), chunks: []endpoint.Chunk{event("1", "a"), end}},
 				{head: head(200, "b"), chunks: []endpoint.Chunk{event("4", "d"), end}},
 			}}
-			err := Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, nil}.Handle(t.Context(), x, nil)
+			err := Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, nil, nil}.Handle(t.Context(), x, nil)
 			qt.Check(t, err, qt.IsNil)
 			qt.Check(t, sink.text, qt.Equals, test.want)
 			qt.Check(t, sink.whole, qt.IsTrue)
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -20,10 +20,12 @@
 	// Body reads the request's body.
 	Body Body
 
-	Table   *routing.Table
-	Route   *routing.Route
-	Service string
-	Account string
+	Table *routing.Table
+	// TableReadAt is when Table was read.
+	TableReadAt time.Time
+	Route       *routing.Route
+	Service     string
+	Account     string
 	// Priority is that of the client account, or else of the route; 0 goes first, unlike in package endpoint.
 	Priority int
 	// AccountHomes holds the regions that the client account allows, Homes those that it and the route both allow.
@@ -124,7 +126,7 @@
 	if r == nil {
 		return result.Errorf(result.NoSuchRoute, "no route matches in configuration %d", t.Version)
 	}
-	x.Routed.Table, x.Routed.Route = t, r
+	x.Routed.Table, x.Routed.Route, x.Routed.TableReadAt = t, r, time.Now()
 	x.Routed.Priority = r.Priority
 	x.Routed.Homes = requestHomes(r, nil)
 	if err := findAccount(x, t, r); err != nil {
--- a/internal/filter/silence_test.go
+++ b/internal/filter/silence_test.go
@@ -38,7 +38,7 @@
 				x.Routed.Route.MaxAttempts = 1
 				ctx, cancel := contextUntil(t, x)
 				defer cancel()
-				_ = Forward{&fakePool{}, noShift{}, &pacedSender{streams: []pacedStream{test.stream}}, noQuarantine{}, nil}.Handle(ctx, x, nil)
+				_ = Forward{&fakePool{}, noShift{}, &pacedSender{streams: []pacedStream{test.stream}}, noQuarantine{}, nil, nil}.Handle(ctx, x, nil)
 				qt.Assert(t, x.Routed.Trace, qt.HasLen, 1)
 				qt.Check(t, x.Routed.Trace[0].Silent, qt.Equals, test.want)
 			})
@@ -135,7 +135,7 @@
 				defer cancel()
 				sender := &pausingSender{script: test.script}
 				p := &busyPool{refusal: test.refusal, refuseUntil: time.Now().Add(test.refused), placing: test.placing}
-				err := Forward{p, noShift{}, sender, noQuarantine{}, nil}.Handle(ctx, x, nil)
+				err := Forward{p, noShift{}, sender, noQuarantine{}, nil, nil}.Handle(ctx, x, nil)
 				qt.Check(t, err, qt.IsNil)
 				qt.Check(t, sink.whole, qt.IsTrue)
 				qt.Check(t, sender.to, qt.DeepEquals, test.to)
@@ -165,7 +165,7 @@
 				defer cancel()
 				sender := &pausingSender{script: []pausingSend{{silent + 9*step/2, []time.Duration{0}, []endpoint.Chunk{last("x")}}}}
 				p := &busyPool{placing: test.placing}
-				qt.Check(t, Forward{p, noShift{}, sender, noQuarantine{}, nil}.Handle(ctx, x, nil), qt.IsNil)
+				qt.Check(t, Forward{p, noShift{}, sender, noQuarantine{}, nil, nil}.Handle(ctx, x, nil), qt.IsNil)
 				qt.Check(t, sink.whole, qt.IsTrue)
 				qt.Check(t, p.ends, qt.DeepEquals, []pool.End{pool.EndUnused, pool.EndAnswered})
 			})
@@ -192,7 +192,7 @@
 				{head: rated("2", 95), chunks: []endpoint.Chunk{event("1", "large"), end}},
 			}}
 			p := &busyPool{refusal: result.Errorf(result.NoEndpoint, "none"), refuseUntil: time.Now().Add(test.refused)}
-			err := Chain(Escalate{}, Forward{p, noShift{}, sender, noQuarantine{}, nil})(t.Context(), x)
+			err := Chain(Escalate{}, Forward{p, noShift{}, sender, noQuarantine{}, nil, nil})(t.Context(), x)
 			qt.Check(t, err, qt.IsNil)
 			qt.Check(t, sink.whole, qt.IsTrue)
 			qt.Check(t, sink.text, qt.Equals, test.text)
@@ -221,7 +221,7 @@
 				defer cancel()
 				pauses, chunks := []time.Duration{short, short}, []endpoint.Chunk{event("1", "data: a\n\n"), end}
 				sender := &pausingSender{script: []pausingSend{{2500 * time.Millisecond, pauses, chunks}, {short, pauses, chunks}}}
-				qt.Check(t, Forward{&longPromptPool{prefill: test.prefill}, noShift{}, sender, noQuarantine{}, nil}.Handle(ctx, x, nil), qt.IsNil)
+				qt.Check(t, Forward{&longPromptPool{prefill: test.prefill}, noShift{}, sender, noQuarantine{}, nil, nil}.Handle(ctx, x, nil), qt.IsNil)
 				qt.Check(t, sink.whole, qt.IsTrue)
 				qt.Check(t, sender.to, qt.DeepEquals, test.to)
 			})
@@ -250,7 +250,7 @@
 				defer cancel()
 				p := &fakePool{}
 				sender := &pausingSender{script: []pausingSend{test.send}}
-				qt.Check(t, Forward{p, noShift{}, sender, noQuarantine{}, nil}.Handle(ctx, x, nil), qt.IsNil)
+				qt.Check(t, Forward{p, noShift{}, sender, noQuarantine{}, nil, nil}.Handle(ctx, x, nil), qt.IsNil)
 				qt.Check(t, sink.text, qt.Equals, "ab")
 				qt.Check(t, p.ends, qt.DeepEquals, []pool.End{pool.EndAnswered})
 				qt.Check(t, x.Routed.Trace[0].Silent <= 2*short, qt.IsTrue)
@@ -293,7 +293,7 @@
 				x.Request.Deadline = deadline(x.Arrived, timeout, test.routeTimeout)
 				ctx, cancel := contextUntil(t, x)
 				defer cancel()
-				err := Forward{&fakePool{}, noShift{}, &pausingSender{script: []pausingSend{test.send}}, noQuarantine{}, nil}.Handle(ctx, x, nil)
+				err := Forward{&fakePool{}, noShift{}, &pausingSender{script: []pausingSend{test.send}}, noQuarantine{}, nil, nil}.Handle(ctx, x, nil)
 				took := time.Since(x.Arrived)
 				qt.Check(t, took >= test.from && took <= test.to, qt.IsTrue, qt.Commentf("%v", took))
 				if test.code == 0 {
@@ -347,7 +347,7 @@
 			x, sink := routedExchange(routing.KindStream)
 			x.Request.ID = fmt.Sprint(n)
 			task.Start(ctx, x.Request.ID, requests, func(ctx context.Context) error {
-				if err := (Forward{p, noShift{}, sender, noQuarantine{}, nil}).Handle(ctx, x, nil); err != nil {
+				if err := (Forward{p, noShift{}, sender, noQuarantine{}, nil, nil}).Handle(ctx, x, nil); err != nil {
 					return err
 				}
 				if !sink.whole || sink.text != "data: a\n\ndata: b\n\n" {
--- a/internal/filter/stall_test.go
+++ b/internal/filter/stall_test.go
@@ -101,7 +101,7 @@
 				started := time.Now()
 				ctx, cancel := context.WithDeadline(t.Context(), x.Request.Deadline)
 				defer cancel()
-				err := Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, nil}.Handle(ctx, x, nil)
+				err := Forward{&fakePool{}, noShift{}, sender, noQuarantine{}, nil, nil}.Handle(ctx, x, nil)
 				qt.Check(t, err, qt.IsNil)
 				qt.Check(t, sink.whole, qt.IsTrue)
 				qt.Check(t, strings.ReplaceAll(sink.text, string(comment.Data), ""), qt.Equals, string(events[0].Data)+string(events[1].Data))
--- a/internal/filter/waiting_test.go
+++ b/internal/filter/waiting_test.go
@@ -66,7 +66,7 @@
 				sender := &scriptedSender{script: []scriptedSend{{head: head(200, "s"), chunks: []endpoint.Chunk{end}}}}
 				_ = Chain( // the error is in the line
 					AccessLog{log, func() float64 { return 0 }}, Route{slowRoutes{table}, loaded, func() float64 { return 0 }},
-					Quarantine{slowCheck{}}, Forward{slowPool{&fakePool{none: test.none}}, noShift{}, sender, noQuarantine{}, nil},
+					Quarantine{slowCheck{}}, Forward{slowPool{&fakePool{none: test.none}}, noShift{}, sender, noQuarantine{}, nil, nil},
 				)(t.Context(), x)
 				qt.Assert(t, strings.Count(lines.String(), "\n"), qt.Equals, 1)
 				for _, part := range test.want {
--- a/internal/metric/builder.go
+++ b/internal/metric/builder.go
@@ -162,6 +162,21 @@
 	}, left, runs)
 }
 
+// observeEvacuations creates the gauge of the evacuations in force, by zone. ObserveEvacuations calls it.
+func (b *builder) observeEvacuations(evacuations Evacuations) {
+	age := b.gauge("cornelmux.evacuation.age", "s", "Time since this VM learned of an evacuation that is in force, by zone.")
+	b.registerCallback(func(ctx context.Context, o metric.Observer) error {
+		list, err := evacuations.Evacuations(ctx)
+		if err != nil {
+			return err
+		}
+		for _, e := range list {
+			o.ObserveFloat64(age, time.Since(e.Since).Seconds(), metric.WithAttributes(attribute.String("zone", e.Zone)))
+		}
+		return nil
+	}, age)
+}
+
 // countHealth returns the number of members for each health, zeros included.
 func countHealth(list []peer.Member) map[string]int {
 	counts := map[string]int{"alive": 0, "suspect": 0, "dead": 0}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -57,6 +57,11 @@
 	ColdEndpoints(ctx context.Context) ([]pool.ColdEndpoint, error)
 }
 
+// Evacuations provides the evacuations in force.
+type Evacuations interface {
+	Evacuations(ctx context.Context) ([]pool.Evacuation, error)
+}
+
 // Metrics holds the instruments. It implements filter.Meter and, for scrapes, http.Handler. Its methods may be called from
 // any goroutine.
 type Metrics struct {
@@ -130,6 +135,14 @@
 	b.logErrors(log)
 }
 
+// ObserveEvacuations adds the metrics of the availability zones that are evacuated, which are asked at each scrape. It is called once,
+// before the VM runs.
+func (m *Metrics) ObserveEvacuations(evacuations Evacuations, log logr.Logger) {
+	b := &builder{meter: m.meter}
+	b.observeEvacuations(evacuations)
+	b.logErrors(log)
+}
+
 // ServeHTTP implements http.Handler.
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.handler.ServeHTTP(w, r) }
 
--- a/internal/metric/metric_test.go
+++ b/internal/metric/metric_test.go
@@ -14,6 +14,7 @@
 	"cornelmux/internal/filter"
 	"cornelmux/internal/journal"
 	"cornelmux/internal/peer"
+	"cornelmux/internal/pool"
 	"cornelmux/pkg/catalog"
 	"cornelmux/pkg/result"
 )
@@ -104,3 +105,18 @@
 		c.Check(area(row.path), qt.Equals, row.want)
 	}
 }
+
+// fakeEvacuations is one evacuation in force.
+type fakeEvacuations struct{}
+
+func (fakeEvacuations) Evacuations(context.Context) ([]pool.Evacuation, error) {
+	return []pool.Evacuation{{Zone: "sur-a", Since: time.Now().Add(-time.Hour)}}, nil
+}
+
+// TestEvacuationsAreShown checks that operators see which zones are evacuated.
+func TestEvacuationsAreShown(t *testing.T) {
+	c := qt.New(t)
+	m := New(logr.Discard())
+	m.ObserveEvacuations(fakeEvacuations{}, logr.Discard())
+	c.Check(scrape(c, m), qt.Matches, `(?s).*cornelmux_evacuation_age_seconds\{zone="sur-a"\} 36.*`)
+}
--- a/internal/pool/homes_test.go
+++ b/internal/pool/homes_test.go
@@ -117,3 +117,32 @@
 	}
 	return q
 }
+
+// TestAgedPlacement checks whether a run that was placed before may still go to its endpoint after what has become of that meanwhile.
+func TestAgedPlacement(t *testing.T) {
+	tests := []struct {
+		name  string
+		apply func(t *Table)
+		homes routing.Regions
+		want  bool
+	}{
+		{"nothing", func(*Table) {}, routing.Regions{}, true},
+		{"zone evacuated", func(t *Table) { t.SetEvacuated("z", true, start) }, routing.Regions{}, false},
+		{"another zone evacuated", func(t *Table) { t.SetEvacuated("z2", true, start) }, routing.Regions{}, true},
+		{"homes elsewhere", func(*Table) {}, limitedTo("r2"), false},
+		{"homes here", func(*Table) {}, limitedTo("r2", "r"), true},
+		{"leaving", func(t *Table) { t.MarkLeaving("a", 5, start) }, routing.Regions{}, false},
+		{"gone", func(t *Table) { t.Withdraw("a") }, routing.Regions{}, false},
+		{"wants a pause", func(t *Table) { t.Pause("a", 5, time.Second, start) }, routing.Regions{}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := newTable(inZone("a", "z", "r"))
+			_, choice := table.Choose(&Query{Service: "s"}, start)
+			qt.Assert(t, choice, qt.Equals, ChoicePlaced)
+			test.apply(table)
+			qt.Check(t, table.Confirms(&Query{Service: "s", Homes: test.homes}, "a", start), qt.Equals, test.want)
+		})
+	}
+	qt.Check(t, newTable().Confirms(&Query{Service: "s"}, "a", start), qt.IsFalse)
+}
