--- a/internal/filter/call.go
+++ b/internal/filter/call.go
@@ -32,7 +32,8 @@
 }
 
 // sendCheck returns the check that the sender calls before the first byte: the deadline must leave enough time for the
-// send, whose context ctx is, and the endpoint of the reservation r may still get it. The task of the send calls the check, which reads only what doesn't change while the request runs.
+// send, whose context ctx is, and the endpoint of the reservation r may still get it. The task of the send calls the check, which reads
+// only what doesn't change while the request runs.
 func (f *forwardRun) sendCheck(ctx context.Context, s *sendTask, r *Reservation) endpoint.SendCheck {
 	fresh := f.current == nil && !f.x.Relayed && !f.x.Routed.MayHaveRun // nothing is lost if it is refused
 	return func() error {
