--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -15,9 +15,6 @@
 	typicalUpdateShare = 0.05
 	// maxTypical bounds the typical latencies that are remembered; callers name the models.
 	maxTypical = 1024
-	// relistTimeout is how long after an outage of the directory an entry that lapsed during it may take to be
-	// relisted.
-	relistTimeout = 2 * time.Second
 )
 
 // Choice is the result of a placement.
@@ -164,36 +161,6 @@
 	return crashes
 }
 
-// SetReachable records whether the directory can be read. The Controller calls it with each change.
-func (t *Table) SetReachable(ok bool, now time.Time) {
-	if t.directoryDown && ok {
-		t.directoryUpAt = now
-	}
-	t.directoryDown = !ok
-}
-
-// directoryUnreliable reports whether entries may be missing only because of an outage of the directory.
-func (t *Table) directoryUnreliable(now time.Time) bool {
-	return t.directoryDown || (!t.directoryUpAt.IsZero() && now.Sub(t.directoryUpAt) < relistTimeout)
-}
-
-// Sweep removes the entries that were not relisted after an outage and returns their IDs. The Controller calls it every
-// sweepInterval.
-func (t *Table) Sweep(now time.Time) (gone []string) {
-	t.unlisted.forget(now)
-	t.cold.forget(now)
-	if t.directoryUnreliable(now) {
-		return nil
-	}
-	for id, r := range t.records {
-		if r.missing {
-			t.remove(r, now)
-			gone = append(gone, id)
-		}
-	}
-	return gone
-}
-
 // remove removes an endpoint; one with runs in flight is only withdrawn, so that it gets no new ones unless its entry comes
 // back. After its last run, Sweep removes it if it is missing, and otherwise the next Retain. Drop, Sweep and Done call it.
 func (t *Table) remove(r *Record, now time.Time) {
