platform: connections, heads, waiting and dropped bodies are bounded

Cause: callers' connections were bounded by nothing: at the limit on descriptors the process accepted no more and reached no endpoint. What their sockets had received and nobody read, the heads that were read and the bodies that were dropped were in no account.

Change: a server's task follows the phase of each connection; evict, a pure decision, closes the longest idle one when there are too many, then the slowest head, and never one whose request's head is whole. limits.file_descriptors is read: 0.4 of what isn't reserved for files is for callers. Parts of heads are bounded by 0.1 of the memory, claims that wait and refused bodies that are dropped by 0.2, at 64 KiB a socket. A socket takes 32 KiB (which the kernel doubles) until there is memory for its body, also before it is accepted. Of a body over the limit 256 KiB more are dropped, of a refused one the limit. A connection that has sent 16 KiB lets all others that can go on have the processor first. Receiving a body moved to internal/memory, for serve.

--- a/internal/filter/readbody.go
+++ b/internal/filter/readbody.go
@@ -24,12 +24,9 @@
 	memoryRetryAfter = time.Second
 )
 
-// ErrBodyTooLarge reports a body over the limit.
-var ErrBodyTooLarge = errors.New("the body exceeds the limit")
-
 // Body is the body of a request that the front end has not read yet.
 type Body interface {
-	// Read returns the whole body, or ErrBodyTooLarge if it exceeds limit bytes. If ctx ends before the body, it returns the cause.
+	// Read returns the whole body, or memory.ErrTooLong if it exceeds limit bytes. If ctx ends before the body, it returns the cause.
 	// Before it holds any bytes it reserves them. After an error it releases the claim, once it doesn't hold them any more.
 	Read(ctx context.Context, limit int64, claim Claim) ([]byte, error)
 }
@@ -41,6 +38,8 @@
 	// Shrink gives back what is beyond n bytes, Release all.
 	Shrink(n int64)
 	Release()
+	// Linger takes the room for a refused body that is read and dropped, and reports whether there is any.
+	Linger(ctx context.Context) bool
 }
 
 // Memory accounts for the bytes that bodies hold.
@@ -69,7 +68,7 @@
 	case errors.Is(err, memory.ErrFull):
 		x.Routed.MemoryWait = claim.Waited()
 		return result.Errorf(result.QueueFull, "read the body: %v", err).WithRetryAfter(memoryRetryAfter)
-	case errors.Is(err, ErrBodyTooLarge):
+	case errors.Is(err, memory.ErrTooLong):
 		return result.Errorf(result.TooLarge, "the body exceeds %d bytes", limit)
 	case err != nil:
 		return result.Errorf(result.BadRequest, "read the body: %v", err)
--- a/internal/memory/claim.go
+++ b/internal/memory/claim.go
@@ -65,6 +65,19 @@
 	return granted, err
 }
 
+// Linger takes the room for a refused body that is read and dropped, so that its caller gets the answer, and reports whether there is
+// any. The claim holds nothing before.
+func (c *Claim) Linger(ctx context.Context) bool {
+	granted, err := task.AskOrLeave(ctx, c.controller.stopped, c.controller.mailbox, func(reply task.Reply[bool]) message {
+		return tryMessage{question{refusedBodies, SocketBytes, reply}}
+	})
+	if !granted || err != nil {
+		return false
+	}
+	c.held, c.kind = SocketBytes, refusedBodies
+	return true
+}
+
 // Shrink gives back what is held beyond n bytes. No more than that is held afterwards.
 func (c *Claim) Shrink(n int64) {
 	if n >= c.held {
--- a/internal/memory/controller.go
+++ b/internal/memory/controller.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -16,8 +17,10 @@
 	FreeBytes = 4 << 10
 	// SmallBytes is the size up to which one is small, so that it never waits behind a large one.
 	SmallBytes = 64 << 10
-	// maxWaiting bounds the claims on a pool that wait, since the sockets of each hold bytes that were received and not read.
+	// maxWaiting bounds the claims on a pool that wait. Limits.Sockets may bound them further.
 	maxWaiting = 256
+	// SocketBytes is what a socket holds of a body that isn't read.
+	SocketBytes = 64 << 10
 	// mailboxSize bounds the messages that wait for the Controller.
 	mailboxSize = 4096
 	// logInterval is the least time between two lines about claims that got no memory.
@@ -27,8 +30,25 @@
 // ErrFull reports that a body or an answer got no memory in time, or never will.
 var ErrFull = errors.New("the memory is used up")
 
-// Limits bounds the bytes that small and large bodies and answers hold.
-type Limits struct{ SmallBodies, LargeBodies, SmallAnswers, LargeAnswers int64 }
+// Limits bounds the bytes that small and large bodies and answers hold, and what sockets hold of bodies that wait or were refused; 0
+// is no bound for the latter.
+type Limits struct{ SmallBodies, LargeBodies, SmallAnswers, LargeAnswers, Sockets int64 }
+
+// waiting returns how many claims on one pool may wait: half of the sockets' bytes are for those of both sizes.
+func (l Limits) waiting() int {
+	if l.Sockets == 0 {
+		return maxWaiting
+	}
+	return int(min(l.Sockets/2/SocketBytes/2, maxWaiting))
+}
+
+// refused returns what the sockets of refused bodies may hold.
+func (l Limits) refused() int64 {
+	if l.Sockets == 0 {
+		return math.MaxInt64
+	}
+	return l.Sockets / 2
+}
 
 // State is how many bytes are held and how many claims wait for theirs. Peak is the most that was held at a time.
 type State struct {
@@ -48,6 +68,8 @@
 	stopped chan struct{}
 	log     logr.Logger
 	pools   [kinds]pool
+	// waiting is how many claims on one pool may wait.
+	waiting int
 	peak    int64
 	// loggedAt is when the last line was logged; unlogged counts those since then that weren't.
 	loggedAt time.Time
@@ -61,7 +83,9 @@
 		pools: [kinds]pool{
 			smallBodies: {limit: limits.SmallBodies}, largeBodies: {limit: limits.LargeBodies},
 			smallAnswers: {limit: limits.SmallAnswers}, largeAnswers: {limit: limits.LargeAnswers},
+			refusedBodies: {limit: limits.refused()},
 		},
+		waiting: limits.waiting(),
 	}
 }
 
@@ -84,6 +108,7 @@
 
 type (
 	takeMessage struct{ question }
+	tryMessage  struct{ question }
 	giveMessage struct {
 		kind kind
 		n    int64
@@ -99,10 +124,10 @@
 
 func (m takeMessage) handle(c *Controller) {
 	p := &c.pools[m.kind]
-	if len(p.waiting) >= maxWaiting {
+	if len(p.waiting) >= c.waiting {
 		p.dropLeft()
 	}
-	if m.n > p.limit || len(p.waiting) >= maxWaiting {
+	if m.n > p.limit || len(p.waiting) > 0 && len(p.waiting) >= c.waiting {
 		m.reply.Send(false)
 		return
 	}
@@ -110,6 +135,14 @@
 	p.grant()
 }
 
+func (m tryMessage) handle(c *Controller) {
+	p := &c.pools[m.kind]
+	fits := p.held+m.n <= p.limit
+	if m.reply.Send(fits) && fits {
+		p.held += m.n
+	}
+}
+
 func (m giveMessage) handle(c *Controller) {
 	p := &c.pools[m.kind]
 	p.held -= m.n
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -10,6 +10,8 @@
 	largeBodies
 	smallAnswers
 	largeAnswers
+	// refusedBodies is for the sockets of bodies that are read and dropped.
+	refusedBodies
 	// kinds is the number of the pools.
 	kinds
 )
--- a/internal/task/listener.go
+++ b/internal/task/listener.go
@@ -6,12 +6,15 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"time"
 )
 
 const (
 	// connectionsMailboxSize bounds the messages of connections that wait for a server's task; connections wait while it is full.
 	connectionsMailboxSize = 256
+	// turnBytes is how much is read of one connection until all others that can go on have had their turn of the processor.
+	turnBytes = 16 << 10
 	// lastWait is how long a drained server still takes connections and first bytes of requests that are on their way.
 	lastWait = 50 * time.Millisecond
 	// maxHeaderFields bounds the header fields of a request, the request line counted with them. Short ones take many times as much memory as they have bytes.
@@ -33,7 +36,12 @@
 // Serve returns a task that serves HTTP on the TCP listener until its context ends, and then drains the server within the grace
 // period; a grace of 0 closes all connections at once. The VMs of packages entry and platform serve with it.
 func Serve(server *http.Server, l net.Listener, grace time.Duration) func(context.Context) error {
-	s := NewServer(server, l)
+	return ServeLimited(server, l, ConnectionLimits{}, grace)
+}
+
+// ServeLimited is Serve with bounds on the connections.
+func ServeLimited(server *http.Server, l net.Listener, limits ConnectionLimits, grace time.Duration) func(context.Context) error {
+	s := NewServer(server, l, limits)
 	return func(ctx context.Context) error {
 		runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 		defer cancel()
@@ -60,21 +68,27 @@
 	http     *http.Server
 	listener *listener
 	// drain ends the context of the listener and its connections by a drainCause.
-	drain context.CancelCauseFunc
-	// changes tells the task of opened (1) and closed (-1) connections.
-	changes chan int
+	drain  context.CancelCauseFunc
+	limits ConnectionLimits
+	// changes tells the task how the connections stand.
+	changes chan change
 	// drained is closed once no connection is open after Drain, stopped when the task ends.
 	drained, stopped chan struct{}
 }
 
-// NewServer returns a server for the TCP listener; Run starts it. It sets the ConnState of server.
-func NewServer(server *http.Server, l net.Listener) *Server {
+// NewServer returns a server for the TCP listener; Run starts it. It sets the ConnState of server, and its ConnContext if
+// there are limits.
+func NewServer(server *http.Server, l net.Listener, limits ConnectionLimits) *Server {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	s := &Server{
-		http: server, listener: &listener{l.(*net.TCPListener), ctx, server.ReadHeaderTimeout, time.Time{}}, drain: cancel,
-		changes: make(chan int, connectionsMailboxSize), drained: make(chan struct{}), stopped: make(chan struct{}),
+		http: server, drain: cancel, limits: limits,
+		changes: make(chan change, connectionsMailboxSize), drained: make(chan struct{}), stopped: make(chan struct{}),
 	}
+	s.listener = &listener{l.(*net.TCPListener), ctx, server.ReadHeaderTimeout, s.tell, time.Time{}}
 	server.ConnState = s.connState
+	if limits != (ConnectionLimits{}) {
+		narrowAll(server, s.listener.TCPListener)
+	}
 	return s
 }
 
@@ -83,11 +97,13 @@
 	defer func() { s.drain(drainCause{time.Now()}) }()
 	ends := make(chan End, 1)
 	Start(ctx, "listener", ends, func(context.Context) error { return s.http.Serve(s.listener) })
+	conns := &connections{limits: s.limits, index: map[*connection]int{}}
 	open, accepting, drained := 0, true, false
 	for {
 		select {
-		case n := <-s.changes:
-			open += n
+		case ch := <-s.changes:
+			open += ch.count()
+			conns.apply(ch)
 		case end := <-ends:
 			if !errors.Is(end.Err, errDrained) {
 				close(s.stopped)
@@ -95,7 +111,9 @@
 			}
 			accepting = false
 			for len(s.changes) > 0 { // connections that were accepted before the end
-				open += <-s.changes
+				ch := <-s.changes
+				open += ch.count()
+				conns.apply(ch)
 			}
 		case <-ctx.Done():
 			close(s.stopped)
@@ -125,23 +143,34 @@
 	}
 }
 
-// connState is the ConnState of the server; the goroutine that serves conn calls it.
+// connState is the ConnState of the server; the goroutine that serves conn calls it, and the one that accepts it for a new one. The
+// latter waits until the task has made room.
 func (s *Server) connState(conn net.Conn, state http.ConnState) {
-	change := 0
-	switch state {
-	case http.StateNew:
-		change = 1
-	case http.StateIdle:
-		c := conn.(*connection)
+	c := conn.(*connection)
+	c.serving = state == http.StateActive
+	if state == http.StateIdle {
 		c.begun, c.kept, c.head = false, true, head{}
-	case http.StateHijacked, http.StateClosed:
-		change = -1
 	}
-	if change == 0 {
+	ch := change{
+		conn: c, phase: phaseOf(state), at: time.Now(),
+		opened: state == http.StateNew, closed: state == http.StateHijacked || state == http.StateClosed,
+	}
+	if !ch.opened {
+		s.tell(ch)
 		return
 	}
+	ch.done = make(chan struct{})
+	s.tell(ch)
 	select {
-	case s.changes <- change:
+	case <-ch.done:
+	case <-s.stopped:
+	}
+}
+
+// tell tells the task of a change, unless it has ended.
+func (s *Server) tell(ch change) {
+	select {
+	case s.changes <- ch:
 	case <-s.stopped:
 	}
 }
@@ -151,6 +180,7 @@
 	*net.TCPListener
 	draining      context.Context
 	headerTimeout time.Duration
+	tell          func(change)
 	// until is when Accept ends after draining has ended.
 	until time.Time
 }
@@ -174,7 +204,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{TCPConn: conn, draining: l.draining, headerTimeout: l.headerTimeout}, nil
+	return &connection{TCPConn: conn, draining: l.draining, headerTimeout: l.headerTimeout, tell: l.tell}, nil
 }
 
 // connection is a caller's connection. Once draining ends, it ends between two requests, but not within one.
@@ -182,21 +212,42 @@
 	*net.TCPConn
 	draining      context.Context
 	headerTimeout time.Duration
+	// tell tells the server's task of a change.
+	tell func(change)
 	// begun says that a byte of the present request was read, kept that a request was answered before. net/http reads one call at
 	// a time.
 	begun, kept bool
 	head        head
+	// serving says that a request's head is whole, partial that the task knows of a part of one; turn counts the bytes read in the
+	// present turn.
+	serving, partial bool
+	turn             int
 }
 
 // Read implements net.Conn.
 func (c *connection) Read(p []byte) (int, error) {
+	if c.turn >= turnBytes {
+		c.turn = 0
+		runtime.Gosched()
+	}
 	n, err := c.read(p)
+	c.turn += n
 	if c.head.add(p[:n]); c.head.lines > maxHeaderFields {
 		return 0, errTooManyFields
 	}
+	c.tellPartialHead(n)
 	return n, err
 }
 
+// tellPartialHead tells the task once if a request's head isn't whole with the n bytes that came. Read calls it.
+func (c *connection) tellPartialHead(n int) {
+	partial := n > 0 && !c.serving && !c.head.ended
+	if partial && !c.partial {
+		c.tell(change{conn: c, phase: PhaseHead, at: time.Now()})
+	}
+	c.partial = partial
+}
+
 // read reads what comes next, unless draining has ended and no byte of the next request came. Read calls it.
 func (c *connection) read(p []byte) (int, error) {
 	if c.begun {
