serve: bodies are read into an account, and connections are bounded

Cause: each body was read whole into a buffer that grows, whatever the others held, and connections and heads (1 MB each) had no bound.

Change: serve has the account of bodies that platform has, with 0.3 of the memory that GOMEMLIMIT stands for, or else of the machine's. A chat request counts three times, since its fields and its prompt are copies. A body that gets no memory within 3 s or a third of the request's time is refused as not run, by 503 with Retry-After. Callers' connections take 0.4 of the descriptors, heads 64 KiB each and 0.1 of the memory in all. The rest of a refused body is read for 200 ms.

--- a/cmd/cornelmux/serve.go
+++ b/cmd/cornelmux/serve.go
@@ -28,7 +28,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return entry.New(cfg, newLogger(os.Stderr, cfg.Log).WithValues("vm", cfg.VM.Name)).Run(ctx)
+	return entry.New(cfg, entry.ThisMachine(), newLogger(os.Stderr, cfg.Log).WithValues("vm", cfg.VM.Name)).Run(ctx)
 }
 
 // newLogger returns the process's logger, which writes each record as a JSON object or, in text format, as key=value pairs.
--- a/internal/entry/body_test.go
+++ b/internal/entry/body_test.go
@@ -50,7 +50,7 @@
 				}
 				return result.Errorf(result.NotReady, "this chain answers nothing")
 			}
-			server := httptest.NewServer(&callerHandler{chain: chain, maxBodyBytes: testBodyBytes, timeout: timeout, log: logr.Discard()})
+			server := httptest.NewServer(&callerHandler{chain: chain, maxBodyBytes: testBodyBytes, timeout: timeout, newRoom: newEndlessRoom, log: logr.Discard()})
 			defer server.Close()
 			conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
 			qt.Assert(t, err, qt.IsNil)
@@ -68,3 +68,14 @@
 		})
 	}
 }
+
+// endlessRoom has memory for every body. It implements room.
+type endlessRoom struct{}
+
+func newEndlessRoom(time.Duration) room { return endlessRoom{} }
+
+func (endlessRoom) Reserve(context.Context, int64) error { return nil }
+
+func (endlessRoom) Shrink(int64) {}
+
+func (endlessRoom) Release() {}
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -1,11 +1,11 @@
 package entry
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"path"
@@ -16,6 +16,8 @@
 
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/filter"
+	"cornelmux/internal/memory"
+	"cornelmux/internal/task"
 	"cornelmux/pkg/catalog"
 	"cornelmux/pkg/result"
 )
@@ -29,6 +31,12 @@
 	idBytes = 16
 	// maxIDBytes is the maximum length of a request ID or session that a caller sends.
 	maxIDBytes = 256
+	// chatCopies is how many times a chat request takes its body's memory.
+	chatCopies = 3
+	// lingerTime is how long the rest of a refused body is still read, so that its caller gets the answer.
+	lingerTime = 200 * time.Millisecond
+	// memoryRetryAfter is the Retry-After of requests whose bodies got no memory.
+	memoryRetryAfter = time.Second
 )
 
 // forwardedFields are the header fields that are forwarded to a plain service, besides the content type.
@@ -42,8 +50,9 @@
 	w            http.ResponseWriter
 	r            *http.Request
 	maxBodyBytes int
-	// deadline is when the request has to have ended; body is set once it is read.
+	// deadline is when the request has to have ended; body is set once it is read, into memory of room.
 	deadline time.Time
+	room     room
 	body     []byte
 	// id and session are set as soon as they are known; stream and includeUsage are the caller's choices.
 	id           string
@@ -52,6 +61,13 @@
 	includeUsage bool
 }
 
+// room is the memory that a request's body holds.
+type room interface {
+	memory.Room
+	// Release gives back all of it.
+	Release()
+}
+
 // chatRequest holds the fields of a chat completion request that the router reads.
 type chatRequest struct {
 	Model         string        `json:"model"`
@@ -94,27 +110,58 @@
 	}
 }
 
-// readBody reads the request's body, up to maxBodyBytes, for Decode. A longer body is refused, and so is one that hasn't ended by the
-// deadline.
+// readBody reads the request's body, up to maxBodyBytes, into memory that it reserves, for Decode. A longer body is refused, and so is
+// one that gets no memory or hasn't ended by the deadline; the rest of these isn't waited for.
 func (d *decoder) readBody() error {
+	if d.r.ContentLength == 0 {
+		return nil
+	}
+	_ = d.control().SetReadDeadline(d.deadline) // fails only without a connection; net/http ends it with the body
 	var err error
-	if d.r.ContentLength != 0 {
-		_ = http.NewResponseController(d.w).SetReadDeadline(d.deadline) // fails only without a connection; net/http ends it with the body
+	body := memory.Body{
+		Reader: d.r.Body, Length: d.r.ContentLength, Limit: int64(d.maxBodyBytes), Granted: func() { task.Widen(d.r.Context()) },
 	}
-	d.body, err = io.ReadAll(http.MaxBytesReader(d.w, d.r.Body, int64(d.maxBodyBytes)))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return result.Errorf(result.TooLarge, "body exceeds %d bytes", d.maxBodyBytes)
+	d.body, err = memory.Receive(d.r.Context(), body, copied{d.room, d.copies()})
+	if err == nil {
+		return nil
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	task.Narrow(d.r.Context())
+	_ = d.control().SetReadDeadline(time.Now().Add(lingerTime))
+	switch {
+	case errors.Is(err, memory.ErrTooLong):
+		return result.Errorf(result.TooLarge, "body exceeds %d bytes", d.maxBodyBytes)
+	case errors.Is(err, memory.ErrFull):
+		return result.Errorf(result.QueueFull, "read the body: %v", err).WithRetryAfter(memoryRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return result.Errorf(result.DeadlinePassed, "the body hasn't ended by the deadline")
-	}
-	if err != nil {
+	default:
 		return result.Errorf(result.BadRequest, "body: %v", err)
 	}
-	return nil
 }
 
+// copies returns how many times the request takes its body's memory: the fields and the prompt of a chat request are copies.
+func (d *decoder) copies() int64 {
+	if d.r.Method == http.MethodPost && strings.HasSuffix(d.r.URL.Path, chatPath) {
+		return chatCopies
+	}
+	return 1
+}
+
+// copied is the memory of a body of which there are so many copies. It implements memory.Room.
+type copied struct {
+	room
+	copies int64
+}
+
+// Reserve implements memory.Room.
+func (c copied) Reserve(ctx context.Context, n int64) error { return c.room.Reserve(ctx, c.copies*n) }
+
+// Shrink implements memory.Room.
+func (c copied) Shrink(n int64) { c.room.Shrink(c.copies * n) }
+
+// control returns what controls the request's connection.
+func (d *decoder) control() *http.ResponseController { return http.NewResponseController(d.w) }
+
 // identify reads the request ID and the session from where the client account configures them, assigns those that are
 // absent, and returns the path without them. In the path, either may come first. Decode calls it before it looks at the
 // path.
--- a/internal/entry/decode_test.go
+++ b/internal/entry/decode_test.go
@@ -36,7 +36,7 @@
 	r := httptest.NewRequest(method, "/", strings.NewReader(string(body)))
 	r.URL.Path, r.URL.RawQuery, _ = strings.Cut(target, "?")
 	r.Header = http.Header{"X-Id": {id}, "If-None-Match": {"e1"}, "Cookie": {"c"}, "Connection": {"close"}}
-	d := &decoder{w: httptest.NewRecorder(), r: r, maxBodyBytes: testBodyBytes}
+	d := &decoder{w: httptest.NewRecorder(), r: r, maxBodyBytes: testBodyBytes, room: endlessRoom{}}
 	return d.Decode(catalog.ClientAccount{
 		RequestID: catalog.Source{Place: idAt, Name: "X-Id"}, Session: catalog.Source{Place: sessionAt, Name: "s"},
 	})
--- a/internal/entry/encode_test.go
+++ b/internal/entry/encode_test.go
@@ -24,7 +24,7 @@
 
 // newCallerHandler returns a callerHandler whose chain decodes the request, writes the answer h with chunks and returns lastErr.
 func newCallerHandler(h filter.Head, chunks []string, lastErr error) *callerHandler {
-	return &callerHandler{maxBodyBytes: 1 << 10, timeout: testTimeout, log: logr.Discard(), chain: func(ctx context.Context, x *filter.Exchange) error {
+	return &callerHandler{maxBodyBytes: 1 << 10, timeout: testTimeout, log: logr.Discard(), newRoom: newEndlessRoom, chain: func(ctx context.Context, x *filter.Exchange) error {
 		r, err := x.Decoder.Decode(catalog.ClientAccount{RequestID: catalog.Source{Place: catalog.PlaceHeader, Name: "Idempotency-Key"}})
 		if err != nil {
 			return err
--- a/internal/entry/rollout_test.go
+++ b/internal/entry/rollout_test.go
@@ -37,7 +37,7 @@
 	s.disconnectPlatform()
 	ctx, cancel := context.WithCancel(context.Background())
 	ends := make(chan task.End, 1)
-	vm := New(cfg, logr.Discard())
+	vm := New(cfg, ThisMachine(), logr.Discard())
 	task.Start(ctx, "vm", ends, vm.Run)
 	s.urls = append(s.urls, "http://"+cfg.Listen.Callers)
 	s.waitFor(func() error { return s.checkHealth(2) }, "VM 3 is up")
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -74,7 +74,7 @@
 	c.Cleanup(rating.Close)
 	for n := 1; n <= 2; n++ {
 		cfg := s.settings(n, rating.URL)
-		vm := New(cfg, log)
+		vm := New(cfg, ThisMachine(), log)
 		s.vms = append(s.vms, vm)
 		s.urls = append(s.urls, "http://"+cfg.Listen.Callers)
 		start("vm", vm.Run)
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -19,6 +19,7 @@
 	"cornelmux/internal/filter"
 	"cornelmux/internal/journal"
 	"cornelmux/internal/limit"
+	"cornelmux/internal/memory"
 	"cornelmux/internal/metric"
 	"cornelmux/internal/order"
 	"cornelmux/internal/peer"
@@ -32,6 +33,8 @@
 const (
 	// headerTimeout bounds reading the header of a request.
 	headerTimeout = 10 * time.Second
+	// maxCallerHeadBytes bounds the head of a caller's request; net/http allows 4 KiB more.
+	maxCallerHeadBytes = 64 << 10
 	// idleTimeout is how long an idle connection is kept, of callers, operators and other VMs.
 	idleTimeout = 60 * time.Second
 	// cleanupTimeout bounds work after a request or a server has ended.
@@ -59,13 +62,15 @@
 	metrics        *metric.Metrics
 	cascades       *cascade.Controller
 	store          journal.DeletableStore
+	memory         *memory.Controller
+	machine        Machine
 	chain          filter.Next
 	// close closes the idle connections of the clients; Run calls it at its end.
 	close func()
 }
 
 // New returns a VM with its controllers and its filter chain connected; Run starts it. `cornelmux serve` calls both.
-func New(cfg settings.Settings, log logr.Logger) *VM {
+func New(cfg settings.Settings, machine Machine, log logr.Logger) *VM {
 	metrics := metric.New(log.WithName("metric"))
 	transport := metric.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 16}, Metrics: metrics}
 	store := consul.New(cfg.Reach.Platform, &http.Client{Transport: transport}, cfg.Reach.PlatformTimeout)
@@ -81,8 +86,10 @@
 		configurations: configuration.New(store, vmClient, configuration.Options{
 			VM: cfg.VM.Name, Zone: cfg.VM.Zone, FreshnessLimit: cfg.Limits.Freshness,
 		}, log.WithName("configuration")),
-		peers: peer.New(peerOptions(cfg, incarnation), datagram.New(cfg.Listen.Peers, log.WithName("peer")), store, nil, log.WithName("peer")),
-		store: store,
+		peers:   peer.New(peerOptions(cfg, incarnation), datagram.New(cfg.Listen.Peers, log.WithName("peer")), store, nil, log.WithName("peer")),
+		store:   store,
+		memory:  memory.New(memoryLimits(machine), log.WithName("memory")),
+		machine: machine,
 		close: func() {
 			client.Close()
 			vmClient.http.CloseIdleConnections()
@@ -103,6 +110,7 @@
 	rater := &cascade.RatingClient{BaseURL: cfg.Reach.Rating, HTTP: &http.Client{}, Timeout: cfg.Reach.RatingTimeout}
 	v.cascades = newCascades(rater, v.rollouts, cfg, log)
 	metrics.Observe(v.configurations, v.peers, log.WithName("metric"))
+	metrics.ObserveMemory(v.memory, log.WithName("metric"))
 	metrics.ObserveJournal(v.journal, log.WithName("metric"))
 	v.chain = filter.Chain(
 		filter.Observe{Meter: metrics},
@@ -181,8 +189,9 @@
 		{Name: "journal", Run: v.journal.Run},
 		{Name: "peers", Run: v.peers.Run},
 		{Name: "cascades", Run: v.cascades.Run},
+		{Name: "memory", Run: v.memory.Run},
 		{Name: "control", Run: task.Serve(newServer(v.controlHandler()), controlListener, cleanupTimeout)},
-		{Name: "callers", Run: task.Serve(newServer(v.callersHandler()), callersListener, cleanupTimeout)},
+		{Name: "callers", Run: task.ServeLimited(newServer(v.callersHandler()), callersListener, connectionLimits(v.machine), cleanupTimeout)},
 	}
 	ends := task.StartAll(tasksCtx, tasks)
 	v.log.Info("serving", "callers", v.cfg.Listen.Callers, "control", v.cfg.Listen.Control)
@@ -224,6 +233,7 @@
 	ready := health(v.drain, v.configurations, v.sessions)
 	handler := &callerHandler{
 		chain: v.chain, maxBodyBytes: v.cfg.Limits.BodyBytes, timeout: v.cfg.Limits.RequestTimeout, log: v.log.WithName("callers"),
+		newRoom: func(patience time.Duration) room { return v.memory.BodyClaim("", patience) },
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == healthPath {
@@ -235,5 +245,5 @@
 }
 
 func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxCallerHeadBytes}
 }
--- a/measure/site.go
+++ b/measure/site.go
@@ -125,7 +125,7 @@
 		return err
 	}
 	s.callerURL, s.controlURL = "http://"+parsed.Listen.Callers, "http://"+parsed.Listen.Control
-	s.start("vm", entry.New(parsed, logr.Discard()).Run)
+	s.start("vm", entry.New(parsed, entry.ThisMachine(), logr.Discard()).Run)
 	data, err := json.Marshal(catalog.Change{Set: cfg})
 	if err != nil {
 		return err
