Bodies that don't come give way to new callers, and requests inside the limits are tested in calm

Cause: a connection counted as being served once its head was whole, so that callers whose bodies stop short kept all others out until their deadlines: in one run of "large chunks that stop short" the ordinary caller was answered after 10 s.

Change: a request counts as being served once its front end has received all of it, and nothing of it runs if its connection was closed for others before (Received). Those whose bodies aren't whole go after the idle ones and the heads, the slowest first; the connection that has just changed goes last, so that new callers get in. A line a second, connection closed for others, says what went.

--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -90,6 +90,9 @@
 	if err := d.readBody(); err != nil {
 		return filter.Request{}, err
 	}
+	if !task.Received(d.r.Context()) {
+		return filter.Request{}, result.Errorf(result.BadRequest, "the connection was closed for others")
+	}
 	r := filter.Request{Deadline: d.deadline, Method: d.r.Method, Body: d.body, ContentType: d.r.Header.Get("Content-Type")}
 	rest, err := d.identify(a, &r)
 	if err != nil {
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -191,7 +191,7 @@
 		{Name: "cascades", Run: v.cascades.Run},
 		{Name: "memory", Run: v.memory.Run},
 		{Name: "control", Run: task.Serve(newServer(v.controlHandler()), controlListener, cleanupTimeout)},
-		{Name: "callers", Run: task.ServeLimited(newServer(v.callersHandler()), callersListener, connectionLimits(v.machine), cleanupTimeout)},
+		{Name: "callers", Run: task.ServeLimited(newServer(v.callersHandler()), callersListener, connectionLimits(v.machine), cleanupTimeout, v.log.WithName("callers"))},
 	}
 	ends := task.StartAll(tasksCtx, tasks)
 	v.log.Info("serving", "callers", v.cfg.Listen.Callers, "control", v.cfg.Listen.Control)
--- a/internal/task/connections.go
+++ b/internal/task/connections.go
@@ -3,16 +3,21 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/go-logr/logr"
 )
 
-// change tells a server's task that a connection changed its phase, or was opened or closed. done is closed once the task has seen
-// it; nil if nobody waits.
+// evictionLogInterval is the least time between two lines about connections that were closed for others.
+const evictionLogInterval = time.Second
+
+// change tells a server's task that a connection changed its phase, or was opened or closed. Whether it is
+// still open is sent on kept, which has room for it; nil if nobody waits.
 type change struct {
 	conn           *connection
 	phase          Phase
 	opened, closed bool
 	at             time.Time
-	done           chan struct{}
+	kept           chan<- bool
 }
 
 // count is what the change adds to the number of connections whose goroutines run.
@@ -34,15 +39,14 @@
 	list  []*connection
 	open  []OpenConnection
 	index map[*connection]int
-	// evicted counts the connections that were closed for others.
-	evicted int
+	log   logr.Logger
+	// loggedAt is when the last line was logged; unlogged counts the connections that were closed for others since then.
+	loggedAt time.Time
+	unlogged int
 }
 
 // apply takes in a change, and closes what is too much then.
 func (c *connections) apply(ch change) {
-	if ch.done != nil {
-		defer close(ch.done)
-	}
 	if ch.closed {
 		c.remove(ch.conn)
 		return
@@ -52,16 +56,43 @@
 		c.list, c.open = append(c.list, ch.conn), append(c.open, OpenConnection{})
 	}
 	i, known := c.index[ch.conn]
-	if !known {
-		return // it was closed for another one
+	if known {
+		c.open[i] = OpenConnection{ch.phase, ch.at}
+		c.makeRoom(ch.conn)
+		_, known = c.index[ch.conn]
+	}
+	if ch.kept != nil {
+		ch.kept <- known
 	}
-	c.open[i] = OpenConnection{ch.phase, ch.at}
-	for i := evict(c.open, c.limits); i >= 0; i = evict(c.open, c.limits) {
-		conn := c.list[i]
+}
+
+// makeRoom closes what is too much since a connection changed.
+func (c *connections) makeRoom(changed *connection) {
+	for {
+		at, known := c.index[changed]
+		if !known {
+			return
+		}
+		i := evict(c.open, at, c.limits)
+		if i < 0 {
+			return
+		}
+		conn, phase := c.list[i], c.open[i].Phase
 		c.remove(conn)
-		c.evicted++
 		_ = conn.Close() // its goroutine sees the end of its reading
+		c.logEvicted(phase)
+	}
+}
+
+// logEvicted logs a connection that was closed for others, at most one each evictionLogInterval.
+func (c *connections) logEvicted(phase Phase) {
+	now := time.Now()
+	if now.Sub(c.loggedAt) < evictionLogInterval {
+		c.unlogged++
+		return
 	}
+	c.log.Info("connection closed for others", "phase", phase.String(), "open", len(c.open), "limit", c.limits.Open, "unlogged", c.unlogged)
+	c.loggedAt, c.unlogged = now, 0
 }
 
 // remove forgets a connection; the last of the list takes its place.
@@ -80,7 +111,7 @@
 // phaseOf returns the phase that a state of net/http stands for.
 func phaseOf(state http.ConnState) Phase {
 	if state == http.StateActive {
-		return PhaseServing
+		return PhaseBody
 	}
 	return PhaseIdle
 }
--- a/internal/task/evict.go
+++ b/internal/task/evict.go
@@ -11,10 +11,26 @@
 	PhaseIdle Phase = iota
 	// PhaseHead means that a part of a request's head has come.
 	PhaseHead
-	// PhaseServing means that a request's head is whole and its answer isn't.
+	// PhaseBody means that a request's head is whole and its body isn't, as far as its front end has told.
+	PhaseBody
+	// PhaseServing means that a request is whole and its answer isn't.
 	PhaseServing
 )
 
+// String returns the phase's name in the log.
+func (p Phase) String() string {
+	switch p {
+	case PhaseIdle:
+		return "idle"
+	case PhaseHead:
+		return "head"
+	case PhaseBody:
+		return "body"
+	default:
+		return "serving"
+	}
+}
+
 // OpenConnection is an open connection and since when it is in its phase.
 type OpenConnection struct {
 	Phase Phase
@@ -24,10 +40,11 @@
 // ConnectionLimits bounds the connections of a server, and those of them of which a part of a head is held. 0 is no bound.
 type ConnectionLimits struct{ Open, Heads int }
 
-// evict returns the index of the connection that has to be closed, or -1 if none has to be, or none may be. It answers crowds whose
-// connections stay open without a request: if there are too many, the one that has been idle for the longest goes first, and after
-// the idle ones the slowest head. A request whose head is whole is never given up.
-func evict(open []OpenConnection, limits ConnectionLimits) int {
+// evict returns the index of the connection that has to be closed once the one at changed has changed its phase, or -1 if none has to
+// be, or none may be. It answers crowds whose connections stay open without a whole request: if there are too many, the one that has
+// been idle for the longest goes first, then the slowest head, then the slowest body, and the changed one last, so that new callers
+// get in. A request that is whole is never given up, since it may run.
+func evict(open []OpenConnection, changed int, limits ConnectionLimits) int {
 	heads := 0
 	for _, c := range open {
 		if c.Phase == PhaseHead {
@@ -35,22 +52,27 @@
 		}
 	}
 	if limits.Heads > 0 && heads > limits.Heads {
-		return longest(open, PhaseHead)
+		return longest(open, PhaseHead, changed)
 	}
 	if limits.Open == 0 || len(open) <= limits.Open {
 		return -1
 	}
-	if i := longest(open, PhaseIdle); i >= 0 {
-		return i
+	for phase := PhaseIdle; phase < PhaseServing; phase++ {
+		if i := longest(open, phase, changed); i >= 0 {
+			return i
+		}
+	}
+	if open[changed].Phase < PhaseServing {
+		return changed
 	}
-	return longest(open, PhaseHead)
+	return -1
 }
 
-// longest returns the index of the connection that has been in the phase for the longest, or -1.
-func longest(open []OpenConnection, phase Phase) int {
+// longest returns the index of the connection that has been in the phase for the longest, but for the one at except, or -1.
+func longest(open []OpenConnection, phase Phase, except int) int {
 	found := -1
 	for i, c := range open {
-		if c.Phase == phase && (found < 0 || c.Since.Before(open[found].Since)) {
+		if i != except && c.Phase == phase && (found < 0 || c.Since.Before(open[found].Since)) {
 			found = i
 		}
 	}
--- a/internal/task/listener.go
+++ b/internal/task/listener.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"runtime"
 	"time"
+
+	"github.com/go-logr/logr"
 )
 
 const (
@@ -36,12 +38,14 @@
 // Serve returns a task that serves HTTP on the TCP listener until its context ends, and then drains the server within the grace
 // period; a grace of 0 closes all connections at once. The VMs of packages entry and platform serve with it.
 func Serve(server *http.Server, l net.Listener, grace time.Duration) func(context.Context) error {
-	return ServeLimited(server, l, ConnectionLimits{}, grace)
+	return ServeLimited(server, l, ConnectionLimits{}, grace, logr.Discard())
 }
 
-// ServeLimited is Serve with bounds on the connections.
-func ServeLimited(server *http.Server, l net.Listener, limits ConnectionLimits, grace time.Duration) func(context.Context) error {
-	s := NewServer(server, l, limits)
+// ServeLimited is Serve with bounds on the connections; those that are closed for others are logged.
+func ServeLimited(
+	server *http.Server, l net.Listener, limits ConnectionLimits, grace time.Duration, log logr.Logger,
+) func(context.Context) error {
+	s := NewServer(server, l, limits, log)
 	return func(ctx context.Context) error {
 		runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 		defer cancel()
@@ -70,6 +74,7 @@
 	// drain ends the context of the listener and its connections by a drainCause.
 	drain  context.CancelCauseFunc
 	limits ConnectionLimits
+	log    logr.Logger
 	// changes tells the task how the connections stand.
 	changes chan change
 	// drained is closed once no connection is open after Drain, stopped when the task ends.
@@ -78,13 +83,13 @@
 
 // NewServer returns a server for the TCP listener; Run starts it. It sets the ConnState of server, and its ConnContext if
 // there are limits.
-func NewServer(server *http.Server, l net.Listener, limits ConnectionLimits) *Server {
+func NewServer(server *http.Server, l net.Listener, limits ConnectionLimits, log logr.Logger) *Server {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	s := &Server{
-		http: server, drain: cancel, limits: limits,
+		http: server, drain: cancel, limits: limits, log: log,
 		changes: make(chan change, connectionsMailboxSize), drained: make(chan struct{}), stopped: make(chan struct{}),
 	}
-	s.listener = &listener{l.(*net.TCPListener), ctx, server.ReadHeaderTimeout, s.tell, time.Time{}}
+	s.listener = &listener{l.(*net.TCPListener), ctx, server.ReadHeaderTimeout, s, time.Time{}}
 	server.ConnState = s.connState
 	if limits != (ConnectionLimits{}) {
 		narrowAll(server, s.listener.TCPListener)
@@ -97,7 +102,7 @@
 	defer func() { s.drain(drainCause{time.Now()}) }()
 	ends := make(chan End, 1)
 	Start(ctx, "listener", ends, func(context.Context) error { return s.http.Serve(s.listener) })
-	conns := &connections{limits: s.limits, index: map[*connection]int{}}
+	conns := &connections{limits: s.limits, log: s.log, index: map[*connection]int{}}
 	open, accepting, drained := 0, true, false
 	for {
 		select {
@@ -159,11 +164,19 @@
 		s.tell(ch)
 		return
 	}
-	ch.done = make(chan struct{})
+	s.ask(ch)
+}
+
+// ask tells the task of a change, and reports whether the connection is still open afterwards.
+func (s *Server) ask(ch change) bool {
+	kept := make(chan bool, 1)
+	ch.kept = kept
 	s.tell(ch)
 	select {
-	case <-ch.done:
+	case ok := <-kept:
+		return ok
 	case <-s.stopped:
+		return false
 	}
 }
 
@@ -180,7 +193,7 @@
 	*net.TCPListener
 	draining      context.Context
 	headerTimeout time.Duration
-	tell          func(change)
+	server        *Server
 	// until is when Accept ends after draining has ended.
 	until time.Time
 }
@@ -204,7 +217,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{TCPConn: conn, draining: l.draining, headerTimeout: l.headerTimeout, tell: l.tell}, nil
+	return &connection{TCPConn: conn, draining: l.draining, headerTimeout: l.headerTimeout, server: l.server}, nil
 }
 
 // connection is a caller's connection. Once draining ends, it ends between two requests, but not within one.
@@ -212,8 +225,7 @@
 	*net.TCPConn
 	draining      context.Context
 	headerTimeout time.Duration
-	// tell tells the server's task of a change.
-	tell func(change)
+	server        *Server
 	// begun says that a byte of the present request was read, kept that a request was answered before. net/http reads one call at
 	// a time.
 	begun, kept bool
@@ -243,7 +255,7 @@
 func (c *connection) tellPartialHead(n int) {
 	partial := n > 0 && !c.serving && !c.head.ended
 	if partial && !c.partial {
-		c.tell(change{conn: c, phase: PhaseHead, at: time.Now()})
+		c.server.tell(change{conn: c, phase: PhaseHead, at: time.Now()})
 	}
 	c.partial = partial
 }
--- a/internal/task/window.go
+++ b/internal/task/window.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"syscall"
+	"time"
 )
 
 const (
@@ -39,6 +40,13 @@
 // Narrow takes back what Widen did. Front ends call it for bodies that they give up.
 func Narrow(ctx context.Context) { setWindow(ctx, narrowBytes) }
 
+// Received tells that the request with the context is whole, so that it may run, and reports whether its connection is still open. Front
+// ends call it once for each request, before anything of it runs.
+func Received(ctx context.Context) bool {
+	c, ok := ctx.Value(connectionKey{}).(*connection)
+	return !ok || c.server.ask(change{conn: c, phase: PhaseServing, at: time.Now()})
+}
+
 func setWindow(ctx context.Context, n int) {
 	if c, ok := ctx.Value(connectionKey{}).(*connection); ok {
 		_ = c.SetReadBuffer(n) // fails only on a closed socket, or where the kernel has no such buffer
