First sends wait in the pool while no endpoint of the zone has room

Cause: all that comes is sent at once, so that a burst makes everybody late and endpoints refuse what they can't queue, the urgent with the rest; states of other availability zones aren't known, so that all VMs send there together.

Change: where a service's configuration names an engine with slots and an endpoint of the zone is full, first sends and retries go to those of the zone that have room, or wait in the Controller's queue. It is served when a run ends and each 20 ms; what left, expired or is refused by a shutdown leaves it. A stronger model isn't asked while nothing has room. A run that waited is bound to a version once more, for the case of a roll-back.

--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -160,29 +160,34 @@
 		want []want
 	}{
 		{
-			"calm", pattern{[]stream{usual("urgent", 0, 30), usual("other", 1, 60)}, steady(100), false, whole},
+			"calm",
+			pattern{[]stream{usual("urgent", 0, 30), usual("other", 1, 60)}, steady(100), false, whole},
 			[]want{{"urgent", 1, 1, 0}, {"other", 1, 1, 0}},
 		},
 		{
-			"a burst of three times the room", pattern{
+			"a burst of three times the room",
+			pattern{
 				[]stream{usual("urgent", 0, 30), usual("other", 1, 50), burst(usual("", 1, 220), "burst", 1)}, steady(100), false, whole,
 			},
 			[]want{{"urgent", 1, 1, 0}, {"other", 0.8, 0.85, 0.02}, {"burst", 0.1, 0.14, 0.02}},
 		},
 		{
-			"a burst of three times the room of callers with little time", pattern{
+			"a burst of three times the room of callers with little time",
+			pattern{
 				[]stream{usual("urgent", 0, 30), brief(usual("other", 1, 50)), burst(brief(usual("", 1, 220)), "burst", 1)}, steady(100), false, whole,
 			},
 			[]want{{"urgent", 1, 1, 0}, {"other", 0.8, 0.8, 0.02}, {"burst", 0.13, 0.16, 0.02}},
 		},
 		{
-			"a burst of the most urgent kind itself", pattern{
+			"a burst of the most urgent kind itself",
+			pattern{
 				[]stream{usual("urgent", 0, 30), usual("other", 1, 50), burst(usual("", 0, 30), "more", 5)}, steady(100), false, whole,
 			},
 			[]want{{"urgent", 0.75, 1, 0}, {"more", 0.4, 0.5, 0.02}, {"other", 0.6, 0.6, 0.1}},
 		},
 		{
-			"one account at eight times its usual beside 23 others", pattern{
+			"one account at eight times its usual beside 23 others",
+			pattern{
 				[]stream{
 					{kind: "others", accounts: 23, urgency: 1, rate: 4, to: whole, objective: time.Second, deadline: 6 * time.Second},
 					{kind: "greedy", accounts: 1, urgency: 1, rate: 32, to: whole, objective: time.Second, deadline: 6 * time.Second},
@@ -191,7 +196,8 @@
 			[]want{{"others", 1, 1, 0}, {"greedy", 0.35, 0.35, 0.05}},
 		},
 		{
-			"room that shrinks by a third", pattern{
+			"room that shrinks by a third",
+			pattern{
 				[]stream{usual("urgent", 0, 30), usual("other", 1, 60)},
 				func(at time.Duration) float64 {
 					if at > 5*time.Second && at < 15*time.Second {
@@ -203,13 +209,15 @@
 			[]want{{"urgent", 1, 1, 0}, {"other", 0.65, 0.9, 0.02}},
 		},
 		{
-			"four in ten endpoints at a quarter of their speed", pattern{
+			"four in ten endpoints at a quarter of their speed",
+			pattern{
 				[]stream{usual("urgent", 0, 30), usual("other", 1, 60)}, steady(100 * (0.6 + 0.4/4)), false, whole,
 			},
 			[]want{{"urgent", 1, 1, 0}, {"other", 0.55, 0.65, 0.05}},
 		},
 		{
-			"all callers back at once after a refusal", pattern{
+			"all callers back at once after a refusal",
+			pattern{
 				[]stream{brief(usual("urgent", 0, 30)), brief(usual("other", 1, 50)), burst(brief(usual("", 1, 400)), "burst", 1)}, steady(100), true, whole,
 			},
 			[]want{{"urgent", 1, 1, 0}, {"other", 0.7, 0.75, 0.05}},
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -26,7 +26,7 @@
 	// Account is the client account, Urgency its rank or the route's, where 0 goes first.
 	Account string
 	Urgency int
-	// Again says that an endpoint refused the request before; it goes before new ones of its urgency.
+	// Again says that the request was sent before and has to be sent once more; it goes before new ones of its urgency.
 	Again bool
 	// Objective is when the answer should begin, Deadline when the caller or the route gives up; zero if there is none.
 	Objective time.Time
@@ -74,8 +74,8 @@
 	Wait   time.Duration
 }
 
-// Queue holds the requests that wait for the same endpoints. The most urgent goes first; among those, what an endpoint refused before,
-// then what can still begin by its objective; among those, the client accounts take turns; within an account the one with the least time
+// Queue holds the requests that wait for the same endpoints. The most urgent goes first; among those, what was sent before, then
+// what can still begin by its objective; among those, the client accounts take turns; within an account the one with the least time
 // to spare goes first. What can only be late goes behind, as it loses nothing more by waiting, until its deadline is near.
 type Queue[T any] struct {
 	limits   Limits
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -222,7 +222,7 @@
 	x := f.x
 	q := pool.Query{
 		Service: x.Routed.Service, Exclude: f.tried, Retry: x.Routed.Attempts > 0, Config: x.Routed.Table.Service(x.Routed.Service),
-		Homes: x.Routed.Homes, Account: x.Routed.Account, Priority: x.Routed.Priority, Deadline: x.Request.Deadline,
+		Waits: !x.Relayed, Again: x.Routed.Attempts > 0, Homes: x.Routed.Homes, Account: x.Routed.Account, Priority: x.Routed.Priority, Deadline: x.Request.Deadline,
 	}
 	if objective := x.Routed.Route.Objective; objective > 0 {
 		q.Objective = x.Arrived.Add(objective)
--- /dev/null
+++ b/internal/filter/rebind_test.go
@@ -0,0 +1,101 @@
+package filter
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cornelmux/internal/pool"
+	"cornelmux/internal/shift"
+	"cornelmux/pkg/result"
+)
+
+// waitedPool is a Pool that places the runs on the version that they ask for, or on v1 unless it's excluded, after a wait. It records the queries
+// and the ends.
+type waitedPool struct {
+	waited  time.Duration
+	queries []pool.Query
+	ends    []pool.End
+}
+
+func (p *waitedPool) Choose(_ context.Context, q pool.Query) (pool.Placement, error) {
+	p.queries = append(p.queries, q)
+	version := q.Version
+	if version == "" {
+		version = "v1"
+	}
+	if slices.Contains(q.ExcludedVersions, version) {
+		version = "v2"
+	}
+	return pool.Placement{Entry: pool.Entry{ID: "e1", Version: version}, Waited: p.waited}, nil
+}
+
+func (p *waitedPool) Done(_ context.Context, o pool.Outcome) error {
+	p.ends = append(p.ends, o.End)
+	return nil
+}
+
+func (p *waitedPool) Note(context.Context, pool.Notice) error { return nil }
+
+// changingShifts is a Shifts whose bindings follow one another; the last one stays. After failAt bindings it fails.
+type changingShifts struct {
+	noShift
+	bindings []shift.Binding
+	failAt   int
+	asked    int
+}
+
+func (s *changingShifts) Bind(context.Context, string, string) (shift.Binding, error) {
+	s.asked++
+	if s.failAt > 0 && s.asked >= s.failAt {
+		return shift.Binding{}, context.DeadlineExceeded
+	}
+	return s.bindings[min(s.asked, len(s.bindings))-1], nil
+}
+
+// TestRunThatWaitedIsBoundAnew guards against runs that get a version after its roll-back, because they waited for room meanwhile.
+func TestRunThatWaitedIsBoundAnew(t *testing.T) {
+	v1, v2 := shift.Binding{Version: "v1"}, shift.Binding{Version: "v2"}
+	not1 := shift.Binding{ExcludedVersions: []string{"v1"}}
+	const waited = time.Second
+	tests := []struct {
+		name     string
+		waited   time.Duration
+		retry    bool
+		bindings []shift.Binding
+		failAt   int
+		// version is that of the placement, "" if there is none; ends are those of the placements that are given back.
+		version string
+		ends    []pool.End
+	}{
+		{"didn't wait", 0, false, []shift.Binding{v2, v1}, 0, "v2", nil},
+		{"same version", waited, false, []shift.Binding{v2, v2}, 0, "v2", nil},
+		{"any version", waited, false, []shift.Binding{{}, {}}, 0, "v1", nil},
+		{"rolled back", waited, false, []shift.Binding{v2, v1}, 0, "v1", []pool.End{pool.EndAbandoned}},
+		{"rolled back, a retry", waited, true, []shift.Binding{v2, v1}, 0, "v1", []pool.End{pool.EndUnused}},
+		{"excluded meanwhile", waited, false, []shift.Binding{{}, not1}, 0, "v2", []pool.End{pool.EndAbandoned}},
+		{"twice", waited, false, []shift.Binding{v2, v1, v2}, 0, "v2", []pool.End{pool.EndAbandoned, pool.EndAbandoned}},
+		{"unknown", waited, false, []shift.Binding{v2}, 2, "", []pool.End{pool.EndAbandoned}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := &waitedPool{waited: test.waited}
+			s := &changingShifts{bindings: test.bindings, failAt: test.failAt}
+			r, err := placer{Pool: p, Shifts: s}.reserve(t.Context(), pool.Query{Service: "s", Retry: test.retry})
+			if test.version == "" {
+				qt.Assert(t, err, qt.IsNotNil)
+				qt.Check(t, result.From(err).Code, qt.Equals, result.DeadlinePassed)
+			} else {
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, r.Placement.Version, qt.Equals, test.version)
+			}
+			qt.Check(t, p.ends, qt.DeepEquals, test.ends)
+			for i, q := range p.queries {
+				qt.Check(t, q.Again, qt.Equals, i > 0)
+			}
+		})
+	}
+}
--- a/internal/filter/replacement.go
+++ b/internal/filter/replacement.go
@@ -71,6 +71,7 @@
 // replacementQuery describes the run of a replacement: of the strongest model if the answer of another one is kept.
 func (f *forwardRun) replacementQuery() pool.Query {
 	q := f.query()
+	q.Waits = false // the send beside it goes on
 	if f.keeps() {
 		q.Model, q.StrongerModel = f.strongest(), ""
 		q.Weight = f.weight(q.Model)
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -67,6 +67,9 @@
 	platformCalls    metric.Int64Counter
 	platformDuration metric.Float64Histogram
 	messageDuration  metric.Float64Histogram
+	runsWaiting      metric.Int64UpDownCounter
+	runWait          metric.Float64Histogram
+	runsRefused      metric.Int64Counter
 }
 
 // New creates the instruments for a VM. One that can't be created is logged and records nothing, so that a VM serves without
@@ -94,6 +97,9 @@
 		platformCalls:    b.counter("cornelmux.platform.calls", "{call}", "Calls of the platform, by method, area and status."),
 		platformDuration: b.histogram("cornelmux.platform.duration", "Time of the platform's calls that are no watch.", bucketBounds),
 		messageDuration:  b.histogram("cornelmux.message.duration", "Time that a message took the goroutine of its owner.", messageBounds),
+		runsWaiting:      b.upDown("cornelmux.admission.waiting", "{run}", "Runs that wait for room at an endpoint, by priority."),
+		runWait:          b.histogram("cornelmux.admission.wait", "Time that runs waited for room at an endpoint before they were placed.", bucketBounds),
+		runsRefused:      b.counter("cornelmux.admission.refused", "{run}", "Runs refused for want of room, by reason and priority."),
 	}
 	b.logErrors(log)
 	m.meter = b.meter
--- a/internal/metric/metric_test.go
+++ b/internal/metric/metric_test.go
@@ -64,6 +64,10 @@
 	})
 	m.Ended(ctx, filter.Observation{Code: result.BadKey, Run: result.NotRun, Duration: time.Millisecond})
 	m.MessageRecorder("pool", "choose")(20 * time.Millisecond)
+	m.RunsWaiting(ctx, "chat", 1, 2)
+	m.RunsWaiting(ctx, "chat", 1, -1)
+	m.RunWaited(ctx, "chat", 1, 20*time.Millisecond)
+	m.RunRefused(ctx, "chat", 1, "deadline")
 	m.PlatformCall(ctx, http.MethodPut, "journal", http.StatusOK, false, time.Millisecond)
 	text := scrape(c, m)
 	rows := []string{
@@ -77,6 +81,9 @@
 		`cornelmux_tokens_total{model="cheap",service="",version="v1"} 10`,
 		`cornelmux_platform_calls_total{area="journal",method="PUT",status="200"} 1`,
 		`cornelmux_message_duration_seconds_bucket{kind="choose",owner="pool",le="0.025"} 1`,
+		`cornelmux_admission_waiting{priority="1",service="chat"} 1`,
+		`cornelmux_admission_wait_seconds_bucket{priority="1",service="chat",le="0.025"} 1`,
+		`cornelmux_admission_refused_total{priority="1",reason="deadline",service="chat"} 1`,
 		`cornelmux_configuration_revision 7`,
 		`cornelmux_members{health="alive"} 2`,
 		`cornelmux_datagrams_total{outcome="bad_mac"} 2`,
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -38,6 +38,9 @@
 	RetryLimit RetryLimit
 	// Meter records the time of the Controller's messages; it may be nil.
 	Meter task.Meter
+	// Stops tells of the VM's shutdown, Admission records what waits for room; both may be nil.
+	Stops     Stops
+	Admission AdmissionMeter
 }
 
 // Controller owns the state of the endpoints on this VM and the retry budgets of the services.
@@ -52,6 +55,8 @@
 	log     logr.Logger
 	watch   *task.Stopwatch
 	table   *Table
+	// queues holds the runs that wait for room.
+	queues queues
 	// budgets holds the retry budgets by service.
 	budgets map[string]*RetryBudget
 	// scanned is set after the first full scan of the directory; scanWaiters are the callers of WaitFirstScan until
@@ -79,7 +84,7 @@
 	chooseReply struct {
 		placement Placement
 		choice    Choice
-		// pause is the time until an endpoint wants runs again, with ChoicePausing.
+		// pause is the time until an endpoint wants runs again, with ChoicePausing, or until one is expected to have room, with ChoiceFull.
 		pause time.Duration
 	}
 	doneMessage     struct{ outcome Outcome }
@@ -103,7 +108,7 @@
 func New(crashes Crashes, o Options, log logr.Logger) *Controller {
 	return &Controller{
 		mailbox: make(chan message, mailboxSize), questions: make(chan struct{}, maxQuestions), stopped: make(chan struct{}), crashes: crashes, opts: o, log: log,
-		watch: task.NewStopwatch("pool", o.Meter, log), table: NewTable(o.Location), budgets: map[string]*RetryBudget{},
+		watch: task.NewStopwatch("pool", o.Meter, log), table: NewTable(o.Location), queues: newQueues(), budgets: map[string]*RetryBudget{},
 	}
 }
 
@@ -112,6 +117,7 @@
 	defer close(c.stopped)
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	defer c.queues.timer.Stop()
 	for {
 		select {
 		case m := <-c.mailbox:
@@ -124,6 +130,10 @@
 				c.log.Info("endpoint gone", "endpoint", id, "why", "not relisted after the directory became readable again")
 			}
 			c.watch.Ticked(started)
+		case <-c.queues.timer.C:
+			started := time.Now()
+			c.serveQueues(ctx, started)
+			c.watch.Ticked(started)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -184,6 +194,10 @@
 		return Placement{}, result.Errorf(result.QueueFull, "service %s: retry budget is used up", q.Service).WithRetryAfter(retryAfter)
 	case ChoicePausing:
 		return Placement{}, result.Errorf(result.QueueFull, "service %s: its endpoints want no runs for a while", q.Service).WithRetryAfter(r.pause)
+	case ChoiceFull:
+		return Placement{}, result.Errorf(result.QueueFull, "service %s: its endpoints have no room", q.Service).WithRetryAfter(r.pause)
+	case ChoiceLeaving:
+		return Placement{}, result.Errorf(result.Leaving, "service %s: this VM is shutting down", q.Service).WithRetryAfter(retryAfter)
 	case ChoiceLater:
 		return Placement{}, result.Errorf(result.QueueFull, "endpoint %s: other silent runs are moved first", q.Silent).WithRetryAfter(retryAfter)
 	default:
@@ -253,7 +267,7 @@
 
 // handle counts the run in the retry budget and places it; a retry that isn't placed isn't counted. An escalation leaves a part of
 // the budget to retries after failures. A run whose request has left isn't placed. Choose sends the message.
-func (m chooseMessage) handle(_ context.Context, c *Controller) {
+func (m chooseMessage) handle(ctx context.Context, c *Controller) {
 	<-c.questions
 	now := time.Now()
 	budget := c.budget(m.query.Service)
@@ -267,7 +281,20 @@
 		m.reply.Send(chooseReply{choice: refusal})
 		return
 	}
+	if c.mustWait(&m.query) || !c.place(m, 0, now) {
+		c.wait(ctx, m, now)
+	}
+}
+
+// place places the run and sends the reply, unless the run may wait and no endpoint has room for it. The handler of chooseMessage
+// calls it, and serveQueues.
+func (c *Controller) place(m chooseMessage, waited time.Duration, now time.Time) bool {
+	budget := c.budget(m.query.Service)
 	p, choice := c.table.Choose(&m.query, now)
+	if choice == ChoiceFull && m.query.Waits {
+		return false
+	}
+	p.Waited = waited
 	if m.query.Retry && choice != ChoicePlaced {
 		budget.ReturnRetry(now)
 	}
@@ -279,6 +306,7 @@
 	if !m.reply.Send(reply) && choice == ChoicePlaced {
 		c.giveBack(&m.query, &p, now)
 	}
+	return true
 }
 
 // takeRetry counts a retry in the budget, and returns why it isn't allowed, or 0. The handler of chooseMessage calls it.
@@ -317,7 +345,9 @@
 }
 
 func (m doneMessage) handle(ctx context.Context, c *Controller) {
-	c.reportCrashes(ctx, c.table.Done(&m.outcome, time.Now()))
+	now := time.Now()
+	c.reportCrashes(ctx, c.table.Done(&m.outcome, now))
+	c.serveAfter(ctx, &m.outcome, now)
 	switch m.outcome.End {
 	case EndUnused:
 		c.budget(m.outcome.Service).ReturnRetry(time.Now())
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -59,6 +59,9 @@
 	Retry bool
 	// Escalation says that the retry goes to a stronger model; it leaves a part of the budget to other retries.
 	Escalation bool
+	// Waits says that the run may wait until an endpoint has room for it; Again that it was sent before, or placed.
+	Waits bool
+	Again bool
 	// Homes holds the regions whose endpoints may get the run.
 	Homes routing.Regions
 	// Config is the service's configuration; nil if the route table has none.
@@ -82,6 +85,8 @@
 	// that number divided by the endpoint's slots.
 	Running int
 	Load    float64
+	// Waited is how long the run waited for room.
+	Waited time.Duration
 	// RetryAllowed says that the retry budget has room for an escalation or another send of the request.
 	RetryAllowed bool
 	// TypicalLatency is that of such runs, StrongerLatency that of runs of the stronger model.
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -36,6 +36,8 @@
 	ChoicePausing
 	// ChoiceFull means that no endpoint that may run it has room now.
 	ChoiceFull
+	// ChoiceLeaving means that the VM is shutting down and the run would come too late.
+	ChoiceLeaving
 )
 
 // Crash says that an endpoint crashed while it ran the request with the fingerprint. Endpoint is its ID and its incarnation,
@@ -214,9 +216,12 @@
 // other is eligible, and none that asked for a pause. The Controller calls it for each run.
 func (t *Table) Choose(q *Query, now time.Time) (Placement, Choice) {
 	q.blocks, q.sharedTokens = joinBlocks(q.Prompt.Blocks), q.Prompt.SharedPrefixTokens()
-	best := t.best(q, now, true)
+	best, full := t.best(q, now, true)
+	if best == nil && full {
+		return Placement{}, ChoiceFull
+	}
 	if best == nil {
-		best = t.best(q, now, false)
+		best, _ = t.best(q, now, false)
 	}
 	if best == nil {
 		if t.pauseLeft(q, now) > 0 {
@@ -244,17 +249,21 @@
 // weight returns the share of an engine, 0 to 1, that the run takes.
 func (q *Query) weight() float64 { return cmp.Or(q.Weight, 1) }
 
-// best returns the eligible endpoint with the lowest score, or nil. If onlyAvailable is not set, endpoints in a backoff
-// are included, with its remaining time as a cost. Choose calls it up to twice.
-func (t *Table) best(q *Query, now time.Time, onlyAvailable bool) *Record {
+// best returns the eligible endpoint with the lowest score, or nil; full says that none of this availability zone has room, to which the
+// run is confined. If onlyAvailable is not set, endpoints in a backoff are included, with its remaining time as a cost. Choose calls it
+// up to twice.
+func (t *Table) best(q *Query, now time.Time, onlyAvailable bool) (best *Record, full bool) {
 	list := t.services[q.Service]
 	ranks := affinityRanks(q, list)
-	var best *Record
+	confined := onlyAvailable && t.confined(q, list, now)
 	var leastScore time.Duration
 	for i, r := range list {
 		if !r.eligible(q) || r.pauses(now) || (onlyAvailable && !r.available(now)) {
 			continue
 		}
+		if confined && (r.Zone != t.location.Zone || !r.hasRoom(q, now)) {
+			continue
+		}
 		s := r.Score(q, t.location, ranks[i], now)
 		if !onlyAvailable {
 			s += max(r.backoffUntil.Sub(now), 0)
@@ -263,7 +272,7 @@
 			best, leastScore = r, s
 		}
 	}
-	return best
+	return best, confined && best == nil
 }
 
 // affinityRanks returns the rank of each endpoint for the query's affinity, from 0, among the eligible ones of its
--- a/internal/task/reply.go
+++ b/internal/task/reply.go
@@ -12,6 +12,9 @@
 // the asker left, takes the only place in the channel, so that both sides know which it was and neither waits.
 type Reply[R any] struct{ place chan replyOrLeave[R] }
 
+// NewReply makes a Reply for a question that isn't asked by AskOrLeave, as in a test of its receiver.
+func NewReply[R any]() Reply[R] { return Reply[R]{make(chan replyOrLeave[R], 1)} }
+
 // replyOrLeave is a reply, or says that the asker left.
 type replyOrLeave[R any] struct {
 	value R
@@ -38,7 +41,7 @@
 // nil if it's never told.
 func AskOrLeave[M, R any](ctx context.Context, stopped <-chan struct{}, mailbox chan<- M, build func(Reply[R]) M) (R, error) {
 	var zero R
-	reply := Reply[R]{make(chan replyOrLeave[R], 1)}
+	reply := NewReply[R]()
 	if err := Tell(mailbox, build(reply)); err != nil {
 		return zero, err
 	}
