--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -40,6 +40,8 @@
 	ChoiceEvacuated
 	// ChoiceCold means that all endpoints that may run it are cold and take no more runs of this VM now.
 	ChoiceCold
+	// ChoiceLeaving means that the VM is shutting down and the run would come too late.
+	ChoiceLeaving
 )
 
 // Crash says that an endpoint crashed while it ran the request with the fingerprint. Endpoint is its ID and its incarnation,
@@ -202,9 +204,12 @@
 func (t *Table) Choose(q *Query, now time.Time) (Placement, Choice) {
 	t.cold.noteService(q.Config)
 	q.blocks, q.sharedTokens = joinBlocks(q.Prompt.Blocks), q.Prompt.SharedPrefixTokens()
-	best := t.best(q, now, true)
+	best, full := t.best(q, now, true)
+	if best == nil && full {
+		return Placement{}, ChoiceFull
+	}
 	if best == nil {
-		best = t.best(q, now, false)
+		best, _ = t.best(q, now, false)
 	}
 	if best == nil {
 		return Placement{}, t.refusal(q, now)
@@ -246,12 +251,13 @@
 // weight returns the share of an engine, 0 to 1, that the run takes.
 func (q *Query) weight() float64 { return cmp.Or(q.Weight, 1) }
 
-// best returns the eligible endpoint with the lowest score, or nil. If onlyAvailable is not set, endpoints in a backoff
-// are included, with its remaining time as a cost. Choose calls it up to twice.
-func (t *Table) best(q *Query, now time.Time, onlyAvailable bool) *Record {
+// best returns the eligible endpoint with the lowest score, or nil; full says that none of this availability zone has room, to which the
+// run is confined. If onlyAvailable is not set, endpoints in a backoff are included, with its remaining time as a cost. Choose calls it
+// up to twice.
+func (t *Table) best(q *Query, now time.Time, onlyAvailable bool) (best *Record, full bool) {
 	list := t.services[q.Service]
 	ranks := affinityRanks(q, list)
-	var best *Record
+	confined := onlyAvailable && t.confined(q, list, now)
 	var leastScore time.Duration
 	for i, r := range list {
 		if !r.eligible(q) || r.pauses(now) || (onlyAvailable && !r.available(now)) {
@@ -261,6 +267,9 @@
 		if cold && left == 0 {
 			continue
 		}
+		if confined && (r.Zone != t.location.Zone || !r.hasRoom(q, now)) {
+			continue
+		}
 		s := r.Score(q, t.location, ranks[i], now)
 		if cold {
 			s += coldCost
@@ -272,7 +281,7 @@
 			best, leastScore = r, s
 		}
 	}
-	return best
+	return best, confined && best == nil
 }
 
 // affinityRanks returns the rank of each endpoint for the query's affinity, from 0, among the eligible ones of its
