Forecast in each placement, learned; slowness and loads of zones in states

Each placement now says when its run is expected to begin and end, by a model of its service and model name and by the slowness of the endpoint. An outcome carries what the placement found, so that the model learns from it. A state holds the slowness of each endpoint that the sender knows (3 bytes a report), and the mean load of each service in the sender's zone goes to the VMs of other zones (some 16 bytes a service). The score of a placement is as before.

Metric cornelmux.forecast.error, and fields uncached_tokens, engine_load and forecast_ns in the steps of the access log.

--- a/internal/engine/model.go
+++ b/internal/engine/model.go
@@ -7,6 +7,8 @@
 
 // Prior is what is taken for the engines of a service before runs were seen.
 type Prior struct {
+	// First is the time to the head of the answer to an empty prompt at an idle endpoint.
+	First time.Duration
 	// PerToken is the time to process a prompt token, PerLoad the delay by a run of the most expensive model beside this one, and
 	// PerQueue the wait for a queue as long as the engine has slots.
 	PerToken time.Duration
@@ -39,11 +41,12 @@
 
 // NewModel makes a Model that foretells by the prior.
 func NewModel(p Prior) *Model {
-	prior := vector{0, tokenUnit * milliseconds(p.PerToken), milliseconds(p.PerLoad), milliseconds(p.PerQueue)}
+	prior := vector{milliseconds(p.First), tokenUnit * milliseconds(p.PerToken), milliseconds(p.PerLoad), milliseconds(p.PerQueue)}
 	var least vector
 	for i := range prior {
 		least[i] = leastShare * prior[i]
 	}
+	least[termConstant] = 0
 	gap := vector{termConstant: milliseconds(p.PerEvent)}
 	return &Model{usual: 1, begin: newFit(prior, least, p.Typical.vector()), gap: newFit(gap, vector{}, p.Typical.vector())}
 }
--- a/internal/engine/slowness.go
+++ b/internal/engine/slowness.go
@@ -15,12 +15,16 @@
 	// slownessHalfLife is the time in which half of what was learned is forgotten, so that an endpoint that gets few runs because it
 	// was slow is tried again.
 	slownessHalfLife = 5 * time.Second
+	// minKnownRuns is how many runs make the slowness of an endpoint known.
+	minKnownRuns = 1
 )
 
 // Slowness is how many times longer the runs of an endpoint take than expected. The zero value says nothing, which counts as 1.
 type Slowness struct {
 	excess float64
-	at     time.Time
+	// runs counts the runs that it rests on, as far as they aren't forgotten.
+	runs float64
+	at   time.Time
 }
 
 // Learn adds a run that began after seen, where expected was foretold for an endpoint of usual speed.
@@ -29,18 +33,21 @@
 		return
 	}
 	ratio := min(max(float64(seen)/float64(expected), minRunRatio), maxRunRatio)
-	s.excess = s.left(now)
+	left := s.left(now)
+	s.excess, s.runs, s.at = s.excess*left, s.runs*left+1, now
 	s.excess += (ratio - 1 - s.excess) * slownessShare
-	s.at = now
 }
 
 // Ratio returns the slowness now: 1 for an endpoint of usual speed or one that nothing is known of.
-func (s *Slowness) Ratio(now time.Time) float64 { return 1 + s.left(now) }
+func (s *Slowness) Ratio(now time.Time) float64 { return 1 + s.excess*s.left(now) }
 
-// left returns the part of the excess that isn't forgotten yet.
+// Known reports whether the slowness rests on some runs of late.
+func (s *Slowness) Known(now time.Time) bool { return s.runs*s.left(now) >= minKnownRuns }
+
+// left returns the part, 0 to 1, of what was learned that isn't forgotten yet.
 func (s *Slowness) left(now time.Time) float64 {
 	if s.at.IsZero() {
 		return 0
 	}
-	return s.excess * math.Exp2(-float64(max(now.Sub(s.at), 0))/float64(slownessHalfLife))
+	return math.Exp2(-float64(max(now.Sub(s.at), 0)) / float64(slownessHalfLife))
 }
--- a/internal/feed/gossip.go
+++ b/internal/feed/gossip.go
@@ -46,8 +46,8 @@
 }
 
 // gossip sends the state of the sections to the other VMs of the zone. Evidence, crashes, endpoints that are leaving and what is known of
-// prompt blocks matter in every zone, so states with these also go to some VMs of other zones. Run calls it at each tick; it sends every
-// gossipInterval, and nothing if the state has neither these nor endpoints. A section that fails is left out.
+// prompt blocks matter in every zone, so states with these also go to some VMs of other zones, as do the mean loads of the zone. Run calls
+// it at each tick; it sends every gossipInterval, and nothing that is empty. A section that fails is left out.
 func (c *Controller) gossip(ctx context.Context, now time.Time) {
 	if now.Before(c.nextGossip) || len(c.secret) == 0 || len(c.sections) == 0 {
 		return
@@ -68,12 +68,13 @@
 	}
 	leaving := leavingReports(s.Endpoints)
 	forAllZones := len(leaving) > 0 || len(s.Evidence) > 0 || len(s.Crashes) > 0 || len(s.LostRuns) > 0 || len(s.Clearances) > 0 || len(s.BlockQuarantines) > 0
-	if len(s.Endpoints) == 0 && !forAllZones {
-		return
+	zoneLoads := s.ZoneLoads
+	s.ZoneLoads = nil // the VMs of the zone know more
+	if len(s.Endpoints) > 0 || forAllZones {
+		c.sendState(s, ZonePeers(self.VM, self.Zone, c.members))
 	}
-	c.sendState(s, ZonePeers(self.VM, self.Zone, c.members))
-	if forAllZones {
-		s.Endpoints = leaving // loads matter only in their own zone
+	if forAllZones || len(zoneLoads) > 0 {
+		s.Endpoints, s.ZoneLoads = leaving, zoneLoads // single loads matter only in their own zone
 		c.sendState(s, c.nextRemotePeers())
 	}
 }
--- a/internal/feed/gossip_test.go
+++ b/internal/feed/gossip_test.go
@@ -20,7 +20,7 @@
 }
 
 func (s fixedSection) Collect(_ context.Context, to *peer.State) error {
-	to.Endpoints, to.Crashes = s.state.Endpoints, s.state.Crashes
+	to.Endpoints, to.Crashes, to.ZoneLoads = s.state.Endpoints, s.state.Crashes, s.state.ZoneLoads
 	to.LostRuns, to.Clearances, to.BlockQuarantines = s.state.LostRuns, s.state.Clearances, s.state.BlockQuarantines
 	return nil
 }
@@ -30,8 +30,8 @@
 	return nil
 }
 
-// TestStatesReachPeers checks that loads reach the VMs of the zone, and crashes and what is known of prompt blocks those of other
-// zones too.
+// TestStatesReachPeers checks that loads reach the VMs of the zone, mean loads those of other zones, and crashes and what is known of
+// prompt blocks both.
 func TestStatesReachPeers(t *testing.T) {
 	tests := []struct {
 		name      string
@@ -41,18 +41,25 @@
 		crashes   int
 		// blocks is the number of lost runs, clearances and quarantines.
 		blocks int
+		zones  int
 	}{
-		{"a load in the zone", "z", peer.State{Endpoints: []peer.EndpointReport{{Endpoint: "e", Running: 2}}}, 1, 0, 0},
-		{"a crash in the zone", "z", peer.State{Crashes: []peer.CrashReport{{Fingerprint: 7, Endpoint: "e"}}}, 0, 1, 0},
+		{"a load in the zone", "z", peer.State{Endpoints: []peer.EndpointReport{{Endpoint: "e", Running: 2}}}, 1, 0, 0, 0},
+		{"a crash in the zone", "z", peer.State{Crashes: []peer.CrashReport{{Fingerprint: 7, Endpoint: "e"}}}, 0, 1, 0, 0},
 		{"a crash in another zone", "y", peer.State{
 			Endpoints: []peer.EndpointReport{{Endpoint: "e"}}, Crashes: []peer.CrashReport{{Fingerprint: 7, Endpoint: "e"}},
-		}, 0, 1, 0},
+		}, 0, 1, 0, 0},
 		{"a leaving endpoint in another zone", "y", peer.State{
 			Endpoints: []peer.EndpointReport{{Endpoint: "e", Running: 2}, {Endpoint: "f", Leaving: true}},
-		}, 1, 0, 0},
-		{"a lost run in another zone", "y", peer.State{LostRuns: []peer.LostRun{{Request: 7, Blocks: []uint64{1}}}}, 0, 0, 1},
-		{"a clearance in another zone", "y", peer.State{Clearances: []peer.Clearance{{Key: 1}}}, 0, 0, 1},
-		{"a quarantine in another zone", "y", peer.State{BlockQuarantines: []peer.BlockQuarantine{{Block: 1}}}, 0, 0, 1},
+		}, 1, 0, 0, 0},
+		{"a lost run in another zone", "y", peer.State{LostRuns: []peer.LostRun{{Request: 7, Blocks: []uint64{1}}}}, 0, 0, 1, 0},
+		{"a clearance in another zone", "y", peer.State{Clearances: []peer.Clearance{{Key: 1}}}, 0, 0, 1, 0},
+		{"mean loads in another zone", "y", peer.State{
+			Endpoints: []peer.EndpointReport{{Endpoint: "e", Running: 2}}, ZoneLoads: []peer.ZoneLoad{{Service: "s", EngineLoad: 2}},
+		}, 0, 0, 0, 1},
+		{"mean loads in the zone, where VMs know more", "z", peer.State{
+			Endpoints: []peer.EndpointReport{{Endpoint: "e", Running: 2}}, ZoneLoads: []peer.ZoneLoad{{Service: "s", EngineLoad: 2}},
+		}, 1, 0, 0, 0},
+		{"a quarantine in another zone", "y", peer.State{BlockQuarantines: []peer.BlockQuarantine{{Block: 1}}}, 0, 0, 1, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -83,6 +90,7 @@
 				qt.Check(t, got.VM, qt.Equals, "sender")
 				qt.Check(t, got.Endpoints, qt.HasLen, test.endpoints)
 				qt.Check(t, got.Crashes, qt.HasLen, test.crashes)
+				qt.Check(t, got.ZoneLoads, qt.HasLen, test.zones)
 				qt.Check(t, len(got.LostRuns)+len(got.Clearances)+len(got.BlockQuarantines), qt.Equals, test.blocks)
 			case <-ctx.Done():
 				t.Fatal("no state arrived")
--- a/internal/filter/observe.go
+++ b/internal/filter/observe.go
@@ -29,6 +29,8 @@
 	// was none.
 	Duration         time.Duration
 	TimeToFirstChunk time.Duration
+	// ForecastErrors holds, for each send that was answered and had a forecast, by how much later than expected its answer began.
+	ForecastErrors []time.Duration
 }
 
 // Meter records measurements of requests. Observe calls Started when a request enters the chain and Ended when it leaves
@@ -66,6 +68,11 @@
 	if !w.firstChunkAt.IsZero() {
 		o.TimeToFirstChunk = w.firstChunkAt.Sub(x.Arrived)
 	}
+	for _, step := range x.Routed.Trace {
+		if step.TTFB > 0 && step.Forecast > 0 {
+			o.ForecastErrors = append(o.ForecastErrors, step.TTFB-step.Forecast)
+		}
+	}
 	return o
 }
 
--- a/internal/filter/outcome.go
+++ b/internal/filter/outcome.go
@@ -57,7 +57,7 @@
 	x, place := f.x, s.place
 	o := pool.Outcome{
 		Endpoint: place.ID, Incarnation: place.Incarnation, End: s.end, Service: x.Routed.Service, TTFB: s.ttfb,
-		SentAt: s.began, Events: s.events, Fingerprint: Fingerprint(x),
+		SentAt: s.began, Events: s.events, Run: place.Run, Fingerprint: Fingerprint(x),
 	}
 	a := shift.Outcome{
 		Attempt: s.present, Failed: s.end == pool.EndFailed, TimedOut: s.end == pool.EndTimeout,
@@ -75,8 +75,9 @@
 	_ = f.Pool.Done(ctx, o)           // Done waits for room; if it fails even so, the run stays counted as in flight
 	_ = f.Shifts.AttemptEnded(ctx, a) // a full mailbox loses one answer's evidence
 	step := Step{
-		Endpoint: place.ID, Model: s.model, Version: place.Version, End: s.end.String(), Load: place.Load, Placing: s.placing,
-		TTFB: s.ttfb, Duration: s.duration, Events: s.events, MeanGap: o.MeanGap, Silent: s.silent, Refused: s.refused,
+		Endpoint: place.ID, Model: s.model, Version: place.Version, End: s.end.String(), Load: place.Load, Placing: s.placing, Uncached: place.Run.Tokens, EngineLoad: place.Run.Load,
+		Forecast: place.Forecast.Begin,
+		TTFB:     s.ttfb, Duration: s.duration, Events: s.events, MeanGap: o.MeanGap, Silent: s.silent, Refused: s.refused,
 		RefusedErr: s.refusedErr, Confidence: -1,
 		Verdict: s.verdict.String(),
 	}
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -74,6 +74,12 @@
 	Load float64 `json:"load"`
 	// Placing is how long the send waited for its placement.
 	Placing time.Duration `json:"placing_ns"`
+	// Uncached is the number of prompt tokens that the endpoint was expected to process, EngineLoad the load of the other runs there as
+	// the forecast took it: their weights, or for a plain service the share of the slots.
+	Uncached   int     `json:"uncached_tokens"`
+	EngineLoad float64 `json:"engine_load"`
+	// Forecast is the time after which the answer was expected to begin.
+	Forecast time.Duration `json:"forecast_ns"`
 	// TTFB and Duration are the times to the head of the answer and to its end.
 	TTFB     time.Duration `json:"first_ns"`
 	Duration time.Duration `json:"took_ns"`
--- a/internal/filter/waiting_test.go
+++ b/internal/filter/waiting_test.go
@@ -48,7 +48,7 @@
 		none bool
 		want []string
 	}{
-		{"placed", false, []string{`"table_ns":1000000`, `"check_ns":2000000`, `"placing_ns":3000000,"steps"`, `"placing_ns":3000000,"first_ns"`}},
+		{"placed", false, []string{`"table_ns":1000000`, `"check_ns":2000000`, `"placing_ns":3000000,"steps"`, `"placing_ns":3000000,"uncached_tokens"`}},
 		{"not placed", true, []string{`"table_ns":1000000`, `"check_ns":2000000`, `"placing_ns":3000000,"steps":null`}},
 	}
 	for _, test := range tests {
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -60,6 +60,7 @@
 	inFlight         metric.Int64UpDownCounter
 	requestDuration  metric.Float64Histogram
 	timeToFirstChunk metric.Float64Histogram
+	forecastError    metric.Float64Histogram
 	sends            metric.Int64Counter
 	answers          metric.Int64Counter
 	runs             metric.Int64Counter
@@ -87,6 +88,7 @@
 		inFlight:         b.upDown("cornelmux.requests.in_flight", "{request}", "Requests in flight."),
 		requestDuration:  b.histogram("cornelmux.request.duration", "Time from arrival to the end of the answer.", bucketBounds),
 		timeToFirstChunk: b.histogram("cornelmux.request.first_piece", "Time from arrival to the first piece of the answer.", bucketBounds),
+		forecastError:    b.histogram("cornelmux.forecast.error", "Time between the expected and the seen begin of an answer at an endpoint, by which came first.", bucketBounds),
 		sends:            b.counter("cornelmux.sends", "{send}", "Sends to endpoints, retries included."),
 		answers:          b.counter("cornelmux.answers", "{answer}", "Answers passed on, by version and cascade level."),
 		runs:             b.counter("cornelmux.runs", "{run}", "Runs at endpoints that answers were made of, rejected cascade levels included."),
@@ -138,6 +140,9 @@
 			attribute.String("service", o.Service), attribute.Int("level", o.Level),
 		))
 	}
+	for _, late := range o.ForecastErrors {
+		m.forecastError.Record(ctx, late.Abs().Seconds(), metric.WithAttributes(kind, attribute.Bool("late", late > 0)))
+	}
 	for _, run := range o.Runs {
 		attributes := metric.WithAttributes(attribute.String("model", run.Model), attribute.String("version", run.Version), attribute.String("service", run.Service))
 		m.runs.Add(ctx, 1, attributes)
--- a/internal/metric/metric_test.go
+++ b/internal/metric/metric_test.go
@@ -61,6 +61,7 @@
 		Kind: filter.KindChat, Code: result.OK, Run: result.Ran, Model: "composer", Version: "v1", Level: 1, Sends: 3,
 		Runs:     []journal.Run{{Model: "cheap", Version: "v1", Tokens: 10}, {Model: "composer", Version: "v1", Tokens: 20}},
 		Duration: 200 * time.Millisecond, TimeToFirstChunk: 50 * time.Millisecond,
+		ForecastErrors: []time.Duration{20 * time.Millisecond, -80 * time.Millisecond},
 	})
 	m.Ended(ctx, filter.Observation{Code: result.BadKey, Run: result.NotRun, Duration: time.Millisecond})
 	m.MessageRecorder("pool", "choose")(20 * time.Millisecond)
@@ -72,6 +73,9 @@
 		`cornelmux_requests_in_flight 1`,
 		`cornelmux_request_duration_seconds_bucket{kind="chat",le="0.25"} 1`,
 		`cornelmux_request_first_piece_seconds_bucket{kind="chat",le="0.063"} 1`,
+		`cornelmux_forecast_error_seconds_bucket{kind="chat",late="true",le="0.025"} 1`,
+		`cornelmux_forecast_error_seconds_bucket{kind="chat",late="false",le="0.063"} 0`,
+		`cornelmux_forecast_error_seconds_bucket{kind="chat",late="false",le="0.1"} 1`,
 		`cornelmux_sends_total{kind="chat"} 3`,
 		`cornelmux_answers_total{level="1",model="composer",service="",version="v1"} 1`,
 		`cornelmux_tokens_total{model="cheap",service="",version="v1"} 10`,
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -58,6 +58,7 @@
 	listLostRuns
 	listClearances
 	listBlockQuarantines
+	listZoneLoads
 	listRelayed
 	listCount
 )
@@ -79,7 +80,7 @@
 	sizes := [][]int{
 		sizesOf(all.Halts), sizesOf(all.Crashes), sizesOf(all.Sessions), sizesOf(all.Evidence),
 		sizesOf(all.Demand), sizesOf(all.Endpoints), sizesOf(all.Latencies),
-		sizesOf(all.LostRuns), sizesOf(all.Clearances), sizesOf(all.BlockQuarantines), sizesOf(relayed),
+		sizesOf(all.LostRuns), sizesOf(all.Clearances), sizesOf(all.BlockQuarantines), sizesOf(all.ZoneLoads), sizesOf(relayed),
 	}
 	for i, list := range sizes {
 		c.start[i] %= max(len(list), 1)
@@ -96,6 +97,7 @@
 	d.LostRuns = rotate(all.LostRuns, c.start[listLostRuns], n[listLostRuns])
 	d.Clearances = rotate(all.Clearances, c.start[listClearances], n[listClearances])
 	d.BlockQuarantines = rotate(all.BlockQuarantines, c.start[listBlockQuarantines], n[listBlockQuarantines])
+	d.ZoneLoads = rotate(all.ZoneLoads, c.start[listZoneLoads], n[listZoneLoads])
 	d.Relayed = relayed[:n[listRelayed]]
 	for i := range c.start {
 		c.start[i] += n[i]
@@ -200,7 +202,8 @@
 		d.Endpoints = append(d.Endpoints, &wire.EndpointReport{
 			Endpoint: e.Endpoint, Incarnation: e.Incarnation, Queued: uint32(max(e.Queued, 0)), Running: uint32(max(e.Running, 0)),
 			AgeMs: uint32(max(e.Age.Milliseconds(), 0)), Leaving: e.Leaving, Suspect: e.Suspect, Versions: e.Versions,
-			WorkPercent: uint32(max(e.EngineLoad, 0)*100 + 0.5), FailedPermille: uint32(max(e.FailureRate, 0)*1000 + 0.5),
+			WorkPercent: toPercent(e.EngineLoad), FailedPermille: uint32(max(e.FailureRate, 0)*1000 + 0.5),
+			SlowPercent: toPercent(e.Slowness),
 		})
 	}
 	for _, e := range s.Evidence {
@@ -226,6 +229,9 @@
 			Service: l.Service, Kind: l.Kind, Load: uint32(max(l.Load, 0)), Count: uint32(max(l.Count, 0)), MeanUs: uint64(max(l.Mean, 0).Microseconds()),
 		})
 	}
+	for _, z := range s.ZoneLoads {
+		d.ZoneLoads = append(d.ZoneLoads, &wire.ZoneLoad{Service: z.Service, WorkPercent: toPercent(z.EngineLoad), UsedPercent: toPercent(z.Utilization)})
+	}
 	blocksToWire(d, s)
 	return d
 }
@@ -241,7 +247,7 @@
 		s.Endpoints = append(s.Endpoints, EndpointReport{
 			Endpoint: e.Endpoint, Incarnation: e.Incarnation, Queued: int(e.Queued), Running: int(e.Running),
 			Age: time.Duration(e.AgeMs) * time.Millisecond, Leaving: e.Leaving, Suspect: e.Suspect, Versions: e.Versions,
-			EngineLoad: float64(e.WorkPercent) / 100, FailureRate: float64(e.FailedPermille) / 1000,
+			EngineLoad: fromPercent(e.WorkPercent), FailureRate: float64(e.FailedPermille) / 1000, Slowness: fromPercent(e.SlowPercent),
 		})
 	}
 	for _, e := range d.Evidence {
@@ -267,6 +273,9 @@
 			Service: l.Service, Kind: l.Kind, Load: int(l.Load), Count: int(l.Count), Mean: time.Duration(l.MeanUs) * time.Microsecond,
 		})
 	}
+	for _, z := range d.ZoneLoads {
+		s.ZoneLoads = append(s.ZoneLoads, ZoneLoad{Service: z.Service, EngineLoad: fromPercent(z.WorkPercent), Utilization: fromPercent(z.UsedPercent)})
+	}
 	blocksFromWire(&s, d)
 	return s
 }
@@ -303,6 +312,12 @@
 	}
 }
 
+// toPercent returns a ratio in whole percent; a negative one is 0.
+func toPercent(ratio float64) uint32 { return uint32(max(ratio, 0)*100 + 0.5) }
+
+// fromPercent is the reverse of toPercent.
+func fromPercent(percent uint32) float64 { return float64(percent) / 100 }
+
 // toMillis returns a time in whole milliseconds; a negative one is 0.
 func toMillis(d time.Duration) uint32 { return uint32(max(d.Milliseconds(), 0)) }
 
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -39,6 +39,7 @@
 	// Clearances and BlockQuarantines say which prompt blocks are sound and which crash endpoints.
 	Clearances       []Clearance
 	BlockQuarantines []BlockQuarantine
+	ZoneLoads        []ZoneLoad
 }
 
 // EndpointReport is the load of an endpoint as the sender saw it.
@@ -61,6 +62,17 @@
 	// that it takes. FailureRate is the share of the sender's requests that fail, from 0 to 1.
 	EngineLoad  float64
 	FailureRate float64
+	// Slowness is how many times longer than expected the sender's requests take there; 0 if it knows too little.
+	Slowness float64
+}
+
+// ZoneLoad is the mean load of a service's endpoints in the sender's availability zone, as far as the sender knows it.
+type ZoneLoad struct {
+	Service string
+	// EngineLoad is the mean over the endpoints of the summed weight of their requests, Utilization that of the share of their
+	// slots in use.
+	EngineLoad  float64
+	Utilization float64
 }
 
 // VersionEvidence counts a version's answers at the sender in one run of a rollout or in one traffic shift.
--- a/internal/pool/gossip.go
+++ b/internal/pool/gossip.go
@@ -25,6 +25,8 @@
 	inFlight    int
 	engineLoad  float64
 	failureRate float64
+	// slowness is how many times longer than expected its runs take there; 0 if it knows too little.
+	slowness float64
 }
 
 // PeerReports returns the reports to send to peers: the endpoints that this VM uses, suspects or saw failing, and those that said
@@ -37,9 +39,13 @@
 		if r.InFlight == 0 && r.failureRate < minReportedFailureRate && !suspected && !leaving {
 			continue
 		}
+		var slowness float64
+		if r.slowness.Known(now) {
+			slowness = r.slowness.Ratio(now)
+		}
 		out = append(out, peer.EndpointReport{
 			Endpoint: r.ID, Incarnation: uint64(r.Incarnation), Running: r.InFlight, EngineLoad: r.engineLoad, FailureRate: r.failureRate, Suspect: suspected,
-			Leaving: leaving,
+			Leaving: leaving, Slowness: slowness,
 		})
 	}
 	return out
@@ -53,7 +59,7 @@
 		if !ok || uint64(r.Incarnation) != e.Incarnation {
 			continue
 		}
-		r.peerViews[vm] = peerView{now, e.Running, e.EngineLoad, e.FailureRate}
+		r.peerViews[vm] = peerView{now, e.Running, e.EngineLoad, e.FailureRate, e.Slowness}
 		if e.Suspect && r.backoffs == 0 {
 			r.suspectedUntil = now.Add(suspicionTTL)
 		}
@@ -77,9 +83,15 @@
 	return inFlight, engineLoad, failureRate / n
 }
 
+// loads are the lists of a state that the Controller contributes.
+type loads struct {
+	endpoints []peer.EndpointReport
+	zones     []peer.ZoneLoad
+}
+
 type (
 	collectMessage struct {
-		reply task.Reply[[]peer.EndpointReport]
+		reply task.Reply[loads]
 	}
 	receiveMessage struct{ state peer.State }
 )
@@ -89,15 +101,14 @@
 
 // Collect implements peer.Section.
 func (c *Controller) Collect(ctx context.Context, s *peer.State) error {
-	reports, err := task.AskOrLeave(ctx, c.stopped, c.mailbox, func(reply task.Reply[[]peer.EndpointReport]) message { return collectMessage{reply} })
-	s.Endpoints = append(s.Endpoints, reports...)
+	l, err := task.AskOrLeave(ctx, c.stopped, c.mailbox, func(reply task.Reply[loads]) message { return collectMessage{reply} })
+	s.Endpoints, s.ZoneLoads = append(s.Endpoints, l.endpoints...), append(s.ZoneLoads, l.zones...)
 	return err
 }
 
-// Receive implements peer.Section. Of VMs of other availability zones only the endpoints that are leaving count, because runs seldom
-// leave their zone.
+// Receive implements peer.Section. Of VMs of other availability zones only the mean loads there count and the endpoints that are leaving.
 func (c *Controller) Receive(_ context.Context, s peer.State) error {
-	if len(s.Endpoints) == 0 {
+	if len(s.Endpoints)+len(s.ZoneLoads) == 0 {
 		return nil
 	}
 	return task.Tell(c.mailbox, message(receiveMessage{s}))
@@ -105,7 +116,8 @@
 
 func (m collectMessage) handle(_ context.Context, c *Controller) {
 	if m.reply.Wanted() {
-		m.reply.Send(c.table.PeerReports(time.Now()))
+		now := time.Now()
+		m.reply.Send(loads{c.table.PeerReports(now), c.table.ZoneLoads(now)})
 	}
 }
 
@@ -117,6 +129,10 @@
 	}
 	if m.state.Zone == c.opts.Location.Zone {
 		c.table.ApplyPeerReports(m.state.VM, m.state.Endpoints, time.Now())
+		return
+	}
+	for _, l := range m.state.ZoneLoads {
+		c.table.zoneLoads.hear(m.state.Zone, l, time.Now())
 	}
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -70,9 +70,11 @@
 	Deadline  time.Time
 	Objective time.Time
 
-	// blocks are those of the prompt as endpoints remember them, sharedTokens the length of its shared prefix; Table.Choose sets both.
+	// blocks are those of the prompt as endpoints remember them, sharedTokens the length of its shared prefix, and engine is what
+	// was learned of the engines for such runs; Table.Choose sets them.
 	blocks       []routing.PrefixBlock
 	sharedTokens int
+	engine       *engine.Model
 }
 
 // Placement is the endpoint chosen for a run and its load.
@@ -87,7 +89,8 @@
 	// TypicalLatency is that of such runs, StrongerLatency that of runs of the stronger model.
 	TypicalLatency  Latency
 	StrongerLatency Latency
-	// Forecast is when the run is expected to begin and end there.
+	// Run is what the run asks of the endpoint and finds there, Forecast when it is expected to begin and end.
+	Run      engine.Run
 	Forecast engine.Forecast
 	// PrefillTime is how long the endpoint's most expensive model takes at least to process the part of the prompt that it has
 	// not cached.
@@ -148,6 +151,8 @@
 	Prompt      routing.Prompt
 	// Weight is the same as in the Query.
 	Weight float64
+	// Run is that of the Placement.
+	Run engine.Run
 	// TTFB is the time to first byte; 0 if none arrived.
 	TTFB time.Duration
 	// MeanGap is the mean time between two events; 0 if there were too few.
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"cornelmux/internal/engine"
 )
 
 const (
@@ -72,6 +74,8 @@
 	failureRate float64
 	// latencyRatio is the moving mean of the time to first byte, divided by the typical one.
 	latencyRatio float64
+	// slowness is how much longer its runs take than expected.
+	slowness engine.Slowness
 	// prefixBlocks holds the blocks that the endpoint has probably cached.
 	prefixBlocks *prefixCache
 	// movesLeft is how many silent runs may still be moved away in the moveInterval that began at movesSince.
@@ -102,7 +106,7 @@
 	r.Leaving = r.Leaving || leaving
 	r.missing, r.withdrawn = false, false
 	if restarted {
-		r.replaced, r.backoffs, r.backoffUntil, r.failureRate, r.latencyRatio = false, 0, time.Time{}, 0, 1
+		r.replaced, r.backoffs, r.backoffUntil, r.failureRate, r.latencyRatio, r.slowness = false, 0, time.Time{}, 0, 1, engine.Slowness{}
 		r.saidLeavingAt, r.pausedUntil = time.Time{}, time.Time{}
 		r.prefixBlocks, r.peerViews, r.suspectedUntil, r.unreachable = newPrefixCache(maxPrefixBlocks), map[string]peerView{}, time.Time{}, false
 	}
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -54,6 +54,11 @@
 	unlisted unlisted
 	// typical holds the typical latency of the runs by service and model.
 	typical map[latencyKey]Latency
+	// models holds what was learned of the engines by service and model.
+	models models
+	// zoneLoads holds the loads of other zones, delays how much later runs begin there.
+	zoneLoads zoneLoads
+	delays    delays
 	// directoryDown says that the directory cannot be read now; directoryUpAt is when it last became readable again.
 	directoryDown bool
 	directoryUpAt time.Time
@@ -67,7 +72,10 @@
 
 // NewTable makes an empty Table for a VM at the location.
 func NewTable(location endpoint.Location) *Table {
-	return &Table{location: location, records: map[string]*Record{}, services: map[string][]*Record{}, unlisted: unlisted{}, typical: map[latencyKey]Latency{}}
+	return &Table{
+		location: location, records: map[string]*Record{}, services: map[string][]*Record{}, unlisted: unlisted{}, typical: map[latencyKey]Latency{}, models: models{},
+		zoneLoads: zoneLoads{}, delays: newDelays(),
+	}
 }
 
 // Put adds or updates an entry, unless it is of an earlier incarnation. It returns the crashes that a new incarnation
@@ -214,6 +222,7 @@
 // other is eligible, and none that asked for a pause. The Controller calls it for each run.
 func (t *Table) Choose(q *Query, now time.Time) (Placement, Choice) {
 	q.blocks, q.sharedTokens = joinBlocks(q.Prompt.Blocks), q.Prompt.SharedPrefixTokens()
+	q.engine = t.models.of(latencyKey{q.Service, q.Model})
 	best := t.best(q, now, true)
 	if best == nil {
 		best = t.best(q, now, false)
@@ -225,11 +234,12 @@
 		return Placement{}, ChoiceNone
 	}
 	inFlight, _, _ := best.peerTotals(now)
+	run := t.run(best, q, now)
 	best.InFlight++
 	best.engineLoad += q.weight()
 	return Placement{
-		PrefillTime: prefillTime(best.uncachedTokens(q)),
-		Entry:       best.Entry, Running: best.InFlight + inFlight, Load: slotUtilization(best.InFlight+inFlight, best.Slots),
+		PrefillTime: prefillTime(run.Tokens), Run: run, Forecast: q.engine.Forecast(run, best.slowRatio(now)),
+		Entry: best.Entry, Running: best.InFlight + inFlight, Load: slotUtilization(best.InFlight+inFlight, best.Slots),
 		TypicalLatency: t.typical[latencyKey{q.Service, q.Model}], StrongerLatency: t.typical[latencyKey{q.Service, q.StrongerModel}],
 	}, ChoicePlaced
 }
@@ -311,6 +321,7 @@
 	key := latencyKey{o.Service, o.Model}
 	r.applyOutcome(o, t.typical[key].TTFB, now)
 	t.updateTypical(key, o)
+	t.learn(r, o, now)
 	r.noteLoss(o, now)
 	if r.Leaving && r.InFlight == 0 && r.missing {
 		t.remove(r, now)
