Prompts that wait at an endpoint count in forecasts; slow endpoints told to other zones

The time of the engine for a prompt now counts as waiting there until the head of the answer comes, and the sum is in the states. The begin is learned as it comes, not at the end of a stream. The delay of other zones is a mean of bounded times, since runs that hang are part of what it costs to go where little is known: a median hid them.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -17,6 +17,8 @@
 	Tokens int
 	// Load is the sum of the weights of the other runs at the engine.
 	Load float64
+	// Waiting is the time that the engine needs for the prompts of the runs that wait there.
+	Waiting time.Duration
 	// Queued is the number of runs beyond the engine's slots, this one included, divided by the slots.
 	Queued float64
 	// Events is the expected number of events of the answer; 0 if unknown.
--- a/internal/engine/fit.go
+++ b/internal/engine/fit.go
@@ -1,7 +1,7 @@
 package engine
 
-// terms is the number of terms of a fit: a constant, the tokens, the load and the queue.
-const terms = 4
+// terms is the number of terms of a fit: a constant, the tokens, the load, the queue and the prompts that wait.
+const terms = 5
 
 // Indexes of the terms.
 const (
@@ -9,6 +9,7 @@
 	termTokens
 	termLoad
 	termQueue
+	termWaiting
 )
 
 const (
--- a/internal/feed/gossip.go
+++ b/internal/feed/gossip.go
@@ -66,24 +66,32 @@
 			c.log.V(1).Info("state section not collected", "error", err.Error())
 		}
 	}
-	leaving := leavingReports(s.Endpoints)
-	forAllZones := len(leaving) > 0 || len(s.Evidence) > 0 || len(s.Crashes) > 0 || len(s.LostRuns) > 0 || len(s.Clearances) > 0 || len(s.BlockQuarantines) > 0
+	remote := remoteReports(s.Endpoints)
+	forAllZones := len(remote) > 0 || len(s.Evidence) > 0 || len(s.Crashes) > 0 || len(s.LostRuns) > 0 || len(s.Clearances) > 0 || len(s.BlockQuarantines) > 0
 	zoneLoads := s.ZoneLoads
 	s.ZoneLoads = nil // the VMs of the zone know more
 	if len(s.Endpoints) > 0 || forAllZones {
 		c.sendState(s, ZonePeers(self.VM, self.Zone, c.members))
 	}
 	if forAllZones || len(zoneLoads) > 0 {
-		s.Endpoints, s.ZoneLoads = leaving, zoneLoads // single loads matter only in their own zone
+		s.Endpoints, s.ZoneLoads = remote, zoneLoads // single loads matter only in their own zone
 		c.sendState(s, c.nextRemotePeers())
 	}
 }
 
-// leavingReports returns the reports of the endpoints that are leaving, without their loads. gossip calls it.
-func leavingReports(reports []peer.EndpointReport) (out []peer.EndpointReport) {
+// slowReported is the slowness from which an endpoint is reported to other zones.
+const slowReported = 2
+
+// remoteReports returns what concerns VMs of other zones: the endpoints that are leaving, and those that are slow, without their loads.
+// gossip calls it.
+func remoteReports(reports []peer.EndpointReport) (out []peer.EndpointReport) {
 	for _, e := range reports {
-		if e.Leaving {
-			out = append(out, peer.EndpointReport{Endpoint: e.Endpoint, Incarnation: e.Incarnation, Leaving: true})
+		r := peer.EndpointReport{Endpoint: e.Endpoint, Incarnation: e.Incarnation, Leaving: e.Leaving}
+		if e.Slowness >= slowReported {
+			r.Slowness = e.Slowness
+		}
+		if r.Leaving || r.Slowness > 0 {
+			out = append(out, r)
 		}
 	}
 	return out
--- a/internal/feed/gossip_test.go
+++ b/internal/feed/gossip_test.go
@@ -59,6 +59,9 @@
 		{"mean loads in the zone, where VMs know more", "z", peer.State{
 			Endpoints: []peer.EndpointReport{{Endpoint: "e", Running: 2}}, ZoneLoads: []peer.ZoneLoad{{Service: "s", EngineLoad: 2}},
 		}, 1, 0, 0, 0},
+		{"a slow endpoint in another zone", "y", peer.State{
+			Endpoints: []peer.EndpointReport{{Endpoint: "e", Running: 2, Slowness: 1.2}, {Endpoint: "f", Running: 2, Slowness: slowReported}},
+		}, 1, 0, 0, 0},
 		{"a quarantine in another zone", "y", peer.State{BlockQuarantines: []peer.BlockQuarantine{{Block: 1}}}, 0, 0, 1, 0},
 	}
 	for _, test := range tests {
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -22,6 +22,8 @@
 	// Choose places the run on an endpoint and counts it as in flight there until Done.
 	Choose(ctx context.Context, q pool.Query) (pool.Placement, error)
 	Done(ctx context.Context, o pool.Outcome) error
+	// Began records that the answer of a run began; it must be safe for use by several goroutines and not wait.
+	Began(ctx context.Context, b pool.Begin) error
 	// Note records what an endpoint said of itself with an answer; it must be safe for use by several goroutines.
 	Note(ctx context.Context, n pool.Notice) error
 }
--- a/internal/filter/forward_test.go
+++ b/internal/filter/forward_test.go
@@ -88,6 +88,8 @@
 	return nil
 }
 
+func (*fakePool) Began(context.Context, pool.Begin) error { return nil }
+
 func (p *fakePool) Note(context.Context, pool.Notice) error { return nil }
 
 // noShift implements Shifts without a traffic shift.
--- a/internal/filter/notice_test.go
+++ b/internal/filter/notice_test.go
@@ -18,6 +18,8 @@
 	events chan string
 }
 
+func (*notedPool) Began(context.Context, pool.Begin) error { return nil }
+
 func (p *notedPool) Note(_ context.Context, n pool.Notice) error {
 	p.events <- fmt.Sprintf("%s leaving=%t", n.Endpoint, n.Leaving)
 	return nil
--- a/internal/filter/reservation_test.go
+++ b/internal/filter/reservation_test.go
@@ -57,6 +57,8 @@
 	return nil
 }
 
+func (*countedPool) Began(context.Context, pool.Begin) error { return nil }
+
 func (p *countedPool) Note(context.Context, pool.Notice) error { return nil }
 
 // randomSend is one send of a randomSender.
--- a/internal/filter/sendtask.go
+++ b/internal/filter/sendtask.go
@@ -105,6 +105,7 @@
 	defer stream.Close()
 	s.head, s.ttfb = stream.Head(), time.Since(s.began)
 	s.note(ctx, s.head.Notice)
+	s.noteBegin(ctx)
 	switch {
 	case s.head.Status >= http.StatusBadRequest && s.resumes:
 		return errEndpointStatus
@@ -153,6 +154,13 @@
 	}
 }
 
+// noteBegin tells the pool that the answer began, unless it's an error. run calls it as the head comes: the end of a stream may be far.
+func (s *sendTask) noteBegin(ctx context.Context) {
+	if s.head.Status < http.StatusInternalServerError {
+		_ = s.pool.Began(ctx, pool.Begin{Endpoint: s.place.ID, Incarnation: s.place.Incarnation, Number: s.place.Number, TTFB: s.ttfb}) // Done tells the same later
+	}
+}
+
 // target returns the endpoint of the placement.
 func (s *sendTask) target() endpoint.Endpoint {
 	return endpoint.Endpoint{ID: s.place.ID, Address: s.place.Address, Region: s.place.Region, Zone: s.place.Zone}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -203,7 +203,7 @@
 			Endpoint: e.Endpoint, Incarnation: e.Incarnation, Queued: uint32(max(e.Queued, 0)), Running: uint32(max(e.Running, 0)),
 			AgeMs: uint32(max(e.Age.Milliseconds(), 0)), Leaving: e.Leaving, Suspect: e.Suspect, Versions: e.Versions,
 			WorkPercent: toPercent(e.EngineLoad), FailedPermille: uint32(max(e.FailureRate, 0)*1000 + 0.5),
-			SlowPercent: toPercent(e.Slowness),
+			SlowPercent: toPercent(e.Slowness), WaitingMs: toMillis(e.WaitingWork),
 		})
 	}
 	for _, e := range s.Evidence {
@@ -248,6 +248,7 @@
 			Endpoint: e.Endpoint, Incarnation: e.Incarnation, Queued: int(e.Queued), Running: int(e.Running),
 			Age: time.Duration(e.AgeMs) * time.Millisecond, Leaving: e.Leaving, Suspect: e.Suspect, Versions: e.Versions,
 			EngineLoad: fromPercent(e.WorkPercent), FailureRate: float64(e.FailedPermille) / 1000, Slowness: fromPercent(e.SlowPercent),
+			WaitingWork: fromMillis(e.WaitingMs),
 		})
 	}
 	for _, e := range d.Evidence {
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -64,6 +64,8 @@
 	FailureRate float64
 	// Slowness is how many times longer than expected the sender's requests take there; 0 if it knows too little.
 	Slowness float64
+	// WaitingWork is the time that the endpoint needs for the prompts of the sender's requests that wait there.
+	WaitingWork time.Duration
 }
 
 // ZoneLoad is the mean load of a service's endpoints in the sender's availability zone, as far as the sender knows it.
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -299,7 +299,7 @@
 
 // giveBack takes a placement back whose request left while it was placed. The handler of chooseMessage calls it.
 func (c *Controller) giveBack(q *Query, p *Placement, now time.Time) {
-	o := Outcome{Endpoint: p.ID, Incarnation: p.Incarnation, End: EndUnused, Service: q.Service, Model: q.Model, Weight: q.Weight}
+	o := Outcome{Endpoint: p.ID, Incarnation: p.Incarnation, Number: p.Number, End: EndUnused, Service: q.Service, Model: q.Model, Weight: q.Weight}
 	_ = c.table.Done(&o, now) // a run that wasn't sent proves no crash
 	if q.Retry {
 		c.budget(q.Service).ReturnRetry(now)
--- a/internal/pool/delay.go
+++ b/internal/pool/delay.go
@@ -9,12 +9,12 @@
 const (
 	// otherZoneDelay and otherRegionDelay are how much later runs outside the VM's availability zone or region are taken to begin, until
 	// some were seen.
-	otherZoneDelay   = 120 * time.Millisecond
-	otherRegionDelay = 260 * time.Millisecond
-	// delayStep is by how much one run moves a delay towards what it shows, so that the median of many counts.
-	delayStep = 4 * time.Millisecond
-	// maxDelay bounds the delays.
-	maxDelay = 2 * time.Second
+	otherZoneDelay   = 20 * time.Millisecond
+	otherRegionDelay = 60 * time.Millisecond
+	// delayShare is the part of one run, 0 to 1, in the moving mean of a delay.
+	delayShare = 0.05
+	// maxLate bounds by how much later or sooner than expected one run may show.
+	maxLate = 500 * time.Millisecond
 )
 
 // delays holds how much later runs begin outside the VM's zone, by distance: the network, and what is unknown of the loads there.
@@ -35,20 +35,19 @@
 	}
 }
 
-// learn moves the delay of a distance towards late, by which a run began later than expected of one in the VM's zone. Table.learn
-// calls it.
+// learn adds a run that began late, compared with what was expected of one in the VM's zone. Table.learnBegin calls it.
 func (d *delays) learn(distance int, late time.Duration) {
 	switch distance {
 	case endpoint.SameZone:
 	case endpoint.SameRegion:
-		d.otherZone = stepTo(d.otherZone, late)
+		d.otherZone = moveTo(d.otherZone, late)
 	default:
-		d.otherRegion = stepTo(d.otherRegion, late)
+		d.otherRegion = moveTo(d.otherRegion, late)
 	}
 }
 
-// stepTo moves a delay by delayStep at most.
-func stepTo(d, seen time.Duration) time.Duration {
-	d += min(max(seen-d, -delayStep), delayStep)
-	return min(max(d, 0), maxDelay)
+// moveTo returns a delay after a run that was late by so much.
+func moveTo(d, late time.Duration) time.Duration {
+	late = min(max(late, -maxLate), maxLate)
+	return max(d+time.Duration(delayShare*float64(late-d)), 0)
 }
--- a/internal/pool/forecast.go
+++ b/internal/pool/forecast.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"cornelmux/internal/endpoint"
 	"cornelmux/internal/engine"
 )
 
@@ -11,12 +12,15 @@
 var (
 	enginePrior = engine.Prior{
 		First: 30 * time.Millisecond, PerToken: time.Millisecond / 27, PerLoad: 16 * time.Millisecond, PerEvent: 40 * time.Millisecond,
-		Typical: engine.Run{Tokens: 2000, Load: 4, Queued: 0.5},
+		Typical: engine.Run{Tokens: 2000, Load: 4, Queued: 0.5, Waiting: 50 * time.Millisecond},
 	}
 	// servicePrior is for a plain service, whose load is the share of its slots that are taken.
-	servicePrior = engine.Prior{First: 30 * time.Millisecond, PerLoad: 30 * time.Millisecond, Typical: engine.Run{Tokens: 1, Load: 0.5, Queued: 0.5}}
+	servicePrior = engine.Prior{First: 30 * time.Millisecond, PerLoad: 30 * time.Millisecond, Typical: engine.Run{Tokens: 1, Load: 0.5, Queued: 0.5, Waiting: time.Millisecond}}
 )
 
+// usualSlowness is the slowness up to which an endpoint counts as one of usual speed.
+const usualSlowness = 1.5
+
 // models holds what was learned of the engines, by service and model.
 type models map[latencyKey]*engine.Model
 
@@ -57,9 +61,20 @@
 		return out
 	}
 	out.Tokens, out.Load, out.Events = r.uncachedTokens(q), load, q.expectedEvents()
+	out.Waiting = r.waitingWork + r.peerWork(now)
 	return out
 }
 
+// forecast returns when the run of q is expected to begin and end at the endpoint, with the way there. Choose calls it.
+func (t *Table) forecast(r *Record, q *Query, run engine.Run, now time.Time) engine.Forecast {
+	f, delay := q.engine.Forecast(run, r.slowRatio(now)), t.delays.of(t.location.Distance(r.Region, r.Zone))
+	f.Begin += delay
+	if f.End > 0 {
+		f.End += delay
+	}
+	return f
+}
+
 // expectedEvents returns the expected number of events of the answer, or 0 if nothing is known.
 func (q *Query) expectedEvents() int {
 	tokens := cmp.Or(q.Prompt.LikelyTokensOut, q.Prompt.MaxTokensOut)
@@ -69,22 +84,41 @@
 	return (tokens + q.Config.Engine.TokensPerEvent - 1) / q.Config.Engine.TokensPerEvent
 }
 
-// learn adds a run that was answered to what is known of its endpoint and of the engines of its service. Done calls it.
-func (t *Table) learn(r *Record, o *Outcome, now time.Time) {
-	if o.End != EndAnswered || o.TTFB <= 0 {
+// Began records that the answer of a run began. The Controller calls it for each answer that isn't an error.
+func (t *Table) Began(b *Begin, now time.Time) {
+	r, ok := t.records[b.Endpoint]
+	if !ok {
+		return
+	}
+	if w, waiting := r.leave(b.Number); waiting && r.Incarnation == b.Incarnation {
+		t.learnBegin(r, &w, b.TTFB, now)
+	}
+}
+
+// learnBegin adds the begin of a run to what is known of its endpoint and of the engines of its service. Began calls it, and Done if no
+// begin was told before.
+func (t *Table) learnBegin(r *Record, w *waitingRun, ttfb time.Duration, now time.Time) {
+	if ttfb <= 0 {
 		return
 	}
-	model := t.models.keep(latencyKey{o.Service, o.Model})
-	expected := model.Forecast(o.Run, r.slowRatio(now)).Begin
-	t.delays.learn(t.location.Distance(r.Region, r.Zone), o.TTFB-expected)
-	begin := o.TTFB - t.delays.of(t.location.Distance(r.Region, r.Zone))
-	r.slowness.Learn(begin, model.Forecast(o.Run, 1).Begin, now)
-	if r.Zone == t.location.Zone {
-		model.Learn(o.Run, engine.Seen{Begin: begin, Gap: o.MeanGap}, r.slowRatio(now))
+	model, distance := t.models.keep(w.key), t.location.Distance(r.Region, r.Zone)
+	t.delays.learn(distance, ttfb-model.Forecast(w.run, r.slowRatio(now)).Begin)
+	begin := ttfb - t.delays.of(distance)
+	r.slowness.Learn(begin, model.Forecast(w.run, 1).Begin, now)
+	if distance == endpoint.SameZone {
+		model.Learn(w.run, engine.Seen{Begin: begin}, r.slowRatio(now))
+	}
+}
+
+// learnGap adds the time between the events of a run that was answered. Done calls it.
+func (t *Table) learnGap(r *Record, o *Outcome, now time.Time) {
+	if o.End == EndAnswered && o.MeanGap > 0 {
+		t.models.keep(latencyKey{o.Service, o.Model}).Learn(o.Run, engine.Seen{Gap: o.MeanGap}, r.slowRatio(now))
 	}
 }
 
-// slowRatio returns how many times longer than expected the runs at the endpoint take, as the mean of what this VM and its peers know.
+// slowRatio returns how many times longer than expected the runs at the endpoint take, as the mean of what this VM and its peers know. Up
+// to usualSlowness it is 1: runs of usual endpoints differ by that much, and would be placed by chance.
 func (r *Record) slowRatio(now time.Time) float64 {
 	sum, n := 0.0, 0.0
 	if r.slowness.Known(now) {
@@ -96,7 +130,7 @@
 			n++
 		}
 	}
-	if n == 0 {
+	if n == 0 || sum/n <= usualSlowness {
 		return 1
 	}
 	return sum / n
--- a/internal/pool/gossip.go
+++ b/internal/pool/gossip.go
@@ -15,6 +15,8 @@
 	suspicionTTL = 500 * time.Millisecond
 	// minReportedFailureRate is the failure rate, 0 to 1, from which an endpoint without runs is reported.
 	minReportedFailureRate = 0.02
+	// minReportedSlowness is the slowness from which an endpoint without runs is reported.
+	minReportedSlowness = 1.5
 )
 
 // peerView is what a peer reported of its own runs at an endpoint.
@@ -27,6 +29,8 @@
 	failureRate float64
 	// slowness is how many times longer than expected its runs take there; 0 if it knows too little.
 	slowness float64
+	// waitingWork is the time that the engine needs for the prompts of its runs that wait.
+	waitingWork time.Duration
 }
 
 // PeerReports returns the reports to send to peers: the endpoints that this VM uses, suspects or saw failing, and those that said
@@ -36,16 +40,16 @@
 	for _, r := range t.records {
 		suspected := r.unreachable && now.Before(r.backoffUntil)
 		leaving := r.reportsLeaving(now)
-		if r.InFlight == 0 && r.failureRate < minReportedFailureRate && !suspected && !leaving {
-			continue
-		}
-		var slowness float64
+		slowness := 0.0
 		if r.slowness.Known(now) {
 			slowness = r.slowness.Ratio(now)
 		}
+		if r.InFlight == 0 && r.failureRate < minReportedFailureRate && slowness < minReportedSlowness && !suspected && !leaving {
+			continue
+		}
 		out = append(out, peer.EndpointReport{
 			Endpoint: r.ID, Incarnation: uint64(r.Incarnation), Running: r.InFlight, EngineLoad: r.engineLoad, FailureRate: r.failureRate, Suspect: suspected,
-			Leaving: leaving, Slowness: slowness,
+			Leaving: leaving, Slowness: slowness, WaitingWork: r.waitingWork,
 		})
 	}
 	return out
@@ -59,13 +63,24 @@
 		if !ok || uint64(r.Incarnation) != e.Incarnation {
 			continue
 		}
-		r.peerViews[vm] = peerView{now, e.Running, e.EngineLoad, e.FailureRate, e.Slowness}
+		r.peerViews[vm] = peerView{now, e.Running, e.EngineLoad, e.FailureRate, e.Slowness, e.WaitingWork}
 		if e.Suspect && r.backoffs == 0 {
 			r.suspectedUntil = now.Add(suspicionTTL)
 		}
 	}
 }
 
+// HearSlowness applies what a VM of another zone says of slow endpoints there; it counts as much as a run that this VM saw. The Controller
+// calls it for each state of such a VM.
+func (t *Table) HearSlowness(zone string, reports []peer.EndpointReport, now time.Time) {
+	for _, e := range reports {
+		r, ok := t.records[e.Endpoint]
+		if ok && e.Slowness > 0 && r.Zone == zone && uint64(r.Incarnation) == e.Incarnation {
+			r.slowness.Learn(time.Duration(e.Slowness*float64(time.Second)), time.Second, now)
+		}
+	}
+}
+
 // peerTotals sums the recent reports of the peers: their runs and the load of these on the engine. The failure rate is
 // the mean over the peers and this VM. It drops the reports that are too old. Table.Choose and Score call it.
 func (r *Record) peerTotals(now time.Time) (inFlight int, engineLoad, failureRate float64) {
@@ -131,6 +146,7 @@
 		c.table.ApplyPeerReports(m.state.VM, m.state.Endpoints, time.Now())
 		return
 	}
+	c.table.HearSlowness(m.state.Zone, m.state.Endpoints, time.Now())
 	for _, l := range m.state.ZoneLoads {
 		c.table.zoneLoads.hear(m.state.Zone, l, time.Now())
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -89,6 +89,8 @@
 	// TypicalLatency is that of such runs, StrongerLatency that of runs of the stronger model.
 	TypicalLatency  Latency
 	StrongerLatency Latency
+	// Number tells the placements of this VM apart.
+	Number uint64
 	// Run is what the run asks of the endpoint and finds there, Forecast when it is expected to begin and end.
 	Run      engine.Run
 	Forecast engine.Forecast
@@ -151,8 +153,9 @@
 	Prompt      routing.Prompt
 	// Weight is the same as in the Query.
 	Weight float64
-	// Run is that of the Placement.
-	Run engine.Run
+	// Number and Run are those of the Placement.
+	Number uint64
+	Run    engine.Run
 	// TTFB is the time to first byte; 0 if none arrived.
 	TTFB time.Duration
 	// MeanGap is the mean time between two events; 0 if there were too few.
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -81,6 +81,9 @@
 	// movesLeft is how many silent runs may still be moved away in the moveInterval that began at movesSince.
 	movesLeft  int
 	movesSince time.Time
+	// waiting holds this VM's runs whose answers haven't begun, by number, and waitingWork the sum of their work.
+	waiting     map[uint64]waitingRun
+	waitingWork time.Duration
 	// lostRuns are the runs whose connection broke and that may have crashed the endpoint.
 	lostRuns []lostRun
 }
@@ -93,7 +96,7 @@
 
 // newRecord makes the Record of an endpoint that is not known yet.
 func newRecord(e Entry) *Record {
-	return &Record{Entry: e, hash: hashString(e.ID), latencyRatio: 1, prefixBlocks: newPrefixCache(maxPrefixBlocks), peerViews: map[string]peerView{}}
+	return &Record{Entry: e, hash: hashString(e.ID), latencyRatio: 1, prefixBlocks: newPrefixCache(maxPrefixBlocks), peerViews: map[string]peerView{}, waiting: map[uint64]waitingRun{}}
 }
 
 // update applies an entry of the directory. A new incarnation resets what was learned of the former one. An incarnation
@@ -108,6 +111,7 @@
 	if restarted {
 		r.replaced, r.backoffs, r.backoffUntil, r.failureRate, r.latencyRatio, r.slowness = false, 0, time.Time{}, 0, 1, engine.Slowness{}
 		r.saidLeavingAt, r.pausedUntil = time.Time{}, time.Time{}
+		r.waiting, r.waitingWork = map[uint64]waitingRun{}, 0
 		r.prefixBlocks, r.peerViews, r.suspectedUntil, r.unreachable = newPrefixCache(maxPrefixBlocks), map[string]peerView{}, time.Time{}, false
 	}
 	return restarted
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -59,6 +59,8 @@
 	// zoneLoads holds the loads of other zones, delays how much later runs begin there.
 	zoneLoads zoneLoads
 	delays    delays
+	// placed is the number of the last placement.
+	placed uint64
 	// directoryDown says that the directory cannot be read now; directoryUpAt is when it last became readable again.
 	directoryDown bool
 	directoryUpAt time.Time
@@ -236,9 +238,11 @@
 	inFlight, _, _ := best.peerTotals(now)
 	run := t.run(best, q, now)
 	best.InFlight++
+	t.placed++
+	best.wait(t.placed, waitingRun{key: latencyKey{q.Service, q.Model}, work: q.engine.TokenTime(run.Tokens), run: run})
 	best.engineLoad += q.weight()
 	return Placement{
-		PrefillTime: prefillTime(run.Tokens), Run: run, Forecast: q.engine.Forecast(run, best.slowRatio(now)),
+		PrefillTime: prefillTime(run.Tokens), Number: t.placed, Run: run, Forecast: t.forecast(best, q, run, now),
 		Entry: best.Entry, Running: best.InFlight + inFlight, Load: slotUtilization(best.InFlight+inFlight, best.Slots),
 		TypicalLatency: t.typical[latencyKey{q.Service, q.Model}], StrongerLatency: t.typical[latencyKey{q.Service, q.StrongerModel}],
 	}, ChoicePlaced
@@ -312,6 +316,7 @@
 	}
 	r.InFlight = max(r.InFlight-1, 0)
 	r.engineLoad = max(r.engineLoad-cmp.Or(o.Weight, 1), 0)
+	waited, waiting := r.leave(o.Number)
 	if r.Incarnation != o.Incarnation {
 		if o.End == EndLost && o.Events <= maxCrashEvents {
 			return newCrashes([]uint64{o.Fingerprint}, o.Endpoint, o.Incarnation)
@@ -321,7 +326,10 @@
 	key := latencyKey{o.Service, o.Model}
 	r.applyOutcome(o, t.typical[key].TTFB, now)
 	t.updateTypical(key, o)
-	t.learn(r, o, now)
+	if waiting && o.End == EndAnswered {
+		t.learnBegin(r, &waited, o.TTFB, now)
+	}
+	t.learnGap(r, o, now)
 	r.noteLoss(o, now)
 	if r.Leaving && r.InFlight == 0 && r.missing {
 		t.remove(r, now)
--- a/internal/pool/zones_test.go
+++ b/internal/pool/zones_test.go
@@ -59,3 +59,31 @@
 	}, start)
 	qt.Check(t, table.ZoneLoads(start), qt.DeepEquals, []peer.ZoneLoad{{Service: "s", EngineLoad: 0.75, Utilization: 0.25}})
 }
+
+// TestSlownessOfOtherZones guards against runs that leave a zone whose slow endpoints are known, for slow ones elsewhere that aren't; and
+// against hearsay.
+func TestSlownessOfOtherZones(t *testing.T) {
+	tests := []struct {
+		name   string
+		zone   string
+		report peer.EndpointReport
+		slow   bool
+	}{
+		{"slow", "y", peer.EndpointReport{Endpoint: "far", Incarnation: 5, Slowness: 4}, true},
+		{"leaving", "y", peer.EndpointReport{Endpoint: "far", Incarnation: 5, Leaving: true}, false},
+		{"said in a third zone", "x", peer.EndpointReport{Endpoint: "far", Incarnation: 5, Slowness: 4}, false},
+		{"an earlier incarnation", "y", peer.EndpointReport{Endpoint: "far", Incarnation: 4, Slowness: 4}, false},
+		{"unknown endpoint", "y", peer.EndpointReport{Endpoint: "x", Incarnation: 5, Slowness: 4}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			far := entry("far")
+			far.Zone = "y"
+			table := newTable(far)
+			for range 8 {
+				table.HearSlowness(test.zone, []peer.EndpointReport{test.report}, start)
+			}
+			qt.Check(t, table.records["far"].slowRatio(start) > 2, qt.Equals, test.slow)
+		})
+	}
+}
