--- a/internal/metric/builder.go
+++ b/internal/metric/builder.go
@@ -143,6 +143,40 @@
 	}, held, waiting)
 }
 
+// observeCold creates the gauges of cold endpoints: for each, the time that is left and the runs that this VM may place now. ObserveCold
+// calls it.
+func (b *builder) observeCold(cold Cold) {
+	left := b.gauge("cornelmux.cold.left", "s", "Time until the endpoint counts as warm, by endpoint and service.")
+	runs := b.gauge("cornelmux.cold.runs_left", "{run}", "Runs that this VM may place at the cold endpoint now.")
+	b.registerCallback(func(ctx context.Context, o metric.Observer) error {
+		list, err := cold.ColdEndpoints(ctx)
+		if err != nil {
+			return err
+		}
+		for _, e := range list {
+			attributes := metric.WithAttributes(attribute.String("endpoint", e.Endpoint), attribute.String("service", e.Service))
+			o.ObserveFloat64(left, e.Left.Seconds(), attributes)
+			o.ObserveFloat64(runs, float64(e.RunsLeft), attributes)
+		}
+		return nil
+	}, left, runs)
+}
+
+// observeEvacuations creates the gauge of the evacuations in force, by zone. ObserveEvacuations calls it.
+func (b *builder) observeEvacuations(evacuations Evacuations) {
+	age := b.gauge("cornelmux.evacuation.age", "s", "Time since this VM learned of an evacuation that is in force, by zone.")
+	b.registerCallback(func(ctx context.Context, o metric.Observer) error {
+		list, err := evacuations.Evacuations(ctx)
+		if err != nil {
+			return err
+		}
+		for _, e := range list {
+			o.ObserveFloat64(age, time.Since(e.Since).Seconds(), metric.WithAttributes(attribute.String("zone", e.Zone)))
+		}
+		return nil
+	}, age)
+}
+
 // countHealth returns the number of members for each health, zeros included.
 func countHealth(list []peer.Member) map[string]int {
 	counts := map[string]int{"alive": 0, "suspect": 0, "dead": 0}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -94,6 +94,8 @@
 	// Run is what the run asks of the endpoint and finds there, Forecast when it is expected to begin and end.
 	Run      engine.Run
 	Forecast engine.Forecast
+	// SendBy is when the send has to begin, because the endpoint is cold and its runs are spaced; zero if there is no bound.
+	SendBy time.Time
 	// PrefillTime is how long the endpoint's most expensive model takes at least to process the part of the prompt that it has
 	// not cached.
 	PrefillTime time.Duration
@@ -156,6 +158,8 @@
 	// Number and Run are those of the Placement.
 	Number uint64
 	Run    engine.Run
+	// SendBy is that of the placement.
+	SendBy time.Time
 	// TTFB is the time to first byte; 0 if none arrived.
 	TTFB time.Duration
 	// MeanGap is the mean time between two events; 0 if there were too few.
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cornelmux/internal/engine"
+	"cornelmux/internal/warmup"
 )
 
 const (
@@ -53,6 +54,8 @@
 	saidLeavingAt time.Time
 	// withdrawn says that the directory has no usable entry of the endpoint now.
 	withdrawn bool
+	// evacuated says that its availability zone is evacuated.
+	evacuated bool
 	// replaced says that another endpoint answers on the address.
 	replaced bool
 
@@ -76,6 +79,9 @@
 	latencyRatio float64
 	// slowness is how much longer its runs take than expected.
 	slowness engine.Slowness
+	// warmth is what is known of whether the endpoint is cold, and cold the runs of this VM there while it is; nil if it isn't.
+	warmth warmup.Knowledge
+	cold   *coldRecord
 	// prefixBlocks holds the blocks that the endpoint has probably cached.
 	prefixBlocks *prefixCache
 	// movesLeft is how many silent runs may still be moved away in the moveInterval that began at movesSince.
@@ -117,13 +123,16 @@
 	return restarted
 }
 
-// acceptsRuns reports whether the endpoint gets new runs at all.
+// acceptsRuns reports whether the endpoint gets new runs at all. One in an evacuated zone gets them again later.
 func (r *Record) acceptsRuns() bool { return !r.Leaving && !r.withdrawn && !r.replaced }
 
 // eligible reports whether the query may run on the endpoint at all, whatever its backoff and load. Table.best and
 // affinityRanks call it.
-func (r *Record) eligible(q *Query) bool {
-	if !r.acceptsRuns() || (q.Version != "" && r.Version != q.Version) {
+func (r *Record) eligible(q *Query) bool { return !r.evacuated && r.mayServe(q) }
+
+// mayServe reports whether the query might run on the endpoint if its zone weren't evacuated.
+func (r *Record) mayServe(q *Query) bool {
+	if !r.acceptsRuns() || !r.inHomes(q) || (q.Version != "" && r.Version != q.Version) {
 		return false
 	}
 	for _, v := range q.ExcludedVersions {
@@ -201,6 +210,9 @@
 			r.backOff(now)
 		}
 	case EndLost, EndTimeout, EndUnreachable:
+		if o.End == EndUnreachable {
+			r.warmth.NoteUnreached(now)
+		}
 		if o.End == EndTimeout && now.Before(r.backoffUntil) {
 			break // runs that fell silent together are one failure
 		}
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -7,13 +7,10 @@
 	"time"
 
 	"cornelmux/internal/endpoint"
+	"cornelmux/pkg/routing"
 )
 
 const (
-	// typicalUpdateShare is the part of one answer, 0 to 1, in the moving means of TypicalLatency.
-	typicalUpdateShare = 0.05
-	// maxTypical bounds the typical latencies that are remembered; callers name the models.
-	maxTypical = 1024
 	// relistTimeout is how long after an outage of the directory an entry that lapsed during it may take to be
 	// relisted.
 	relistTimeout = 2 * time.Second
@@ -36,6 +33,12 @@
 	ChoicePausing
 	// ChoiceFull means that no endpoint that may run it has room now.
 	ChoiceFull
+	// ChoiceNoHome means that the service has no endpoint in any region that the run may be served in.
+	ChoiceNoHome
+	// ChoiceEvacuated means that each endpoint that may run it is in an evacuated availability zone.
+	ChoiceEvacuated
+	// ChoiceCold means that all endpoints that may run it are cold and take no more runs of this VM now.
+	ChoiceCold
 )
 
 // Crash says that an endpoint crashed while it ran the request with the fingerprint. Endpoint is its ID and its incarnation,
@@ -52,6 +55,9 @@
 	records  map[string]*Record
 	services map[string][]*Record
 	unlisted unlisted
+	// evacuations holds the availability zones that are evacuated, and those that were.
+	evacuations evacuations
+	cold        coldShares
 	// typical holds the typical latency of the runs by service and model.
 	typical map[latencyKey]Latency
 	// models holds what was learned of the engines by service and model.
@@ -66,17 +72,12 @@
 	directoryUpAt time.Time
 }
 
-// latencyKey identifies the runs with a common typical latency; model is "" for a plain service.
-type latencyKey struct {
-	service string
-	model   string
-}
-
 // NewTable makes an empty Table for a VM at the location.
 func NewTable(location endpoint.Location) *Table {
 	return &Table{
-		location: location, records: map[string]*Record{}, services: map[string][]*Record{}, unlisted: unlisted{}, typical: map[latencyKey]Latency{}, models: models{},
-		zoneLoads: zoneLoads{}, delays: newDelays(),
+		location: location, records: map[string]*Record{}, services: map[string][]*Record{}, unlisted: unlisted{}, evacuations: evacuations{},
+		typical: map[latencyKey]Latency{}, cold: coldShares{services: map[string]*routing.Service{}, removed: map[string]removedIncarnation{}},
+		models: models{}, zoneLoads: zoneLoads{}, delays: newDelays(),
 	}
 }
 
@@ -86,6 +87,7 @@
 	r, ok := t.records[e.ID]
 	if !ok {
 		r = newRecord(e)
+		r.evacuated, r.warmth = t.evacuations.inForce(e.Zone), t.firstKnowledge(&e, now)
 		t.unlisted.restore(r)
 		t.records[e.ID] = r
 		t.list(r)
@@ -99,12 +101,15 @@
 		t.unlist(r)
 	}
 	restarted := r.update(e)
+	r.evacuated = t.evacuations.inForce(e.Zone)
 	if before.Service != e.Service {
 		t.list(r)
 	}
 	if !restarted {
+		r.warmth.Update(e.ColdFor, now)
 		return nil
 	}
+	r.warmth, r.cold = t.firstKnowledge(&e, now), nil
 	t.unlisted.restore(r)
 	return newCrashes(r.takeCrashes(now), before.ID, before.Incarnation)
 }
@@ -143,6 +148,7 @@
 // Retain drops every entry that is not in ids, the result of a full scan, and returns the crashes that this proves. The
 // Controller calls it after each.
 func (t *Table) Retain(ids []string, now time.Time) []Crash {
+	t.cold.listed = true
 	listed := make(map[string]bool, len(ids))
 	for _, id := range ids {
 		listed[id] = true
@@ -173,6 +179,7 @@
 // sweepInterval.
 func (t *Table) Sweep(now time.Time) (gone []string) {
 	t.unlisted.forget(now)
+	t.cold.forget(now)
 	if t.directoryUnreliable(now) {
 		return nil
 	}
@@ -191,6 +198,7 @@
 	r.withdrawn = true
 	if r.InFlight == 0 {
 		t.unlisted.addRemoved(r, now)
+		t.cold.noteRemoved(r, now)
 		delete(t.records, r.ID)
 		t.unlist(r)
 	}
@@ -223,6 +231,7 @@
 // Choose places a run and counts it as in flight until Done. It considers endpoints that are not available only if no
 // other is eligible, and none that asked for a pause. The Controller calls it for each run.
 func (t *Table) Choose(q *Query, now time.Time) (Placement, Choice) {
+	t.cold.noteService(q.Config)
 	q.blocks, q.sharedTokens = joinBlocks(q.Prompt.Blocks), q.Prompt.SharedPrefixTokens()
 	q.engine = t.models.of(latencyKey{q.Service, q.Model})
 	best := t.best(q, now, true)
@@ -230,10 +239,7 @@
 		best = t.best(q, now, false)
 	}
 	if best == nil {
-		if t.pauseLeft(q, now) > 0 {
-			return Placement{}, ChoicePausing
-		}
-		return Placement{}, ChoiceNone
+		return Placement{}, t.refusal(q, now)
 	}
 	inFlight, _, _ := best.peerTotals(now)
 	run := t.run(best, q, now)
@@ -242,12 +248,29 @@
 	best.wait(t.placed, waitingRun{key: latencyKey{q.Service, q.Model}, work: q.engine.TokenTime(run.Tokens), run: run})
 	best.engineLoad += q.weight()
 	return Placement{
-		PrefillTime: prefillTime(run.Tokens), Number: t.placed, Run: run, Forecast: t.forecast(best, q, run, now),
-		Entry: best.Entry, Running: best.InFlight + inFlight, Load: slotUtilization(best.InFlight+inFlight, best.Slots),
+		SendBy: best.takeColdRun(now), Number: t.placed, Run: run, Forecast: t.forecast(best, q, run, now),
+		PrefillTime: prefillTime(run.Tokens),
+		Entry:       best.Entry, Running: best.InFlight + inFlight, Load: slotUtilization(best.InFlight+inFlight, best.Slots),
 		TypicalLatency: t.typical[latencyKey{q.Service, q.Model}], StrongerLatency: t.typical[latencyKey{q.Service, q.StrongerModel}],
 	}, ChoicePlaced
 }
 
+// refusal returns why no endpoint is left for a run. Choose calls it.
+func (t *Table) refusal(q *Query, now time.Time) Choice {
+	switch {
+	case !t.hasHome(q):
+		return ChoiceNoHome
+	case t.onlyEvacuated(q):
+		return ChoiceEvacuated
+	case t.pauseLeft(q, now) > 0:
+		return ChoicePausing
+	case t.coldWait(q, now) > 0:
+		return ChoiceCold
+	default:
+		return ChoiceNone
+	}
+}
+
 // TakeMove reports whether a silent run may be moved away from the endpoint now, and counts it. The Controller calls it before it
 // chooses another.
 func (t *Table) TakeMove(id string, now time.Time) bool {
@@ -269,7 +292,14 @@
 		if !r.eligible(q) || r.pauses(now) || (onlyAvailable && !r.available(now)) {
 			continue
 		}
+		cold, left := t.coldRunsLeft(r, q.Config, now)
+		if cold && left == 0 {
+			continue
+		}
 		s := r.Score(q, t.location, ranks[i], now)
+		if cold {
+			s += coldCost
+		}
 		if !onlyAvailable {
 			s += max(r.backoffUntil.Sub(now), 0)
 		}
@@ -317,6 +347,7 @@
 	r.InFlight = max(r.InFlight-1, 0)
 	r.engineLoad = max(r.engineLoad-cmp.Or(o.Weight, 1), 0)
 	waited, waiting := r.leave(o.Number)
+	r.returnColdRun(o)
 	if r.Incarnation != o.Incarnation {
 		if o.End == EndLost && o.Events <= maxCrashEvents {
 			return newCrashes([]uint64{o.Fingerprint}, o.Endpoint, o.Incarnation)
@@ -340,30 +371,6 @@
 	return nil
 }
 
-// updateTypical adds an answered run to the typical latency. A new key beyond maxTypical isn't remembered.
-func (t *Table) updateTypical(key latencyKey, o *Outcome) {
-	if o.TTFB <= 0 || o.End != EndAnswered {
-		return
-	}
-	l, ok := t.typical[key]
-	if !ok && len(t.typical) >= maxTypical {
-		return
-	}
-	t.typical[key] = Latency{TTFB: movingMean(l.TTFB, o.TTFB), MeanGap: movingMean(l.MeanGap, o.MeanGap)}
-}
-
-// movingMean returns the moving mean after another value. A value of 0 is ignored. updateTypical calls it.
-func movingMean(mean, value time.Duration) time.Duration {
-	switch {
-	case value <= 0:
-		return mean
-	case mean <= 0:
-		return value
-	default:
-		return mean + time.Duration(typicalUpdateShare*float64(value-mean))
-	}
-}
-
 // Versions returns the number of endpoints of a service that accept runs, by version.
 func (t *Table) Versions(service string) map[string]int {
 	out := map[string]int{}
