--- a/internal/filter/forward_test.go
+++ b/internal/filter/forward_test.go
@@ -90,6 +90,7 @@
 
 func (p *fakePool) Note(context.Context, pool.Notice) error                   { return nil }
 func (p *fakePool) Confirm(context.Context, pool.Query, string) (bool, error) { return true, nil }
+func (*fakePool) Began(context.Context, pool.Begin) error                     { return nil }
 
 // noShift implements Shifts without a traffic shift.
 type noShift struct{}
--- a/internal/filter/rebind_test.go
+++ b/internal/filter/rebind_test.go
@@ -13,12 +13,13 @@
 	"cornelmux/pkg/result"
 )
 
-// waitedPool is a Pool that places the runs on the version that they ask for, or on v1 unless it's excluded, after a wait. It records the queries
-// and the ends.
+// waitedPool is a Pool that places the runs on the version that they ask for, or on v1 unless it's excluded, after a wait. It records the queries,
+// the ends and their numbers.
 type waitedPool struct {
 	waited  time.Duration
 	queries []pool.Query
 	ends    []pool.End
+	given   []uint64
 }
 
 func (p *waitedPool) Choose(_ context.Context, q pool.Query) (pool.Placement, error) {
@@ -30,16 +31,19 @@
 	if slices.Contains(q.ExcludedVersions, version) {
 		version = "v2"
 	}
-	return pool.Placement{Entry: pool.Entry{ID: "e1", Version: version}, Waited: p.waited}, nil
+	return pool.Placement{Entry: pool.Entry{ID: "e1", Version: version}, Waited: p.waited, Number: uint64(len(p.queries))}, nil
 }
 
 func (p *waitedPool) Done(_ context.Context, o pool.Outcome) error {
 	p.ends = append(p.ends, o.End)
+	p.given = append(p.given, o.Number)
 	return nil
 }
 
 func (p *waitedPool) Confirm(context.Context, pool.Query, string) (bool, error) { return true, nil }
 
+func (p *waitedPool) Began(context.Context, pool.Begin) error { return nil }
+
 func (p *waitedPool) Note(context.Context, pool.Notice) error { return nil }
 
 // changingShifts is a Shifts whose bindings follow one another; the last one stays. After failAt bindings it fails.
@@ -95,6 +99,9 @@
 				qt.Check(t, r.Placement.Version, qt.Equals, test.version)
 			}
 			qt.Check(t, p.ends, qt.DeepEquals, test.ends)
+			for i, number := range p.given { // else the pool counts the run's prompt as waiting for ever
+				qt.Check(t, number, qt.Equals, uint64(i+1))
+			}
 			for i, q := range p.queries {
 				qt.Check(t, q.Again, qt.Equals, i > 0)
 			}
--- a/internal/filter/reservation_test.go
+++ b/internal/filter/reservation_test.go
@@ -59,6 +59,7 @@
 
 func (p *countedPool) Note(context.Context, pool.Notice) error                   { return nil }
 func (p *countedPool) Confirm(context.Context, pool.Query, string) (bool, error) { return true, nil }
+func (*countedPool) Began(context.Context, pool.Begin) error                     { return nil }
 
 // randomSend is one send of a randomSender.
 type randomSend struct {
--- a/internal/filter/reserve.go
+++ b/internal/filter/reserve.go
@@ -114,7 +114,7 @@
 		return
 	}
 	o := pool.Outcome{
-		Endpoint: r.Placement.ID, Incarnation: r.Placement.Incarnation, End: pool.EndUnused, Service: r.Query.Service,
+		Endpoint: r.Placement.ID, Incarnation: r.Placement.Incarnation, Number: r.Placement.Number, End: pool.EndUnused, Service: r.Query.Service,
 		Model: r.Query.Model, Weight: r.Query.Weight, SendBy: r.Placement.SendBy,
 	}
 	if !r.Query.Retry {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -73,9 +73,11 @@
 	Deadline  time.Time
 	Objective time.Time
 
-	// blocks are those of the prompt as endpoints remember them, sharedTokens the length of its shared prefix; Table.Choose sets both.
+	// blocks are those of the prompt as endpoints remember them, sharedTokens the length of its shared prefix, and engine is what
+	// was learned of the engines for such runs; Table.Choose sets them.
 	blocks       []routing.PrefixBlock
 	sharedTokens int
+	engine       *engine.Model
 }
 
 // Placement is the endpoint chosen for a run and its load.
@@ -92,7 +94,10 @@
 	// TypicalLatency is that of such runs, StrongerLatency that of runs of the stronger model.
 	TypicalLatency  Latency
 	StrongerLatency Latency
-	// Forecast is when the run is expected to begin and end there.
+	// Number tells the placements of this VM apart.
+	Number uint64
+	// Run is what the run asks of the endpoint and finds there, Forecast when it is expected to begin and end.
+	Run      engine.Run
 	Forecast engine.Forecast
 	// SendBy is when the send has to begin, because the endpoint is cold and its runs are spaced; zero if there is no bound.
 	SendBy time.Time
@@ -155,6 +160,9 @@
 	Prompt      routing.Prompt
 	// Weight is the same as in the Query.
 	Weight float64
+	// Number and Run are those of the Placement.
+	Number uint64
+	Run    engine.Run
 	// SendBy is that of the placement.
 	SendBy time.Time
 	// TTFB is the time to first byte; 0 if none arrived.
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -10,13 +10,6 @@
 	"cornelmux/pkg/routing"
 )
 
-const (
-	// typicalUpdateShare is the part of one answer, 0 to 1, in the moving means of TypicalLatency.
-	typicalUpdateShare = 0.05
-	// maxTypical bounds the typical latencies that are remembered; callers name the models.
-	maxTypical = 1024
-)
-
 // Choice is the result of a placement.
 type Choice int
 
@@ -63,22 +56,24 @@
 	cold        coldShares
 	// typical holds the typical latency of the runs by service and model.
 	typical map[latencyKey]Latency
+	// models holds what was learned of the engines by service and model.
+	models models
+	// zoneLoads holds the loads of other zones, delays how much later runs begin there.
+	zoneLoads zoneLoads
+	delays    delays
+	// placed is the number of the last placement.
+	placed uint64
 	// directoryDown says that the directory cannot be read now; directoryUpAt is when it last became readable again.
 	directoryDown bool
 	directoryUpAt time.Time
 }
 
-// latencyKey identifies the runs with a common typical latency; model is "" for a plain service.
-type latencyKey struct {
-	service string
-	model   string
-}
-
 // NewTable makes an empty Table for a VM at the location.
 func NewTable(location endpoint.Location) *Table {
 	return &Table{
 		location: location, records: map[string]*Record{}, services: map[string][]*Record{}, unlisted: unlisted{}, evacuations: evacuations{},
 		typical: map[latencyKey]Latency{}, cold: coldShares{services: map[string]*routing.Service{}, removed: map[string]removedIncarnation{}},
+		models: models{}, zoneLoads: zoneLoads{}, delays: newDelays(),
 	}
 }
 
@@ -204,6 +199,7 @@
 func (t *Table) Choose(q *Query, now time.Time) (Placement, Choice) {
 	t.cold.noteService(q.Config)
 	q.blocks, q.sharedTokens = joinBlocks(q.Prompt.Blocks), q.Prompt.SharedPrefixTokens()
+	q.engine = t.models.of(latencyKey{q.Service, q.Model})
 	best, full := t.best(q, now, true)
 	if best == nil && full {
 		return Placement{}, ChoiceFull
@@ -215,11 +211,14 @@
 		return Placement{}, t.refusal(q, now)
 	}
 	inFlight, _, _ := best.peerTotals(now)
+	run := t.run(best, q, now)
 	best.InFlight++
+	t.placed++
+	best.wait(t.placed, waitingRun{key: latencyKey{q.Service, q.Model}, work: q.engine.TokenTime(run.Tokens), run: run})
 	best.engineLoad += q.weight()
 	return Placement{
-		SendBy:      best.takeColdRun(now),
-		PrefillTime: prefillTime(best.uncachedTokens(q)),
+		SendBy: best.takeColdRun(now), Number: t.placed, Run: run, Forecast: t.forecast(best, q, run, now),
+		PrefillTime: prefillTime(run.Tokens),
 		Entry:       best.Entry, Running: best.InFlight + inFlight, Load: slotUtilization(best.InFlight+inFlight, best.Slots),
 		TypicalLatency: t.typical[latencyKey{q.Service, q.Model}], StrongerLatency: t.typical[latencyKey{q.Service, q.StrongerModel}],
 	}, ChoicePlaced
@@ -320,6 +319,7 @@
 	}
 	r.InFlight = max(r.InFlight-1, 0)
 	r.engineLoad = max(r.engineLoad-cmp.Or(o.Weight, 1), 0)
+	waited, waiting := r.leave(o.Number)
 	r.returnColdRun(o)
 	if r.Incarnation != o.Incarnation {
 		if o.End == EndLost && o.Events <= maxCrashEvents {
@@ -330,6 +330,10 @@
 	key := latencyKey{o.Service, o.Model}
 	r.applyOutcome(o, t.typical[key].TTFB, now)
 	t.updateTypical(key, o)
+	if waiting && o.End == EndAnswered {
+		t.learnBegin(r, &waited, o.TTFB, now)
+	}
+	t.learnGap(r, o, now)
 	r.noteLoss(o, now)
 	if r.Leaving && r.InFlight == 0 && r.missing {
 		t.remove(r, now)
@@ -340,30 +344,6 @@
 	return nil
 }
 
-// updateTypical adds an answered run to the typical latency. A new key beyond maxTypical isn't remembered.
-func (t *Table) updateTypical(key latencyKey, o *Outcome) {
-	if o.TTFB <= 0 || o.End != EndAnswered {
-		return
-	}
-	l, ok := t.typical[key]
-	if !ok && len(t.typical) >= maxTypical {
-		return
-	}
-	t.typical[key] = Latency{TTFB: movingMean(l.TTFB, o.TTFB), MeanGap: movingMean(l.MeanGap, o.MeanGap)}
-}
-
-// movingMean returns the moving mean after another value. A value of 0 is ignored. updateTypical calls it.
-func movingMean(mean, value time.Duration) time.Duration {
-	switch {
-	case value <= 0:
-		return mean
-	case mean <= 0:
-		return value
-	default:
-		return mean + time.Duration(typicalUpdateShare*float64(value-mean))
-	}
-}
-
 // Versions returns the number of endpoints of a service that accept runs, by version.
 func (t *Table) Versions(service string) map[string]int {
 	out := map[string]int{}
