A stronger model isn't asked while others wait for its service

Cause: escalations were refused whenever an endpoint of the zone was full, also if nothing waited.

Change: they are refused while runs wait for the service, and placed as before otherwise.

--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -338,6 +338,8 @@
 func (c *Controller) takeRetry(q *Query, budget *RetryBudget, now time.Time) Choice {
 	switch {
 	case !q.Retry:
+	case q.Escalation && c.waitsFor(q.Service):
+		return ChoiceFull
 	case q.Escalation && !budget.AllowsEscalation(now):
 		return ChoiceNoBudget
 	case q.Escalation:
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -80,6 +80,17 @@
 	return queue != nil && queue.HoldsBack(q.Priority)
 }
 
+// waitsFor reports whether runs wait for endpoints of the service. takeRetry asks it before a stronger model, which takes far more of an
+// engine than the answer that there is already, gets a place before them.
+func (c *Controller) waitsFor(service string) bool {
+	for key := range c.queues.byKey {
+		if key.service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // wait puts the run into its queue, or refuses it. The handler of chooseMessage calls it if no endpoint has room.
 func (c *Controller) wait(ctx context.Context, m chooseMessage, now time.Time) {
 	key := newQueueKey(&m.query)
--- a/internal/pool/room.go
+++ b/internal/pool/room.go
@@ -37,7 +37,7 @@
 
 // slots returns how many runs an endpoint of the service processes at once, by its configuration; 0 if nothing depends on it.
 func (q *Query) slots() int {
-	if q.Config == nil || !(q.Waits || q.Escalation) {
+	if q.Config == nil || !q.Waits {
 		return 0
 	}
 	return q.Config.Engine.Slots
