Queue: retries outlast the stop's bound on first sends, a run placed anew counts once, and only placed runs count as sent

Three faults where the queue meets others, each with a test that failed before: - A retry that waited was refused at the stop's bound on first sends, though the request may have run and could still be answered. - A request that was placed anew after a roll-back counted as a further request, so that the retry budget grew without a send. - A run that left the queue because no endpoint was left for it, as after an evacuation, counted as placed in the metric and in the rate by which others are refused, and took the turn of a run that could have been placed.

--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -284,13 +284,14 @@
 	c.scanWaiters = append(c.scanWaiters, m.reply)
 }
 
-// handle counts the run in the retry budget and places it; a retry that isn't placed isn't counted. An escalation leaves a part of
+// handle counts the run in the retry budget and places it; a retry that isn't placed isn't counted, nor is a first send that is placed
+// anew. An escalation leaves a part of
 // the budget to retries after failures. A run whose request has left isn't placed. Choose sends the message.
 func (m chooseMessage) handle(ctx context.Context, c *Controller) {
 	<-c.questions
 	now := time.Now()
 	budget := c.budget(m.query.Service)
-	if !m.query.Retry {
+	if !m.query.Retry && !m.query.Again {
 		budget.CountRequest(now)
 	}
 	if !m.reply.Wanted() {
@@ -300,18 +301,18 @@
 		m.reply.Send(chooseReply{choice: refusal})
 		return
 	}
-	if c.mustWait(&m.query) || !c.place(m, 0, now) {
+	if c.mustWait(&m.query) || (c.place(m, 0, now) == ChoiceFull && m.query.Waits) {
 		c.wait(ctx, m, now)
 	}
 }
 
-// place places the run and sends the reply, unless the run may wait and no endpoint has room for it. The handler of chooseMessage
-// calls it, and serveQueues.
-func (c *Controller) place(m chooseMessage, waited time.Duration, now time.Time) bool {
+// place places the run and sends the reply, unless the run may wait and no endpoint has room for it. It returns what was chosen. The
+// handler of chooseMessage calls it, and serveQueue.
+func (c *Controller) place(m chooseMessage, waited time.Duration, now time.Time) Choice {
 	budget := c.budget(m.query.Service)
 	p, choice := c.table.Choose(&m.query, now)
 	if choice == ChoiceFull && m.query.Waits {
-		return false
+		return choice
 	}
 	p.Waited = waited
 	if m.query.Retry && choice != ChoicePlaced {
@@ -331,7 +332,7 @@
 	if !m.reply.Send(reply) && choice == ChoicePlaced {
 		c.giveBack(&m.query, &p, now)
 	}
-	return true
+	return choice
 }
 
 // takeRetry counts a retry in the budget, and returns why it isn't allowed, or 0. The handler of chooseMessage calls it.
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -169,7 +169,7 @@
 	c.armQueues()
 }
 
-// removeLeft takes out the runs whose askers have left, and those that the shutdown of the VM refuses.
+// removeLeft takes out the runs whose askers have left, and those that the shutdown of the VM refuses: these weren't sent before.
 func (c *Controller) removeLeft(ctx context.Context, queue *admission.Queue[chooseMessage], now time.Time) {
 	var stop drain.Stop
 	stopping := false
@@ -177,7 +177,7 @@
 		stop, stopping = c.opts.Stops.Stopping()
 	}
 	out := queue.Filter(func(w *queuedRun) bool {
-		return !w.Value.reply.Wanted() || (stopping && stop.RefusesSend(now, w.Deadline))
+		return !w.Value.reply.Wanted() || (stopping && !w.Again && stop.RefusesSend(now, w.Deadline))
 	})
 	for _, w := range out {
 		c.countWaiting(ctx, &w.Value.query, -1)
@@ -214,16 +214,21 @@
 			continue
 		}
 		waited := max(now.Sub(w.Since), 1)
-		if !c.place(w.Value, waited, now) {
-			if len(q.Exclude) == 0 {
-				break
-			}
+		choice := c.place(w.Value, waited, now)
+		if choice == ChoiceFull && len(q.Exclude) == 0 {
+			break
+		}
+		if choice == ChoiceFull {
 			roomless = append(roomless, w)
 			continue
 		}
+		c.countWaiting(ctx, q, -1)
+		if choice != ChoicePlaced { // no endpoint is left for it
+			queue.Remove(w)
+			continue
+		}
 		queue.Sent(w, now)
 		n--
-		c.countWaiting(ctx, q, -1)
 		if c.opts.Admission != nil {
 			c.opts.Admission.RunWaited(ctx, q.Service, q.Priority, waited)
 		}
