Connections: only a new part of a head counts the heads

Each change of a connection counted the heads of all open connections, three times for each request. Only a change to PhaseHead can make them too many, so that other changes now cost the same however many connections are open. Decisions are as before.

--- a/internal/task/evict.go
+++ b/internal/task/evict.go
@@ -43,15 +43,10 @@
 // evict returns the index of the connection that has to be closed once the one at changed has changed its phase, or -1 if none has to
 // be, or none may be. It answers crowds whose connections stay open without a whole request: if there are too many, the one that has
 // been idle for the longest goes first, then the slowest head, then the slowest body, and the changed one last, so that new callers
-// get in. A request that is whole is never given up, since it may run.
+// get in. A request that is whole is never given up, since it may run. Only a change to PhaseHead can make the heads too many, so that
+// other changes don't count them.
 func evict(open []OpenConnection, changed int, limits ConnectionLimits) int {
-	heads := 0
-	for _, c := range open {
-		if c.Phase == PhaseHead {
-			heads++
-		}
-	}
-	if limits.Heads > 0 && heads > limits.Heads {
+	if open[changed].Phase == PhaseHead && tooManyHeads(open, limits) {
 		return longest(open, PhaseHead, changed)
 	}
 	if limits.Open == 0 || len(open) <= limits.Open {
@@ -68,6 +63,20 @@
 	return -1
 }
 
+// tooManyHeads reports whether a part of a head is held of more connections than the limit allows.
+func tooManyHeads(open []OpenConnection, limits ConnectionLimits) bool {
+	if limits.Heads == 0 || len(open) <= limits.Heads {
+		return false
+	}
+	heads := 0
+	for _, c := range open {
+		if c.Phase == PhaseHead {
+			heads++
+		}
+	}
+	return heads > limits.Heads
+}
+
 // longest returns the index of the connection that has been in the phase for the longest, but for the one at except, or -1.
 func longest(open []OpenConnection, phase Phase, except int) int {
 	found := -1
--- a/internal/task/evict_test.go
+++ b/internal/task/evict_test.go
@@ -37,6 +37,8 @@
 		{"new one among served ones", []OpenConnection{serving, serving, idle(9)}, 2, ConnectionLimits{2, 1}, 2},
 		{"all are served", []OpenConnection{serving, serving, serving}, 2, ConnectionLimits{2, 1}, -1},
 		{"too many heads, though there is room", []OpenConnection{head(3), idle(0), head(2), head(1)}, 3, ConnectionLimits{10, 2}, 2},
+		{"as many heads as allowed", []OpenConnection{head(3), idle(0), head(2)}, 2, ConnectionLimits{10, 2}, -1},
+		{"heads without a bound", []OpenConnection{head(3), head(1), head(2)}, 2, ConnectionLimits{10, 0}, -1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
