Homes: a run that waited for room is placed by the newest homes

A run that waited was checked for its version before the send but not for its homes: these came to light at the check of the send, which counted as an attempt and took a retry from the budget, though nothing was sent. A change of homes under load could so use up the budget and refuse what waited. Homes are now read again with the version. The test failed before.

--- a/internal/filter/rebind_test.go
+++ b/internal/filter/rebind_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -11,6 +12,7 @@
 	"cornelmux/internal/pool"
 	"cornelmux/internal/shift"
 	"cornelmux/pkg/result"
+	"cornelmux/pkg/routing"
 )
 
 // waitedPool is a Pool that places the runs on the version that they ask for, or on v1 unless it's excluded, after a wait. It records the queries
@@ -101,3 +103,55 @@
 		})
 	}
 }
+
+// homesPool is a waitedPool that places each run in the first region of its homes, and takes the time of the wait.
+type homesPool struct {
+	waitedPool
+	// newest is the table that requests read, narrowed what it is after the first wait.
+	newest   *newestRoutes
+	narrowed *routing.Table
+}
+
+func (p *homesPool) Choose(ctx context.Context, q pool.Query) (pool.Placement, error) {
+	time.Sleep(p.waited)
+	p.newest.table = p.narrowed
+	place, err := p.waitedPool.Choose(ctx, q)
+	place.Region = q.Homes.Names[0]
+	return place, err
+}
+
+// TestRunThatWaitedKeepsToTheNewestHomes guards against a request that loses a retry, or is refused, because its homes became fewer while
+// it waited for room: nothing was sent, so it is placed anew.
+func TestRunThatWaitedKeepsToTheNewestHomes(t *testing.T) {
+	tests := []struct {
+		name string
+		// newest is what the table allows after the wait; region is that of the placement, "" if there is none.
+		newest routing.Regions
+		region string
+		ends   []pool.End
+	}{
+		{"the same", limitedTo("x", "y"), "x", nil},
+		{"fewer, the endpoint among them", limitedTo("x"), "x", nil},
+		{"fewer, without the endpoint", limitedTo("y"), "y", []pool.End{pool.EndAbandoned}},
+		{"none left", limitedTo("z"), "", []pool.End{pool.EndAbandoned}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				newest := &newestRoutes{tableWith(limitedTo("x", "y"), routing.Regions{})}
+				p := &homesPool{waitedPool{waited: freshFor}, newest, tableWith(test.newest, routing.Regions{})}
+				k := homeKeeper{newest, time.Now(), "h", "/p/x", "k"}
+				r, err := placer{Pool: p, Shifts: noShift{}, homes: k}.reserve(t.Context(), pool.Query{Service: "s", Homes: limitedTo("x", "y")})
+				qt.Check(t, p.ends, qt.DeepEquals, test.ends)
+				if test.region == "" {
+					qt.Assert(t, err, qt.IsNotNil)
+					qt.Check(t, result.From(err).Code, qt.Equals, result.NoHome)
+					return
+				}
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, r.Placement.Region, qt.Equals, test.region)
+				qt.Check(t, r.Query.Homes.Names, qt.DeepEquals, test.newest.Names)
+			})
+		})
+	}
+}
--- a/internal/filter/reserve.go
+++ b/internal/filter/reserve.go
@@ -31,18 +31,12 @@
 }
 
 // reserve binds the session to a version and places the run. A filter calls it before it sends, and before it gives up a send
-// or an answer for another one. A run that waited for room is placed anew if its session may no longer get the version, as after a
-// roll-back.
+// or an answer for another one. A run that waited for room is placed anew if it may no longer get the endpoint, because its version was
+// rolled back or its homes are fewer.
 func (p placer) reserve(ctx context.Context, q pool.Query) (*Reservation, error) {
 	asked := time.Now()
-	homes, err := p.homes.narrow(ctx, q.Homes)
-	if err != nil {
-		return nil, err
-	}
-	q.Homes = homes
-	binding, err := p.bind(ctx, q.Service)
+	binding, err := p.limit(ctx, &q)
 	for err == nil {
-		q.Version, q.ExcludedVersions = binding.Version, binding.ExcludedVersions
 		place, failure := p.Pool.Choose(ctx, q)
 		if failure != nil {
 			return nil, failure
@@ -51,8 +45,8 @@
 		if place.Waited == 0 {
 			return r, nil
 		}
-		if binding, err = p.bind(ctx, q.Service); err == nil && allows(binding, place.Version) {
-			r.Binding = binding
+		if binding, err = p.limit(ctx, &q); err == nil && allows(binding, place.Version) && q.Homes.Has(place.Region) {
+			r.Binding, r.Query = binding, q
 			return r, nil
 		}
 		p.release(ctx, r)
@@ -61,6 +55,17 @@
 	return nil, err
 }
 
+// limit sets the homes and versions of a run by the newest configuration, and returns the binding of its session.
+func (p placer) limit(ctx context.Context, q *pool.Query) (shift.Binding, error) {
+	homes, err := p.homes.narrow(ctx, q.Homes)
+	if err != nil {
+		return shift.Binding{}, err
+	}
+	binding, err := p.bind(ctx, q.Service)
+	q.Homes, q.Version, q.ExcludedVersions = homes, binding.Version, binding.ExcludedVersions
+	return binding, err
+}
+
 // bind returns the versions that the session may get now.
 func (p placer) bind(ctx context.Context, service string) (shift.Binding, error) {
 	binding, err := p.Shifts.Bind(ctx, service, p.session)
