Queue: retries without room hold no others back

A pass over the queue tries at most maxServed runs. Retries that had been sent to the endpoint with room, and found none elsewhere, stood in front and used up the pass, so that the endpoint stayed idle until they left. One that finds no room now speaks for all that were sent to the same endpoints.

--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -198,11 +198,13 @@
 }
 
 // serveQueue places runs that wait, in their order, up to n, until one finds no room. One that was sent before may find none where another
-// does, since it isn't sent to the same endpoint twice.
+// does, since it isn't sent to the same endpoint twice; then others that were sent to the same endpoints aren't tried either.
 func (c *Controller) serveQueue(ctx context.Context, key queueKey, queue *admission.Queue[chooseMessage], n int, now time.Time) {
-	var roomless []*queuedRun
+	var roomless [][]string // the endpoints that such runs were sent to
 	for tries := 0; n > 0 && tries < maxServed; tries++ {
-		w := queue.Next(now, func(w *queuedRun) bool { return slices.Contains(roomless, w) })
+		w := queue.Next(now, func(w *queuedRun) bool {
+			return slices.ContainsFunc(roomless, func(tried []string) bool { return slices.Equal(tried, w.Value.query.Exclude) })
+		})
 		if w == nil {
 			break
 		}
@@ -219,7 +221,7 @@
 			break
 		}
 		if choice == ChoiceFull {
-			roomless = append(roomless, w)
+			roomless = append(roomless, q.Exclude)
 			continue
 		}
 		c.countWaiting(ctx, q, -1)
--- a/internal/pool/queue_end_test.go
+++ b/internal/pool/queue_end_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -90,3 +91,27 @@
 	qt.Check(t, c.queues.byKey, qt.HasLen, 0)
 	qt.Check(t, meter.placed, qt.Equals, 0)
 }
+
+// TestRetriesWithoutRoomHoldNoOtherBack guards against an endpoint that stays idle because many wait in front that were sent there before.
+func TestRetriesWithoutRoomHoldNoOtherBack(t *testing.T) {
+	withController(t, 2*maxServed, []Entry{entry("a"), entry("b")}, func(t *testing.T, c *Controller) {
+		places := fill(t, c, 2)
+		answers := make(chan answer, 2*maxServed)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for range maxServed + 1 {
+			retry := waiting("x", 1)
+			retry.Retry, retry.Again, retry.Exclude = true, true, []string{"b"}
+			ask(ctx, c, "retry", retry, answers)
+		}
+		ask(ctx, c, "new", waiting("y", 1), answers)
+		i := slices.IndexFunc(places, func(p Placement) bool { return p.ID == "b" })
+		end(t, c, places[i], EndAnswered)
+		time.Sleep(2 * queueInterval)
+		synctest.Wait()
+		qt.Assert(t, answers, qt.HasLen, 1)
+		got := <-answers
+		qt.Check(t, got.name, qt.Equals, "new")
+		qt.Check(t, got.place.ID, qt.Equals, "b")
+	})
+}
