Peers' reports are summed once for each placement and endpoint

A placement summed the reports of an endpoint's peers up to three times, since whether it has room is asked twice beside its score. The sum of a moment is kept until a report comes or the endpoint restarts. Not measured; the test guards what it must follow.

--- a/internal/pool/gossip.go
+++ b/internal/pool/gossip.go
@@ -53,28 +53,46 @@
 		if !ok || uint64(r.Incarnation) != e.Incarnation {
 			continue
 		}
-		r.peerViews[vm] = peerView{now, e.Running, e.EngineLoad, e.FailureRate}
+		r.peerViews[vm], r.peerSums = peerView{now, e.Running, e.EngineLoad, e.FailureRate}, peerSums{}
 		if e.Suspect && r.backoffs == 0 {
 			r.suspectedUntil = now.Add(suspicionTTL)
 		}
 	}
 }
 
+// peerSums is the sum of the recent reports of an endpoint's peers at a time. It's zero after a further report.
+type peerSums struct {
+	at          time.Time
+	peers       int
+	inFlight    int
+	engineLoad  float64
+	failureRate float64
+}
+
 // peerTotals sums the recent reports of the peers: their runs and the load of these on the engine. The failure rate is
-// the mean over the peers and this VM. It drops the reports that are too old. Table.Choose and Score call it.
+// the mean over the peers and this VM. One placement asks several times, at the same moment. Table.Choose, Score and hasRoom call it.
 func (r *Record) peerTotals(now time.Time) (inFlight int, engineLoad, failureRate float64) {
-	failureRate, n := r.failureRate, 1.0
+	if !r.peerSums.at.Equal(now) {
+		r.sumPeers(now)
+	}
+	s := &r.peerSums
+	return s.inFlight, s.engineLoad, (r.failureRate + s.failureRate) / float64(s.peers+1)
+}
+
+// sumPeers sums the recent reports of the peers, and drops those that are too old. peerTotals calls it.
+func (r *Record) sumPeers(now time.Time) {
+	s := peerSums{at: now}
 	for vm, v := range r.peerViews {
 		if now.Sub(v.receivedAt) > peerViewTTL {
 			delete(r.peerViews, vm)
 			continue
 		}
-		inFlight += v.inFlight
-		engineLoad += v.engineLoad
-		failureRate += v.failureRate
-		n++
+		s.peers++
+		s.inFlight += v.inFlight
+		s.engineLoad += v.engineLoad
+		s.failureRate += v.failureRate
 	}
-	return inFlight, engineLoad, failureRate / n
+	r.peerSums = s
 }
 
 type (
--- a/internal/pool/gossip_test.go
+++ b/internal/pool/gossip_test.go
@@ -51,3 +51,38 @@
 	qt.Check(t, reports[0].FailureRate, qt.Equals, failureUpdateShare)
 	qt.Check(t, table.PeerReports(start.Add(firstBackoff))[0].Suspect, qt.IsFalse)
 }
+
+// TestPeerTotalsFollowReports guards against the sum of a moment that stands though a report has come, a peer has fallen silent or the
+// endpoint has restarted since.
+func TestPeerTotalsFollowReports(t *testing.T) {
+	report := func(running int) []peer.EndpointReport {
+		return []peer.EndpointReport{{Endpoint: "a", Incarnation: 5, Running: running}}
+	}
+	tests := []struct {
+		name  string
+		apply func(t *Table)
+		after time.Duration
+		want  int
+	}{
+		{"nothing", func(*Table) {}, 0, 3},
+		{"a newer report", func(t *Table) { t.ApplyPeerReports("v", report(4), start) }, 0, 4},
+		{"another peer", func(t *Table) { t.ApplyPeerReports("w", report(4), start) }, 0, 7},
+		{"silence", func(*Table) {}, peerViewTTL + 1, 0},
+		{"a new incarnation", func(t *Table) {
+			e := entry("a")
+			e.Incarnation = 6
+			t.Put(e, start)
+		}, 0, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := newTable(entry("a"))
+			table.ApplyPeerReports("v", report(3), start)
+			before, _, _ := table.records["a"].peerTotals(start)
+			qt.Check(t, before, qt.Equals, 3)
+			test.apply(table)
+			got, _, _ := table.records["a"].peerTotals(start.Add(test.after))
+			qt.Check(t, got, qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -65,8 +65,9 @@
 	unreachable bool
 	// suspectedUntil is how long the suspicion of a peer counts.
 	suspectedUntil time.Time
-	// peerViews holds the latest report of each peer, by VM.
+	// peerViews holds the latest report of each peer, by VM, and peerSums their sum.
 	peerViews map[string]peerView
+	peerSums  peerSums
 	// refusedUntil is how long the last refusal counts.
 	refusedUntil time.Time
 	// pausedUntil is until when the endpoint wants no runs; pauseLoggedAt is when that was last logged.
@@ -111,6 +112,7 @@
 	if restarted {
 		r.replaced, r.backoffs, r.backoffUntil, r.failureRate, r.latencyRatio = false, 0, time.Time{}, 0, 1
 		r.saidLeavingAt, r.pausedUntil = time.Time{}, time.Time{}
+		r.peerSums = peerSums{}
 		r.prefixBlocks, r.peerViews, r.suspectedUntil, r.unreachable = newPrefixCache(maxPrefixBlocks), map[string]peerView{}, time.Time{}, false
 	}
 	return restarted
