--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -13,15 +13,15 @@
 const (
 	// maxUrgency is the greatest urgency that is told apart, which is the least urgent.
 	maxUrgency = 9
-	// lastChance is how long before its deadline a request that is late goes before those of its account that are in time: held so long,
-	// it must not end with nothing.
+	// lastChance is how long before its deadline a request that is late goes before those of its account that are in time: after so
+	// long a wait, it still gets an answer.
 	lastChance = 500 * time.Millisecond
 	// never is the time of what has no objective or no deadline.
 	never = time.Duration(math.MaxInt64)
 )
 
-// Request is what the order and the refusals depend on. All of it comes from the configuration and from measured times: what a caller
-// says of itself, but for its deadline, buys no place.
+// Request is what the order and the refusals depend on. But for the deadline, all of it comes from the configuration and from measured
+// times, so that no caller gets ahead of others by what it says of itself.
 type Request struct {
 	// Account is the client account, Urgency its rank or the route's, where 0 goes first.
 	Account string
--- a/internal/admission/refusal.go
+++ b/internal/admission/refusal.go
@@ -52,8 +52,8 @@
 }
 
 // expectedWait returns how long a new request waits at the rate at which requests left lately, less what more urgent ones take of it; 0
-// if too little is known. Of another client account only as many requests go before it as its own account has, as they take turns; and it waits at least as
-// long as its account's own requests take to leave.
+// if too little is known. Of another client account only as many requests go before it as its own account has, as they take turns; and it
+// waits at least as long as its account's own requests take to leave.
 func (q *Queue[T]) expectedWait(r *Request, now time.Time) time.Duration {
 	rate, ok := q.drain.rate(r.Urgency, now)
 	if !ok {
--- a/internal/pool/room.go
+++ b/internal/pool/room.go
@@ -6,7 +6,7 @@
 )
 
 // queuedShare is how many runs an endpoint may hold beyond those that it runs at once, as a share of these, so that it is never idle
-// while the word of an end is on its way.
+// until this VM learns that a run has ended.
 const queuedShare = 0.25
 
 // hasRoom reports whether an endpoint of this availability zone has room for the run: a model engine for as many as it processes at once,
@@ -25,7 +25,7 @@
 }
 
 // confined reports whether the run gets only endpoints of this availability zone that have room, since some of it have none. What the
-// endpoints of other zones run isn't known here; under load, VMs that sent there would fill them unseen. Table.best calls it.
+// endpoints of other zones run isn't known here: under load, VMs of several zones would send more there than they can run. Table.best calls it.
 func (t *Table) confined(q *Query, list []*Record, now time.Time) bool {
 	if q.slots() == 0 {
 		return false
--- a/internal/warmup/coldness.go
+++ b/internal/warmup/coldness.go
@@ -15,7 +15,7 @@
 
 // The values of Reason; the zero value is an endpoint that isn't cold.
 const (
-	// ReasonEntry is the word of the endpoint's own entry.
+	// ReasonEntry means that the endpoint's own entry says so.
 	ReasonEntry Reason = iota + 1
 	// ReasonStart is an incarnation that this VM has seen for less than the time that endpoints are cold after their start.
 	ReasonStart
