--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -66,8 +66,9 @@
 	unreachable bool
 	// suspectedUntil is how long the suspicion of a peer counts.
 	suspectedUntil time.Time
-	// peerViews holds the latest report of each peer, by VM.
+	// peerViews holds the latest report of each peer, by VM, and peerSums their sum.
 	peerViews map[string]peerView
+	peerSums  peerSums
 	// refusedUntil is how long the last refusal counts.
 	refusedUntil time.Time
 	// pausedUntil is until when the endpoint wants no runs; pauseLoggedAt is when that was last logged.
@@ -118,6 +119,7 @@
 		r.replaced, r.backoffs, r.backoffUntil, r.failureRate, r.latencyRatio, r.slowness = false, 0, time.Time{}, 0, 1, engine.Slowness{}
 		r.saidLeavingAt, r.pausedUntil = time.Time{}, time.Time{}
 		r.waiting, r.waitingWork = map[uint64]waitingRun{}, 0
+		r.peerSums = peerSums{}
 		r.prefixBlocks, r.peerViews, r.suspectedUntil, r.unreachable = newPrefixCache(maxPrefixBlocks), map[string]peerView{}, time.Time{}, false
 	}
 	return restarted
