--- a/internal/engine/model.go
+++ b/internal/engine/model.go
@@ -28,7 +28,7 @@
 	tokenUnit = 1000
 	// medianStep is the factor by which one run moves the median of the slowness.
 	medianStep = 1.03
-	// longest bounds what is foretold.
+	// longest bounds each prediction.
 	longest = time.Hour
 )
 
@@ -39,7 +39,7 @@
 	usual float64
 }
 
-// NewModel makes a Model that foretells by the prior.
+// NewModel makes a Model that predicts by the prior.
 func NewModel(p Prior) *Model {
 	prior := vector{milliseconds(p.First), tokenUnit * milliseconds(p.PerToken), milliseconds(p.PerLoad), milliseconds(p.PerQueue), 1}
 	var least vector
--- a/internal/engine/model_test.go
+++ b/internal/engine/model_test.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// medianError returns the median of the relative errors of what is foretold for endpoints of usual speed, against factor times the
+// medianError returns the median of the relative errors of what is predicted for endpoints of usual speed, against factor times the
 // times drawn.
 func (e *engines) medianError(factor float64) float64 {
 	var errs []float64
@@ -174,7 +174,7 @@
 	}
 }
 
-// TestForecastIsSane draws runs of any kind, among them times that no engine takes, and checks that what is foretold is bounded, and
+// TestForecastIsSane draws runs of any kind, among them times that no engine takes, and checks that what is predicted is bounded, and
 // neither falls with more tokens or more load, nor ends before it begins.
 func TestForecastIsSane(tt *testing.T) {
 	rapid.Check(tt, func(t *rapid.T) {
@@ -192,7 +192,7 @@
 		r, slowness := drawRun(), rapid.Float64Range(0.25, 4).Draw(t, "slowness")
 		f := m.Forecast(r, slowness)
 		if f.Begin < 0 || f.Begin > longest || (f.End != 0 && f.End < f.Begin) {
-			t.Fatalf("%+v foretold", f)
+			t.Fatalf("%+v predicted", f)
 		}
 		more := r
 		more.Tokens, more.Load = r.Tokens*2, r.Load*2
@@ -202,7 +202,7 @@
 	})
 }
 
-// TestEndFollowsGaps guards against ends that are foretold by the gaps of another deployment, and against gaps that a load doesn't stretch.
+// TestEndFollowsGaps guards against ends that are predicted by the gaps of another deployment, and against gaps that a load doesn't stretch.
 func TestEndFollowsGaps(t *testing.T) {
 	m := NewModel(prior)
 	run := Run{Tokens: 100, Load: 1, Events: 40}
--- a/internal/engine/slowness.go
+++ b/internal/engine/slowness.go
@@ -27,7 +27,7 @@
 	at   time.Time
 }
 
-// Learn adds a run that began after seen, where expected was foretold for an endpoint of usual speed.
+// Learn adds a run that began after seen, where expected was predicted for an endpoint of usual speed.
 func (s *Slowness) Learn(seen, expected time.Duration, now time.Time) {
 	if seen <= 0 || expected <= 0 {
 		return
--- a/internal/pool/forecast_test.go
+++ b/internal/pool/forecast_test.go
@@ -43,7 +43,7 @@
 			q := Query{Service: "s", Model: "m", Prompt: routing.Prompt{TokensIn: 2000}}
 			p, _ := table.Choose(&q, now)
 			ratio := float64(p.Forecast.Begin) / float64(test.took)
-			qt.Check(t, ratio > 0.7 && ratio < 1.4, qt.IsTrue, qt.Commentf("%v foretold", p.Forecast.Begin))
+			qt.Check(t, ratio > 0.7 && ratio < 1.4, qt.IsTrue, qt.Commentf("%v predicted", p.Forecast.Begin))
 		})
 	}
 }
