--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -285,8 +285,8 @@
 }
 
 // handle counts the run in the retry budget and places it; a retry that isn't placed isn't counted, nor is a first send that is placed
-// anew. An escalation leaves a part of
-// the budget to retries after failures. A run whose request has left isn't placed. Choose sends the message.
+// anew. An escalation leaves a part of the budget to retries after failures. A run whose request has left isn't placed. Choose sends
+// the message.
 func (m chooseMessage) handle(ctx context.Context, c *Controller) {
 	<-c.questions
 	now := time.Now()
--- a/internal/pool/queue_end_test.go
+++ b/internal/pool/queue_end_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -115,3 +116,23 @@
 		qt.Check(t, got.place.ID, qt.Equals, "b")
 	})
 }
+
+// TestFullQueueRefusesAtOnce guards against a queue that grows without bound.
+func TestFullQueueRefusesAtOnce(t *testing.T) {
+	withController(t, 9, []Entry{entry("a")}, func(t *testing.T, c *Controller) {
+		fill(t, c, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		answers := make(chan answer, maxQueued+1)
+		for i := range maxQueued + 1 {
+			ask(ctx, c, fmt.Sprint(i), waiting("x", 1), answers)
+		}
+		got := <-answers
+		qt.Check(t, got.code, qt.Equals, result.QueueFull)
+		qt.Check(t, got.took, qt.Equals, time.Duration(0))
+		qt.Check(t, got.retryAfter > 0, qt.IsTrue)
+		cancel()
+		for range maxQueued {
+			<-answers
+		}
+	})
+}
--- a/internal/pool/queue_test.go
+++ b/internal/pool/queue_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -304,26 +303,6 @@
 	})
 }
 
-// TestFullQueueRefusesAtOnce guards against a queue that grows without bound.
-func TestFullQueueRefusesAtOnce(t *testing.T) {
-	withController(t, 9, []Entry{entry("a")}, func(t *testing.T, c *Controller) {
-		fill(t, c, 1)
-		ctx, cancel := context.WithCancel(t.Context())
-		answers := make(chan answer, maxQueued+1)
-		for i := range maxQueued + 1 {
-			ask(ctx, c, fmt.Sprint(i), waiting("x", 1), answers)
-		}
-		got := <-answers
-		qt.Check(t, got.code, qt.Equals, result.QueueFull)
-		qt.Check(t, got.took, qt.Equals, time.Duration(0))
-		qt.Check(t, got.retryAfter > 0, qt.IsTrue)
-		cancel()
-		for range maxQueued {
-			<-answers
-		}
-	})
-}
-
 // TestRoom checks how many runs an endpoint has room for, with those of other VMs.
 func TestRoom(t *testing.T) {
 	tests := []struct {
