--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -73,6 +73,17 @@
 
 // newSite starts the store, six runners in two zones and the VMs, and waits until the VMs serve the configuration.
 func newSite(ctx context.Context, c *qt.C, seed uint64) *site {
+	s := newStoreSite(ctx, c, seed)
+	for n := range 3 {
+		s.addRunner(ctx, fmt.Sprint("app-", n), platformstandin.AppService, []string{"a", "b"}[n%2])
+		s.addRunner(ctx, fmt.Sprint("model-", n), platformstandin.ModelService, []string{"a", "b"}[n%2])
+	}
+	s.startVMs(ctx, *vmCount)
+	return s
+}
+
+// newStoreSite starts the store alone.
+func newStoreSite(ctx context.Context, c *qt.C, seed uint64) *site {
 	s := &site{
 		c: c, seed: seed, dir: c.Mkdir(), runs: make(chan platformstandin.Run, 4096), ends: make(chan task.End, 256), version: 3,
 		client: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
@@ -81,16 +92,16 @@
 	s.store, err = platformstandin.NewStore(ctx, s.ends)
 	c.Assert(err, qt.IsNil)
 	s.taskCount++
-	for n := range 3 {
-		s.addRunner(ctx, fmt.Sprint("app-", n), platformstandin.AppService, []string{"a", "b"}[n%2])
-		s.addRunner(ctx, fmt.Sprint("model-", n), platformstandin.ModelService, []string{"a", "b"}[n%2])
-	}
+	return s
+}
+
+// startVMs writes a configuration, starts the VMs, and waits until they serve it.
+func (s *site) startVMs(ctx context.Context, count int) {
 	s.configure(ctx)
-	for n := range *vmCount {
+	for n := range count {
 		s.addVM(ctx, fmt.Sprint("vm-", n), []string{"a", "a", "a", "b"}[n%4])
 	}
-	c.Assert(s.waitRecovered(ctx), qt.IsNil)
-	return s
+	s.c.Assert(s.waitRecovered(ctx), qt.IsNil)
 }
 
 // configure writes a configuration with the next version. Its added route shows which VMs have it in force.
