Quarantine: the log names all runs that were lost at the start of their answers

Only runs with a head and no event were logged, so that the log couldn't tell whether the others were seen at all. Each run whose connection ended before its answer was sure is logged now, with what it brought of its answer. What counts as evidence is as before.

An answer that ends with its connection says so by its error (endpoint.ErrConnectionLost), apart from one that is malformed. So the rows of TestRunsLostAtTheirStartAreReported use that error, expect what each run brought, and three rows are new: malformed heads and bodies, and an error status that is cut, tell nothing. 'lost after an event' is reported now, and the quarantine drops it.

--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -14,6 +14,8 @@
 	ErrBroken = errors.New("answer broken")
 	// ErrWithinEvent reports, beside ErrBroken, that the answer ended in the middle of an event.
 	ErrWithinEvent = errors.New("answer ended within an event")
+	// ErrConnectionLost reports, beside ErrBroken, that the connection ended, in order or by a reset, before the answer was complete.
+	ErrConnectionLost = errors.New("connection lost")
 	// ErrUnknownRun reports that the endpoint does not know the run that a call resumes.
 	ErrUnknownRun = errors.New("run unknown to the endpoint")
 	// ErrConnectionRefused reports that nothing listens on the endpoint's address.
--- a/internal/filter/quarantine.go
+++ b/internal/filter/quarantine.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"cornelmux/internal/endpoint"
 	"cornelmux/internal/pool"
 	"cornelmux/internal/quarantine"
 )
@@ -14,9 +15,9 @@
 type Quarantines interface {
 	// Check fails with result.RequestQuarantined if the request must not be sent.
 	Check(ctx context.Context, q quarantine.Query) error
-	// Lost notes a run that was lost after the head of its answer and before the first event, Answered one that came whole.
-	Lost(ctx context.Context, r quarantine.Run) error
-	Answered(ctx context.Context, r quarantine.Run) error
+	// Lost notes a run that was lost at the start of its answer, Survived one that its endpoint outlived.
+	Lost(ctx context.Context, r quarantine.Run, p quarantine.Progress) error
+	Survived(ctx context.Context, r quarantine.Run) error
 }
 
 // Quarantine refuses requests that crashed endpoints before. In a chain with Deduplicate it comes later, so that a
@@ -52,21 +53,46 @@
 	return f.quarantines.Check(ctx, quarantineQuery(f.x))
 }
 
-// reportRun tells the quarantine how a run with shared prompt blocks ended, if that says something of them. A run that was
-// lost after its first event doesn't. report calls it.
+// reportRun tells the quarantine how a run ended, if that says something of its request. report calls it.
 func (f *forwardRun) reportRun(ctx context.Context, s *sendTask) {
-	x := f.x
-	blocks := x.Routed.Prompt.SharedBlocks()
-	if len(blocks) == 0 {
+	switch {
+	case s.end == pool.EndAnswered && s.err == nil:
+		f.reportSurvival(ctx, s)
+	case s.lostAtStart():
+		_ = f.quarantines.Lost(ctx, f.quarantineRun(s), s.progress()) // a full mailbox leaves it to other lost runs
+	}
+}
+
+// reportSurvival tells the quarantine once that the run's endpoint outlived its start.
+func (f *forwardRun) reportSurvival(ctx context.Context, s *sendTask) {
+	if s.survived {
 		return
 	}
-	run := quarantine.Run{
-		Fingerprint: Fingerprint(x), Blocks: blocks, Endpoint: s.place.ID, Incarnation: s.place.Incarnation, SentAt: s.began,
+	s.survived = true
+	_ = f.quarantines.Survived(ctx, f.quarantineRun(s)) // a full mailbox leaves it to other runs
+}
+
+// quarantineRun describes the run of a send.
+func (f *forwardRun) quarantineRun(s *sendTask) quarantine.Run {
+	return quarantine.Run{
+		Fingerprint: Fingerprint(f.x), Blocks: f.x.Routed.Prompt.SharedBlocks(), Endpoint: s.place.ID, Incarnation: s.place.Incarnation, SentAt: s.began,
 	}
+}
+
+// lostAtStart reports whether the connection ended so early that the request may have crashed the endpoint.
+func (s *sendTask) lostAtStart() bool {
+	answers := s.head.Status == 0 || s.head.Status == http.StatusOK
+	return s.end == pool.EndLost && answers && !s.survived && errors.Is(s.err, endpoint.ErrConnectionLost)
+}
+
+// progress returns how much of its answer the send brought.
+func (s *sendTask) progress() quarantine.Progress {
 	switch {
-	case s.end == pool.EndAnswered && s.err == nil:
-		_ = f.quarantines.Answered(ctx, run) // a full mailbox leaves the blocks to other answers
-	case s.end == pool.EndLost && s.head.Status == http.StatusOK && s.events == 0 && !errors.Is(s.err, errNotTheRest):
-		_ = f.quarantines.Lost(ctx, run) // a full mailbox leaves the blocks to other lost runs
+	case s.head.Status == 0:
+		return quarantine.ProgressNone
+	case s.events == 0:
+		return quarantine.ProgressHead
+	default:
+		return quarantine.ProgressEvents
 	}
 }
--- a/internal/filter/quarantine_test.go
+++ b/internal/filter/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -15,15 +16,17 @@
 // noQuarantine is a Quarantines that lets every request pass.
 type noQuarantine struct{}
 
-func (noQuarantine) Check(context.Context, quarantine.Query) error  { return nil }
-func (noQuarantine) Lost(context.Context, quarantine.Run) error     { return nil }
-func (noQuarantine) Answered(context.Context, quarantine.Run) error { return nil }
+func (noQuarantine) Check(context.Context, quarantine.Query) error                   { return nil }
+func (noQuarantine) Lost(context.Context, quarantine.Run, quarantine.Progress) error { return nil }
+func (noQuarantine) Survived(context.Context, quarantine.Run) error                  { return nil }
 
 // recordingQuarantine is a Quarantines that records what it is told. It refuses resends once as many runs were lost as refuseAfter
 // says; 0 means never.
 type recordingQuarantine struct {
 	refuseAfter    int
-	lost, answered []quarantine.Run
+	lost, survived []quarantine.Run
+	// progress is that of the lost runs.
+	progress []quarantine.Progress
 }
 
 func (f *recordingQuarantine) Check(_ context.Context, q quarantine.Query) error {
@@ -33,33 +36,38 @@
 	return nil
 }
 
-func (f *recordingQuarantine) Lost(_ context.Context, r quarantine.Run) error {
-	f.lost = append(f.lost, r)
+func (f *recordingQuarantine) Lost(_ context.Context, r quarantine.Run, p quarantine.Progress) error {
+	f.lost, f.progress = append(f.lost, r), append(f.progress, p)
 	return nil
 }
 
-func (f *recordingQuarantine) Answered(_ context.Context, r quarantine.Run) error {
-	f.answered = append(f.answered, r)
+func (f *recordingQuarantine) Survived(_ context.Context, r quarantine.Run) error {
+	f.survived = append(f.survived, r)
 	return nil
 }
 
-// TestRunsLostAtTheirStartAreReported ends the first send of a stream in different ways and checks which runs the quarantine of
-// prompt blocks learns of. A stream that lost its connection later must not be held against its prompt.
+// errLost ends an answer with its connection.
+var errLost = fmt.Errorf("%w: %w", endpoint.ErrBroken, endpoint.ErrConnectionLost)
+
+// TestRunsLostAtTheirStartAreReported ends the first send of a stream in different ways and checks which runs the quarantine learns
+// of. Only a connection that ended may tell of a crash.
 func TestRunsLostAtTheirStartAreReported(t *testing.T) {
 	whole, rest := []endpoint.Chunk{event("1", "a"), last("end")}, []endpoint.Chunk{event("2", "b"), last("end")}
 	tests := []struct {
-		name     string
-		first    scriptedSend
-		lost     int
-		answered int
+		name  string
+		first scriptedSend
+		lost  []quarantine.Progress
 	}{
-		{"whole answer", scriptedSend{head: head(200, "a"), chunks: whole}, 0, 1},
-		{"lost before the head", scriptedSend{err: endpoint.ErrBroken}, 0, 1},
-		{"lost after the head", scriptedSend{head: head(200, "a"), broken: endpoint.ErrBroken}, 1, 1},
-		{"lost after an event", scriptedSend{head: head(200, "a"), chunks: whole[:1], broken: endpoint.ErrBroken}, 0, 1},
-		{"not sent", scriptedSend{err: endpoint.ErrNotSent}, 0, 1},
-		{"refused", scriptedSend{err: &endpoint.RefusedError{}}, 0, 1},
-		{"error status", scriptedSend{head: head(500, "a"), chunks: []endpoint.Chunk{end}}, 0, 1},
+		{"whole answer", scriptedSend{head: head(200, "a"), chunks: whole}, nil},
+		{"lost before the head", scriptedSend{err: errLost}, []quarantine.Progress{quarantine.ProgressNone}},
+		{"malformed head", scriptedSend{err: endpoint.ErrBroken}, nil},
+		{"lost after the head", scriptedSend{head: head(200, "a"), broken: errLost}, []quarantine.Progress{quarantine.ProgressHead}},
+		{"malformed after the head", scriptedSend{head: head(200, "a"), broken: endpoint.ErrBroken}, nil},
+		{"lost after an event", scriptedSend{head: head(200, "a"), chunks: whole[:1], broken: errLost}, []quarantine.Progress{quarantine.ProgressEvents}},
+		{"not sent", scriptedSend{err: endpoint.ErrNotSent}, nil},
+		{"refused", scriptedSend{err: &endpoint.RefusedError{}}, nil},
+		{"error status", scriptedSend{head: head(500, "a"), chunks: []endpoint.Chunk{end}}, nil},
+		{"lost after an error status", scriptedSend{head: head(500, "a"), broken: errLost}, nil},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -68,9 +76,9 @@
 			quarantines := &recordingQuarantine{}
 			err := Forward{Pool: &fakePool{}, Shifts: noShift{}, Sender: sender, Quarantines: quarantines}.Handle(context.Background(), x, nil)
 			qt.Assert(t, err, qt.IsNil)
-			qt.Check(t, quarantines.lost, qt.HasLen, test.lost)
-			qt.Check(t, quarantines.answered, qt.HasLen, test.answered)
-			for _, r := range append(quarantines.lost, quarantines.answered...) {
+			qt.Check(t, quarantines.progress, qt.DeepEquals, test.lost)
+			qt.Check(t, quarantines.survived, qt.HasLen, 1)
+			for _, r := range append(quarantines.lost, quarantines.survived...) {
 				qt.Check(t, r.Blocks, qt.DeepEquals, []uint64{1, 2})
 				qt.Check(t, r.Fingerprint, qt.Equals, Fingerprint(x))
 				qt.Check(t, r.SentAt.IsZero(), qt.IsFalse)
@@ -93,7 +101,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			lost := scriptedSend{head: head(200, "a"), broken: endpoint.ErrBroken}
+			lost := scriptedSend{head: head(200, "a"), broken: errLost}
 			sender := &scriptedSender{script: []scriptedSend{lost, lost, lost}}
 			quarantines := &recordingQuarantine{refuseAfter: test.refuseAfter}
 			err := Forward{Pool: &fakePool{}, Shifts: noShift{}, Sender: sender, Quarantines: quarantines}.Handle(context.Background(), blockExchange(), nil)
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -134,6 +134,8 @@
 	now := time.Now()
 	if s.events > 0 {
 		s.gaps.add(now.Sub(s.lastEventAt))
+	} else {
+		s.firstEventAt = now
 	}
 	s.lastEventAt = now
 	s.events++
--- a/internal/filter/sendtask.go
+++ b/internal/filter/sendtask.go
@@ -71,12 +71,15 @@
 	// began is when the send started, duration the time until its end.
 	began    time.Time
 	duration time.Duration
-	// events counts the events that were read, lastEventAt is the time of the last, and gaps holds the times between them. The
+	// events counts the events that were read, firstEventAt and lastEventAt are the times of the first and the last, and gaps holds the times between them. The
 	// pace is reported after as many events as reportAt says.
-	events      int
-	lastEventAt time.Time
-	gaps        gaps
-	reportAt    int
+	events       int
+	firstEventAt time.Time
+	lastEventAt  time.Time
+	gaps         gaps
+	reportAt     int
+	// survived says that the quarantine was told that the endpoint outlived the start of the answer.
+	survived bool
 	// silent is the longest time without progress; progressAt is the time of the last one, or the start of the send.
 	silent     time.Duration
 	progressAt time.Time
--- a/internal/quarantine/abandon_test.go
+++ b/internal/quarantine/abandon_test.go
@@ -36,7 +36,7 @@
 // up by the time the Controller came to it.
 func TestStateThatIsNotSentTakesNothing(t *testing.T) {
 	withHeldUp(t, func(t *testing.T, c *Controller) {
-		qt.Assert(t, c.Lost(t.Context(), Run{Fingerprint: 7, Blocks: []uint64{1}, Endpoint: "e", Incarnation: 1}), qt.IsNil)
+		qt.Assert(t, c.Lost(t.Context(), Run{Fingerprint: 7, Blocks: []uint64{1}, Endpoint: "e", Incarnation: 1}, ProgressHead), qt.IsNil)
 		for range announceRounds {
 			qt.Assert(t, task.Tell(c.mailbox, message(holdMessage{time.Second})), qt.IsNil)
 			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"cornelmux/internal/peer"
@@ -60,11 +59,14 @@
 		query Query
 		reply task.Reply[refusal]
 	}
-	crashMessage   struct{ report peer.CrashReport }
-	lostMessage    struct{ run Run }
-	wholeMessage   struct{ run Run }
-	receiveMessage struct{ state peer.State }
-	collectMessage struct{ reply task.Reply[peer.State] }
+	crashMessage struct{ report peer.CrashReport }
+	lostMessage  struct {
+		run      Run
+		progress Progress
+	}
+	survivedMessage struct{ run Run }
+	receiveMessage  struct{ state peer.State }
+	collectMessage  struct{ reply task.Reply[peer.State] }
 )
 
 // Size implements task.Sized: the blocks of a prompt, or the reports of a state.
@@ -74,7 +76,7 @@
 func (m lostMessage) Size() int { return len(m.run.Blocks) }
 
 // Size implements task.Sized.
-func (m wholeMessage) Size() int { return len(m.run.Blocks) }
+func (m survivedMessage) Size() int { return len(m.run.Blocks) }
 
 // Size implements task.Sized.
 func (m receiveMessage) Size() int {
@@ -90,24 +92,6 @@
 	Resend bool
 }
 
-// Run is one run of a request at an endpoint, that ended.
-type Run struct {
-	Fingerprint uint64
-	Blocks      []uint64
-	// Endpoint is the ID of the endpoint, Incarnation that of its process.
-	Endpoint    string
-	Incarnation int64
-	SentAt      time.Time
-}
-
-// endpoint returns the hash of the endpoint and its incarnation.
-func (r *Run) endpoint() uint64 {
-	return hashEndpoint(r.Endpoint + "#" + strconv.FormatInt(r.Incarnation, 10))
-}
-
-// hashEndpoint returns the hash of an endpoint as reports of crashes name it: its ID, '#' and its incarnation.
-func hashEndpoint(name string) uint64 { return xxhash.Sum64String(name) }
-
 // refusal says why a request isn't sent; empty if it may be.
 type refusal struct {
 	why       string
@@ -151,16 +135,16 @@
 	return nil
 }
 
-// Lost implements filter.Quarantines: it notes that a run of this VM was lost after the head of its answer and before the
-// first event. If the mailbox is full, it fails and the run isn't noted.
-func (c *Controller) Lost(_ context.Context, r Run) error {
-	return task.Tell(c.mailbox, message(lostMessage{r}))
+// Lost implements filter.Quarantines: it notes that a run of this VM was lost at the start of its answer. If the mailbox is full, it
+// fails and the run isn't noted.
+func (c *Controller) Lost(_ context.Context, r Run, p Progress) error {
+	return task.Tell(c.mailbox, message(lostMessage{r, p}))
 }
 
-// Answered implements filter.Quarantines: it notes that a run of this VM came whole. If the mailbox is full, it fails and the
-// run isn't noted.
-func (c *Controller) Answered(_ context.Context, r Run) error {
-	return task.Tell(c.mailbox, message(wholeMessage{r}))
+// Survived implements filter.Quarantines: it notes that the endpoint outlived the start of a run of this VM. If the mailbox is full,
+// it fails and the run isn't noted.
+func (c *Controller) Survived(_ context.Context, r Run) error {
+	return task.Tell(c.mailbox, message(survivedMessage{r}))
 }
 
 // Crashed implements endpoint.Crashes and pool.Crashes: it counts a crash that this VM saw. If the mailbox is full, it
@@ -212,11 +196,15 @@
 // handle logs the run, since such runs are what quarantines of blocks rest on.
 func (m lostMessage) handle(c *Controller) {
 	now := time.Now()
-	c.log.Info("run lost at the start of its answer", "fingerprint", m.run.Fingerprint, "endpoint", m.run.Endpoint, "blocks", BlockNames(m.run.Blocks))
+	c.log.Info("run lost at the start of its answer", "fingerprint", m.run.Fingerprint, "endpoint", m.run.Endpoint, "blocks", BlockNames(m.run.Blocks),
+		"answer", m.progress.String())
+	if m.progress != ProgressHead {
+		return
+	}
 	c.applyChanges(c.blocks.AddLostRun(LostRun{m.run.Fingerprint, m.run.endpoint(), m.run.Blocks, now}, now), now)
 }
 
-func (m wholeMessage) handle(c *Controller) {
+func (m survivedMessage) handle(c *Controller) {
 	c.applyChanges(c.blocks.AddAnswer(m.run.Blocks, m.run.endpoint(), m.run.SentAt), time.Now())
 }
 
