Quarantine: every run that is lost at its start speaks against its prompt blocks

What callers saw: requests with a prompt block that crashes endpoints went on to crash one after the other, and sound requests found no endpoint (BUDGET). Class: evidence is bound to one way in which a fault shows, not to the fault.

Now each run counts whose connection ended after one event at most. That accuses bystanders' blocks as well, some 30 runs at a crash; what clears them is that a run which outlives its start by 100 ms is told then (Survived), no longer after the whole answer. A head that is cut in a line is malformed to net/http, so that the connection itself notes its end. A crash ends many runs at once: the first is weighed at once, the others with the next check.

Tests: TestFleetFindsDeadlyBlocks reports all these runs, not only begun ones. TestHoldsBack's model follows the rule that the other request's run has to be lost elsewhere: one crash has one cause.

--- a/internal/filter/quarantine.go
+++ b/internal/filter/quarantine.go
@@ -82,7 +82,7 @@
 // lostAtStart reports whether the connection ended so early that the request may have crashed the endpoint.
 func (s *sendTask) lostAtStart() bool {
 	answers := s.head.Status == 0 || s.head.Status == http.StatusOK
-	return s.end == pool.EndLost && answers && !s.survived && errors.Is(s.err, endpoint.ErrConnectionLost)
+	return s.end == pool.EndLost && answers && s.events <= quarantine.MaxLostEvents && errors.Is(s.err, endpoint.ErrConnectionLost)
 }
 
 // progress returns how much of its answer the send brought.
--- a/internal/filter/quarantine_test.go
+++ b/internal/filter/quarantine_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -87,6 +89,52 @@
 	}
 }
 
+// TestRunThatOutlivesItsStartIsReportedAtOnce guards against sound blocks that are accused because the answers with them, whose events
+// come all the while, take long: the survival is told once, before the end.
+func TestRunThatOutlivesItsStartIsReportedAtOnce(t *testing.T) {
+	const soon, late = quarantine.StartTime / 2, quarantine.StartTime
+	tests := []struct {
+		name   string
+		pauses []time.Duration
+		// told is how many survivals were told when the events after the pauses had been passed on.
+		told []int
+	}{
+		{"events at once", []time.Duration{0, 0, 0, 0}, []int{0, 0, 0}},
+		{"event just in time", []time.Duration{0, soon, soon, 0}, []int{0, 0, 1}},
+		{"late first event", []time.Duration{late, soon, 0, 0}, []int{0, 0, 0}},
+		{"late events", []time.Duration{0, late, late, 0}, []int{0, 1, 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := blockExchange()
+				sender := &pausingSender{script: []pausingSend{{pauses: test.pauses, chunks: []endpoint.Chunk{event("1", "a"), event("2", "b"), event("3", "c"), end}}}}
+				quarantines := &recordingQuarantine{}
+				var told []int
+				x.Sink = &observedSink{Sink: x.Sink, chunk: func(c endpoint.Chunk) {
+					if c.Event != "" {
+						told = append(told, len(quarantines.survived))
+					}
+				}}
+				qt.Assert(t, Forward{Pool: &fakePool{}, Shifts: noShift{}, Sender: sender, Quarantines: quarantines}.Handle(t.Context(), x, nil), qt.IsNil)
+				qt.Check(t, told, qt.DeepEquals, test.told)
+				qt.Check(t, quarantines.survived, qt.HasLen, 1)
+			})
+		})
+	}
+}
+
+// observedSink is a Sink that calls chunk before it passes a chunk on.
+type observedSink struct {
+	Sink
+	chunk func(endpoint.Chunk)
+}
+
+func (w *observedSink) Chunk(ctx context.Context, c endpoint.Chunk) error {
+	w.chunk(c)
+	return w.Sink.Chunk(ctx, c)
+}
+
 // TestQuarantinedBlockStopsResends guards against a request that is sent on to one endpoint after the other although its prompt
 // is known to crash them. What the caller is told must not promise that the request didn't run.
 func TestQuarantinedBlockStopsResends(t *testing.T) {
--- a/internal/filter/relay.go
+++ b/internal/filter/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cornelmux/internal/endpoint"
+	"cornelmux/internal/quarantine"
 	"cornelmux/internal/shift"
 )
 
@@ -137,6 +138,9 @@
 	} else {
 		s.firstEventAt = now
 	}
+	if now.Sub(s.firstEventAt) >= quarantine.StartTime {
+		f.reportSurvival(ctx, s)
+	}
 	s.lastEventAt = now
 	s.events++
 	if s.events == s.reportAt {
--- a/internal/quarantine/blocks.go
+++ b/internal/quarantine/blocks.go
@@ -11,6 +11,8 @@
 	maxLostRuns     = 256
 	maxBlocksPerRun = 16
 	maxQuarantines  = 256
+	// decideInterval is the least time from a decision to the next one for a lost run, or for a check: a crash ends many runs at once.
+	decideInterval = 50 * time.Millisecond
 )
 
 // Blocks holds what a VM knows of prompt blocks that crash endpoints. It takes the time as an argument.
@@ -29,6 +31,10 @@
 	incarnations map[string]uint64
 	// undecided says that the evidence changed since the last Decide.
 	undecided bool
+	// decidedAt is when Decide last weighed the evidence.
+	decidedAt time.Time
+	// lossWeighedAt is when AddLostRun last did so.
+	lossWeighedAt time.Time
 	// round counts the states.
 	round int
 	// explainsMore says that a quarantine began, or a lost run was added, since TakeExplainsMore.
@@ -47,7 +53,7 @@
 	Block uint64
 	// Companions are blocks that may be the cause as well as Block: requests are refused that hold all of them.
 	Companions []uint64
-	// Since is when the first of the lost runs was, on which the quarantine rests: an answer that was sent later and came whole
+	// Since is when the first of the lost runs was, on which the quarantine rests: a run that was sent later and survived its start
 	// refutes it.
 	Since time.Time
 	Until time.Time
@@ -89,7 +95,7 @@
 	return !slices.ContainsFunc(q.Companions, func(b uint64) bool { return !slices.Contains(blocks, b) })
 }
 
-// refutedBy reports whether a run with the block that was sent at the time and came whole ends the quarantine: one after the
+// refutedBy reports whether a run with the block that was sent at the time and survived its start ends the quarantine: one after the
 // first lost run, or one so shortly before that the lost runs don't suffice against a sound block.
 func (q *BlockQuarantine) refutedBy(clearedAt time.Time) bool {
 	e := Evidence{
@@ -107,9 +113,14 @@
 	return true
 }
 
-// AddLostRun adds a lost run that this VM saw, and returns the quarantines that begin or end with it.
+// AddLostRun adds a lost run that this VM saw, and returns the quarantines that begin or end with it. Of the runs that a crash ends
+// together, the first is weighed at once and the others with DecideSoon.
 func (s *Blocks) AddLostRun(r LostRun, now time.Time) []Change {
 	changes := s.addRun(r, now)
+	if now.Sub(s.lossWeighedAt) < decideInterval {
+		return changes
+	}
+	s.lossWeighedAt = now
 	return append(changes, s.Decide(now)...)
 }
 
@@ -189,13 +200,21 @@
 	s.explainsMore, s.undecided = true, true
 }
 
+// DecideSoon decides unless the last time was less than decideInterval ago. The Controller calls it for each check of a request.
+func (s *Blocks) DecideSoon(now time.Time) []Change {
+	if now.Sub(s.decidedAt) < decideInterval {
+		return nil
+	}
+	return s.Decide(now)
+}
+
 // Decide quarantines the blocks that crash endpoints, and ends the quarantines of those whose lost runs another block
 // explains. AddLostRun and Receive call it, and the Controller for each state, since clearances change the evidence too.
 func (s *Blocks) Decide(now time.Time) []Change {
 	if !s.undecided || len(s.runs) < minRequests {
 		return nil
 	}
-	s.undecided = false
+	s.undecided, s.decidedAt = false, now
 	runs := make([]LostRun, len(s.runs))
 	for i, k := range s.runs {
 		runs[i] = k.LostRun
@@ -257,7 +276,7 @@
 }
 
 // explained reports whether all the endpoints that lost runs with the block lost one with a culprit too, and the block is none.
-// For a block that was in whole answers, quarantined ones that never were count as culprits.
+// For a block with which runs survived, quarantined ones with which none did count as culprits.
 func (s *Blocks) explained(block uint64, now time.Time) bool {
 	if slices.ContainsFunc(s.culprits, func(e Evidence) bool { return e.Block == block }) {
 		return false
@@ -274,8 +293,8 @@
 	return held >= minRequests
 }
 
-// explainedByWorse reports whether the block was in whole answers, and the endpoint lost a run with a quarantined one that never
-// was. explained calls it.
+// explainedByWorse reports whether runs with the block survived, and the endpoint lost a run with a quarantined one with which none
+// did. explained calls it.
 func (s *Blocks) explainedByWorse(block, endpoint uint64, now time.Time) bool {
 	if s.clearances.ClearedAt(block).IsZero() {
 		return false
@@ -288,12 +307,12 @@
 	})
 }
 
-// AddAnswer notes that a run with the blocks, sent at a time to an endpoint, came whole. The Controller calls it for the runs
+// AddSurvival notes that a run with the blocks, sent at a time to an endpoint, survived its start. The Controller calls it for the runs
 // of this VM.
-func (s *Blocks) AddAnswer(blocks []uint64, endpoint uint64, sentAt time.Time) []Change {
+func (s *Blocks) AddSurvival(blocks []uint64, endpoint uint64, sentAt time.Time) []Change {
 	var changes []Change
 	for _, key := range append(slices.Clone(blocks[:min(len(blocks), maxBlocksPerRun)]), endpoint) {
-		changes = append(changes, s.clear(key, clearance{at: sentAt}, "an answer with it came whole")...)
+		changes = append(changes, s.clear(key, clearance{at: sentAt}, "a run with it survived its start")...)
 	}
 	return changes
 }
@@ -351,8 +370,8 @@
 	return more
 }
 
-// HoldsBack reports whether the request must not be sent again: it lost runs at two endpoints, or one, and another request
-// lost one with a block of it that isn't known to be sound.
+// HoldsBack reports whether the request must not be sent again: it lost runs at two endpoints, or at one, and another request lost one
+// elsewhere with a block of it that isn't known to be sound.
 func (s *Blocks) HoldsBack(request uint64, blocks []uint64) bool {
 	endpoints := map[uint64]bool{}
 	for _, k := range s.runs {
@@ -368,7 +387,7 @@
 		held[b] = true
 	}
 	return slices.ContainsFunc(s.runs, func(k knownRun) bool {
-		return k.Request != request && s.open(k.LostRun) && slices.ContainsFunc(k.Blocks, func(b uint64) bool {
+		return k.Request != request && !endpoints[k.Endpoint] && s.open(k.LostRun) && slices.ContainsFunc(k.Blocks, func(b uint64) bool {
 			if !held[b] {
 				return false
 			}
--- a/internal/quarantine/blocks_test.go
+++ b/internal/quarantine/blocks_test.go
@@ -217,7 +217,7 @@
 				case loss:
 					f.blocks[e.vm].AddLostRun(LostRun{e.request, e.endpoint, e.blocks, f.now}, f.now)
 				case answer:
-					f.blocks[e.vm].AddAnswer(e.blocks, e.endpoint, f.now.Add(-100*time.Millisecond))
+					f.blocks[e.vm].AddSurvival(e.blocks, e.endpoint, f.now.Add(-100*time.Millisecond))
 				}
 				f.exchange(2, test.lost)
 			}
@@ -274,7 +274,7 @@
 			f.exchange(50, none)
 			c.Assert(f.quarantined(90), qt.HasLen, 0)
 			if test.answered {
-				f.blocks[1].AddAnswer([]uint64{90}, 1009, f.now)
+				f.blocks[1].AddSurvival([]uint64{90}, 1009, f.now)
 				f.exchange(4, none)
 			}
 			f.blocks[0].AddLostRun(LostRun{9, 1010, []uint64{5, 90}, f.now}, f.now)
@@ -292,7 +292,7 @@
 	quarantineBlock(f)
 	late := f.collect(0)
 	f.now = f.now.Add(500 * time.Millisecond)
-	f.blocks[3].AddAnswer([]uint64{5, 90}, 1009, f.now)
+	f.blocks[3].AddSurvival([]uint64{5, 90}, 1009, f.now)
 	f.exchange(4, none)
 	c.Check(f.quarantined(90), qt.HasLen, 0)
 	for _, b := range f.blocks {
@@ -313,7 +313,7 @@
 		b.AddLostRun(LostRun{i, i + 1_000_000, []uint64{i + 2_000_000}, now}, now)
 	}
 	for i := range uint64(5 * clearancesPerGeneration) {
-		b.AddAnswer([]uint64{i}, 7, now)
+		b.AddSurvival([]uint64{i}, 7, now)
 	}
 	qt.Check(t, len(b.runs) <= maxLostRuns, qt.IsTrue)
 	qt.Check(t, len(b.lastLoss) <= 2*maxLostRuns, qt.IsTrue)
@@ -328,7 +328,7 @@
 func TestLateStatesDontRefuteAQuarantine(t *testing.T) {
 	c := qt.New(t)
 	f := newVMs(c, 4)
-	f.blocks[0].AddAnswer([]uint64{90, 1}, 1009, f.now)
+	f.blocks[0].AddSurvival([]uint64{90, 1}, 1009, f.now)
 	paused := func(from, to int) bool { return from == 3 || to == 3 }
 	type datagram struct {
 		state  peer.State
--- a/internal/quarantine/clearances.go
+++ b/internal/quarantine/clearances.go
@@ -10,7 +10,7 @@
 	reportDelay = 300 * time.Millisecond
 )
 
-// clearance is when the newest run with a key that came whole was sent.
+// clearance is when the newest run with a key that survived its start was sent.
 type clearance struct {
 	at time.Time
 	// reported says that a peer saw the run.
--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -179,6 +179,7 @@
 // refusal returns why the request may not be sent, if it may not.
 func (m checkMessage) refusal(c *Controller) refusal {
 	now := time.Now()
+	c.applyChanges(c.blocks.DecideSoon(now), now)
 	block, remaining := c.blocks.Quarantined(m.query.Blocks, now)
 	requestRemaining := c.records.Remaining(m.query.Fingerprint, now)
 	switch {
@@ -198,14 +199,11 @@
 	now := time.Now()
 	c.log.Info("run lost at the start of its answer", "fingerprint", m.run.Fingerprint, "endpoint", m.run.Endpoint, "blocks", BlockNames(m.run.Blocks),
 		"answer", m.progress.String())
-	if m.progress != ProgressHead {
-		return
-	}
 	c.applyChanges(c.blocks.AddLostRun(LostRun{m.run.Fingerprint, m.run.endpoint(), m.run.Blocks, now}, now), now)
 }
 
 func (m survivedMessage) handle(c *Controller) {
-	c.applyChanges(c.blocks.AddAnswer(m.run.Blocks, m.run.endpoint(), m.run.SentAt), time.Now())
+	c.applyChanges(c.blocks.AddSurvival(m.run.Blocks, m.run.endpoint(), m.run.SentAt), time.Now())
 }
 
 // applyChanges logs the changes. It removes the crashes of requests of which another cause is known now. It is called after
--- a/internal/quarantine/cost_bench_test.go
+++ b/internal/quarantine/cost_bench_test.go
@@ -41,7 +41,7 @@
 		{"check, 1150 blocks", func(s *Blocks, _ int) { s.Quarantined(blocks(1150, 1<<40), now) }},
 		{"check of a resend, 2 blocks", func(s *Blocks, _ int) { s.HoldsBack(1, blocks(2, 1<<40)) }},
 		{"check of a resend, 1150 blocks", func(s *Blocks, _ int) { s.HoldsBack(1, blocks(1150, 1<<40)) }},
-		{"answer, 16 blocks", func(s *Blocks, n int) { s.AddAnswer(blocks(16, 1<<40), uint64(n), now.Add(time.Duration(n))) }},
+		{"answer, 16 blocks", func(s *Blocks, n int) { s.AddSurvival(blocks(16, 1<<40), uint64(n), now.Add(time.Duration(n))) }},
 		{"lost run, 16 blocks", func(s *Blocks, n int) {
 			s.AddLostRun(LostRun{uint64(n) << 20, uint64(n), blocks(16, 1), now}, now)
 		}},
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -16,7 +16,7 @@
 	// at the same moment have another cause, such as a loss of power.
 	occasionGap = 100 * time.Millisecond
 	minSpan     = 400 * time.Millisecond
-	// soundPeriod is how long a block counts as sound after an answer came whole. Its losses are likely to have another cause,
+	// soundPeriod is how long a block counts as sound after a run with it survived. Its losses are likely to have another cause,
 	// so soundEndpoints are needed for it, and either as many requests over soundSpan or longSpan without such an answer.
 	soundPeriod    = 10 * time.Second
 	soundEndpoints = 5
@@ -24,7 +24,7 @@
 	longSpan       = 4 * time.Second
 )
 
-// LostRun is a run that was lost after the head of its answer and before the first event.
+// LostRun is a run whose connection ended at the start of its answer.
 type LostRun struct {
 	// Request is the fingerprint of the request, Endpoint the hash of the endpoint and its incarnation.
 	Request  uint64
@@ -34,12 +34,12 @@
 	At     time.Time
 }
 
-// Clearances tells when the newest run was sent that came whole with a block, or at an endpoint; zero if there was none.
+// Clearances tells when the newest run was sent that survived its start with a block, or at an endpoint; zero if there was none.
 type Clearances interface {
 	ClearedAt(key uint64) time.Time
 }
 
-// Evidence sums up the lost runs with a block since the newest run with it that came whole.
+// Evidence sums up the lost runs with a block since the newest run with it that survived its start.
 type Evidence struct {
 	Block uint64
 	// Requests and Endpoints count the different ones, Occasions the moments occasionGap apart.
@@ -48,12 +48,12 @@
 	Occasions int
 	First     time.Time
 	Last      time.Time
-	// ClearedAt is when the newest run was sent that came whole; zero if there was none.
+	// ClearedAt is when the newest run was sent that survived its start; zero if there was none.
 	ClearedAt time.Time
 	// Position is the greatest index of the block in a prompt.
 	Position int
-	// Companions are the other blocks with which all of these endpoints lost runs, and that weren't in more answers that came
-	// whole. The lost runs speak against them as much.
+	// Companions are the other blocks with which all of these endpoints lost runs, and with which no more runs survived. The lost runs
+	// speak against them as much.
 	Companions []uint64
 }
 
@@ -144,8 +144,8 @@
 	return suspects
 }
 
-// companions returns the other blocks that all endpoints of the suspect lost runs with. If the suspect never was in an answer
-// that came whole, those that were are left out. Culprits calls it.
+// companions returns the other blocks that all endpoints of the suspect lost runs with. If no run with the suspect survived, those are
+// left out with which one did. Culprits calls it.
 func companions(s suspect, open map[uint64][]LostRun, c Clearances) []uint64 {
 	var out []uint64
 	for b, runs := range open {
@@ -183,7 +183,7 @@
 	return e
 }
 
-// recentlyCleared reports whether an answer with the block came whole shortly before the first lost run.
+// recentlyCleared reports whether a run with the block survived its start shortly before the first lost run.
 func (e *Evidence) recentlyCleared() bool {
 	return !e.ClearedAt.IsZero() && e.First.Sub(e.ClearedAt) < soundPeriod
 }
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -40,6 +40,8 @@
 	// endpoint, startsAt and endsAt are those of its run, sentAt is when that was sent.
 	endpoint                 int
 	sentAt, startsAt, endsAt time.Time
+	// survived says that its VM knows that its endpoint outlived its start.
+	survived bool
 }
 
 // simEndpoint is an endpoint; its incarnation grows with each crash.
@@ -112,7 +114,7 @@
 		return
 	}
 	r.sends++
-	r.endpoint, r.sentAt = e, f.vms.now
+	r.endpoint, r.sentAt, r.survived = e, f.vms.now, false
 	r.startsAt = f.vms.now.Add(time.Duration(f.pick(200)) * time.Millisecond)
 	r.endsAt = r.startsAt.Add(time.Duration(100+f.pick(900)) * time.Millisecond)
 	f.endpoints[e].runs = append(f.endpoints[e].runs, r)
@@ -121,28 +123,41 @@
 	}
 }
 
-// lose ends a run without a whole answer. begun says that its head came and no event did.
-func (f *fleetSim) lose(r *simRequest, begun bool) {
-	if begun {
+// lose ends a run with its connection.
+func (f *fleetSim) lose(r *simRequest) {
+	if !r.survived {
 		b := f.vms.blocks[r.vm]
 		b.AddLostRun(LostRun{r.id, f.endpointKey(r.endpoint), r.blocks, f.vms.now}, f.vms.now)
 	}
 	f.send(r)
 }
 
+// survive notes that the endpoint outlived the start of a run.
+func (f *fleetSim) survive(r *simRequest) {
+	if r.survived {
+		return
+	}
+	r.survived = true
+	f.vms.blocks[r.vm].AddSurvival(r.blocks, f.endpointKey(r.endpoint), r.sentAt)
+	for _, b := range r.blocks {
+		if f.whole[b].IsZero() {
+			f.whole[b] = f.vms.now
+		}
+	}
+}
+
 // endpointKey returns the key of the endpoint's present incarnation.
 func (f *fleetSim) endpointKey(e int) uint64 {
 	return 1<<40 + uint64(e)<<20 + f.endpoints[e].incarnation
 }
 
-// crash ends an endpoint and all its runs. Those that began in this step have no event yet.
+// crash ends an endpoint and all its runs.
 func (f *fleetSim) crash(e int) {
 	runs := f.endpoints[e].runs
 	f.endpoints[e].runs = nil
 	f.endpoints[e].upAt = f.vms.now.Add(restartTime)
 	for _, r := range runs {
-		begun := !f.vms.now.Before(r.startsAt) && f.vms.now.Sub(r.startsAt) < fleetStep
-		f.lose(r, begun)
+		f.lose(r)
 	}
 	f.endpoints[e].incarnation++
 }
@@ -169,15 +184,13 @@
 		for _, r := range runs {
 			switch {
 			case !f.vms.now.Before(r.endsAt):
-				f.vms.blocks[r.vm].AddAnswer(r.blocks, f.endpointKey(e), r.sentAt)
-				for _, b := range r.blocks {
-					if f.whole[b].IsZero() {
-						f.whole[b] = f.vms.now
-					}
-				}
+				f.survive(r)
 			case !f.vms.now.Before(r.startsAt) && f.choose(lostPermille):
-				f.lose(r, f.choose(500))
+				f.lose(r)
 			default:
+				if f.vms.now.Sub(r.startsAt) >= StartTime {
+					f.survive(r)
+				}
 				f.endpoints[e].runs = append(f.endpoints[e].runs, r)
 			}
 		}
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -31,7 +31,7 @@
 	var changes []Change
 	due := now.Add(-st.Delay)
 	for _, c := range st.Clearances {
-		changes = append(changes, s.clear(c.Key, clearance{due.Add(-c.Age), true}, "a peer's answer with it came whole")...)
+		changes = append(changes, s.clear(c.Key, clearance{due.Add(-c.Age), true}, "a peer's run with it survived its start")...)
 	}
 	for _, r := range st.LostRuns {
 		changes = append(changes, s.addRun(LostRun{r.Request, r.Endpoint, r.Blocks, due.Add(-r.Age)}, now)...)
@@ -55,9 +55,8 @@
 	}
 }
 
-// adopt begins a quarantine that a peer reports, unless it is known, ended, or refuted by an answer that
-// came whole or by another block that explains its lost runs. The
-// companions of one that this VM didn't find itself are the peer's. Receive calls it.
+// adopt begins a quarantine that a peer reports, unless it is known, ended, or refuted by a run that survived its start or by another
+// block that explains its lost runs. The companions of one that this VM didn't find itself are the peer's. Receive calls it.
 func (s *Blocks) adopt(r peer.BlockQuarantine, now time.Time) []Change {
 	q := BlockQuarantine{
 		Block: r.Block, Companions: r.Companions[:min(len(r.Companions), maxBlocksPerRun)], Since: now.Add(-r.Age),
--- a/internal/quarantine/gossip_test.go
+++ b/internal/quarantine/gossip_test.go
@@ -38,11 +38,11 @@
 			for _, b := range f.vms.blocks {
 				for block := range uint64(knownBlocks) {
 					if test.answered {
-						b.AddAnswer([]uint64{1 + block}, 7, f.vms.now.Add(-time.Second))
+						b.AddSurvival([]uint64{1 + block}, 7, f.vms.now.Add(-time.Second))
 					}
 				}
 				if test.soundUntilNow {
-					b.AddAnswer([]uint64{900}, 7, f.vms.now.Add(-time.Second))
+					b.AddSurvival([]uint64{900}, 7, f.vms.now.Add(-time.Second))
 				}
 				for range test.others {
 					id++
--- a/internal/quarantine/holdback_test.go
+++ b/internal/quarantine/holdback_test.go
@@ -13,11 +13,12 @@
 	plain := func(s *Blocks, request uint64, blocks []uint64) bool {
 		endpoints, shared := map[uint64]bool{}, false
 		for _, k := range s.runs {
-			if !s.open(k.LostRun) {
-				continue
-			}
-			if k.Request == request {
+			if s.open(k.LostRun) && k.Request == request {
 				endpoints[k.Endpoint] = true
+			}
+		}
+		for _, k := range s.runs {
+			if !s.open(k.LostRun) || endpoints[k.Endpoint] {
 				continue
 			}
 			for _, b := range blocks {
@@ -36,7 +37,7 @@
 			if rapid.Bool().Draw(t, "lost") {
 				s.AddLostRun(LostRun{few.Draw(t, "request"), endpoint, b, now}, now)
 			} else {
-				s.AddAnswer(b, endpoint, now)
+				s.AddSurvival(b, endpoint, now)
 			}
 			request, asked := few.Draw(t, "asked"), blocks.Draw(t, "its blocks")
 			if got, want := s.HoldsBack(request, asked), plain(s, request, asked); got != want {
--- a/internal/quarantine/open_test.go
+++ b/internal/quarantine/open_test.go
@@ -22,7 +22,7 @@
 	f.exchange(3, none)
 	c.Assert(f.quarantined(90), qt.HasLen, 3)
 	for i := range 3 {
-		f.blocks[i].AddAnswer([]uint64{50}, uint64(1001+i), losses[i].Add(100*time.Millisecond))
+		f.blocks[i].AddSurvival([]uint64{50}, uint64(1001+i), losses[i].Add(100*time.Millisecond))
 	}
 	f.exchange(10, none)
 	c.Check(f.quarantined(90), qt.HasLen, 0)
@@ -88,7 +88,7 @@
 			for i := range asked {
 				now = now.Add(100 * time.Millisecond)
 				for len(sent) > 0 && now.Sub(sent[0]) >= answerTime {
-					b.AddAnswer([]uint64{1, 2}, 77, sent[0])
+					b.AddSurvival([]uint64{1, 2}, 77, sent[0])
 					sent = sent[1:]
 				}
 				_, remaining := b.Quarantined([]uint64{1, 2, uint64(100 + i)}, now)
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -7,9 +7,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// StartTime is how long after its first event a run still counts as at its start, in which a prompt that crashes endpoints does so. An
-// endpoint that sends an event later has outlived the start.
-const StartTime = 250 * time.Millisecond
+const (
+	// MaxLostEvents is the number of events that a run may have brought that was lost at its start, where a prompt that crashes endpoints
+	// does so: the one of that moment may still arrive.
+	MaxLostEvents = 1
+	// StartTime is how long after its first event a run survives its start, if events go on. One that is lost between tells nothing.
+	StartTime = 100 * time.Millisecond
+)
 
 // Run is one run of a request at an endpoint.
 type Run struct {
@@ -33,7 +37,7 @@
 // Progress is how much of its answer a run brought before its connection ended.
 type Progress int
 
-// Values of Progress: less than a head, a head, or events for less than StartTime.
+// Values of Progress: less than a head, a head, or at most MaxLostEvents.
 const (
 	ProgressNone Progress = iota
 	ProgressHead
@@ -42,5 +46,12 @@
 
 // String returns the name of the progress for logs.
 func (p Progress) String() string {
-	return [...]string{ProgressNone: "none", ProgressHead: "head", ProgressEvents: "events"}[p]
+	switch p {
+	case ProgressNone:
+		return "none"
+	case ProgressHead:
+		return "head"
+	default:
+		return "events"
+	}
 }
