Fingerprints hold the shared blocks of the prompt

What callers saw: with equal bodies, two crashes by one prompt block put all requests in quarantine for 300 s, whatever their blocks are. The fingerprint was of account, target and body only, though the prompt is as much of what an endpoint runs. The last block stays out: it may be the session's, and a request that comes again is to be known again.

TestRequestsWithOtherPromptsHaveOtherFingerprints failed in three of five rows before.

--- a/internal/filter/deduplicate.go
+++ b/internal/filter/deduplicate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -92,6 +93,9 @@
 		_, _ = h.WriteString(s + "\x00") // a hash does not fail
 	}
 	_, _ = h.Write(x.Request.Body)
+	for _, b := range x.Routed.Prompt.SharedBlocks() {
+		_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, b))
+	}
 	return h.Sum64()
 }
 
--- a/internal/filter/quarantine_test.go
+++ b/internal/filter/quarantine_test.go
@@ -192,3 +192,32 @@
 	x.Routed.Prompt.Blocks = []routing.PrefixBlock{{ID: 1}, {ID: 2}, {ID: 3}}
 	return x
 }
+
+// TestRequestsWithOtherPromptsHaveOtherFingerprints guards against the refusal of sound requests because others with equal bodies crash
+// endpoints by their prompts.
+func TestRequestsWithOtherPromptsHaveOtherFingerprints(t *testing.T) {
+	fingerprint := func(blocks ...uint64) uint64 {
+		x := blockExchange()
+		x.Routed.Prompt.Blocks = nil
+		for _, b := range blocks {
+			x.Routed.Prompt.Blocks = append(x.Routed.Prompt.Blocks, routing.PrefixBlock{ID: b})
+		}
+		return Fingerprint(x)
+	}
+	tests := []struct {
+		name  string
+		other []uint64
+		equal bool
+	}{
+		{"same prompt", []uint64{1, 2, 3}, true},
+		{"another block", []uint64{1, 9, 3}, false},
+		{"a block more", []uint64{1, 2, 9, 3}, false},
+		{"another order", []uint64{2, 1, 3}, false},
+		{"another block of its own", []uint64{1, 2, 9}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Check(t, fingerprint(test.other...) == fingerprint(1, 2, 3), qt.Equals, test.equal)
+		})
+	}
+}
