Quarantine: a run that survives refutes the quarantine of its whole request

What callers saw: requests that come whole dozens of times a second were refused for 300 s because two of them were at endpoints that crashed. Nothing but time ended the quarantine of a whole request. A request that crashes endpoints never survives its start, so one survivor is proof against the crashes of 10 s around, on every VM: the clearances carry fingerprints too.

--- a/internal/quarantine/blocks.go
+++ b/internal/quarantine/blocks.go
@@ -317,6 +317,25 @@
 	return changes
 }
 
+// AddRequestSurvival notes that a run of a request, sent at a time, survived its start. The Controller calls it for the runs of this VM.
+func (s *Blocks) AddRequestSurvival(fingerprint uint64, sentAt time.Time) {
+	s.clear(fingerprint, clearance{at: sentAt}, "")
+}
+
+// NoteCrash notes that a request was at an endpoint that crashed, so that the peers are told if a run of it survives. The Controller calls
+// it for each crash that counts.
+func (s *Blocks) NoteCrash(fingerprint uint64, now time.Time) { s.lastLoss[fingerprint] = now }
+
+// RequestSurvivedSince reports whether a run of the request was sent later and survived its start. The peers are told of it, since they
+// may have heard of the same crash.
+func (s *Blocks) RequestSurvivedSince(fingerprint uint64, at time.Time) bool {
+	survived := s.clearances.ClearedAt(fingerprint).After(at)
+	if survived {
+		s.clearancesDue[fingerprint] = announceRounds
+	}
+	return survived
+}
+
 // clear notes a clearance, tells the peers if it matters to them, and ends the quarantine of the block if that began before.
 func (s *Blocks) clear(key uint64, c clearance, why string) []Change {
 	before := s.clearances.ClearedAt(key)
--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -203,6 +203,8 @@
 }
 
 func (m survivedMessage) handle(c *Controller) {
+	c.blocks.AddRequestSurvival(m.run.Fingerprint, m.run.SentAt)
+	c.refute(m.run.Fingerprint, m.run.SentAt)
 	c.applyChanges(c.blocks.AddSurvival(m.run.Blocks, m.run.endpoint(), m.run.SentAt), time.Now())
 }
 
@@ -262,20 +264,31 @@
 func (m receiveMessage) handle(c *Controller) {
 	now := time.Now()
 	c.applyChanges(c.blocks.Receive(m.state, now), now)
+	for _, cl := range m.state.Clearances {
+		c.refute(cl.Key, now.Add(-m.state.Delay-cl.Age))
+	}
 	c.addCrashes(m.state.Crashes, now)
 }
 
-// addCrashes adds crashes that this VM or a peer saw, except those of which another cause is known, and logs the requests that
-// they quarantine.
+// refute removes the crashes of a request that a run refutes, which was sent at a time and survived its start, and logs its release.
+func (c *Controller) refute(fingerprint uint64, sentAt time.Time) {
+	if c.records.Refute(fingerprint, sentAt) {
+		c.log.Info("request released", "fingerprint", fingerprint, "why", "a run of it survived its start")
+	}
+}
+
+// addCrashes adds crashes that this VM or a peer saw, except those of which another cause is known or that a run refutes, and logs the
+// requests that they quarantine.
 func (c *Controller) addCrashes(list []peer.CrashReport, now time.Time) {
 	if len(list) == 0 {
 		return
 	}
 	explanations := c.blocks.Explanations(now)
 	for _, r := range list {
-		if explanations[hashEndpoint(r.Endpoint)].Explains(r.Fingerprint) {
+		if explanations[hashEndpoint(r.Endpoint)].Explains(r.Fingerprint) || c.blocks.RequestSurvivedSince(r.Fingerprint, now.Add(-proofTime)) {
 			continue
 		}
+		c.blocks.NoteCrash(r.Fingerprint, now)
 		before := c.records.Remaining(r.Fingerprint, now)
 		if c.records.AddCrash(r, now) && before == 0 && c.records.Remaining(r.Fingerprint, now) > 0 {
 			c.log.Info("request quarantined", "fingerprint", r.Fingerprint, "endpoint", r.Endpoint, "seconds", Duration.Seconds())
--- a/internal/quarantine/records.go
+++ b/internal/quarantine/records.go
@@ -19,6 +19,9 @@
 	// request.
 	maxRecords = 4096
 	maxCrashes = 8
+	// proofTime is the longest time from the loss of a run to the report that its endpoint crashed. A run that was sent so long before the
+	// report, or later, and survived its start refutes it.
+	proofTime = 10 * time.Second
 )
 
 // Record holds the crashes that one request caused.
@@ -73,6 +76,32 @@
 	return max(0, rec.QuarantinedUntil.Sub(now))
 }
 
+// Refute removes the crashes of a request that were learned no later than proofTime after one of its runs was sent, which survived its
+// start, and reports whether that ended its quarantine. The Controller calls it for each such run that this VM or a peer saw.
+func (rs Records) Refute(fingerprint uint64, sentAt time.Time) (released bool) {
+	return rs.removeCrashes(fingerprint, func(_ string, at time.Time) bool { return at.Sub(sentAt) < proofTime })
+}
+
+// removeCrashes removes crashes of a request, and ends its quarantine if too few are left; it reports whether there was one. Refute and
+// Forgive call it.
+func (rs Records) removeCrashes(fingerprint uint64, remove func(endpoint string, at time.Time) bool) (released bool) {
+	rec, ok := rs[fingerprint]
+	if !ok {
+		return false
+	}
+	n := len(rec.Crashes)
+	maps.DeleteFunc(rec.Crashes, remove)
+	if len(rec.Crashes) == n || len(rec.Crashes) >= CrashThreshold {
+		return false
+	}
+	released = !rec.QuarantinedUntil.IsZero()
+	rec.QuarantinedUntil = time.Time{}
+	if len(rec.Crashes) == 0 {
+		delete(rs, fingerprint)
+	}
+	return released
+}
+
 // Sweep removes crashes older than CrashWindow, and requests without crashes that are not in quarantine. The
 // Controller calls it every sweepInterval.
 func (rs Records) Sweep(now time.Time) {
@@ -93,19 +122,10 @@
 // what it knows of prompt blocks.
 func (rs Records) Forgive(explained func(fingerprint uint64, endpoint string) bool) []uint64 {
 	var released []uint64
-	for fingerprint, rec := range rs {
-		n := len(rec.Crashes)
-		maps.DeleteFunc(rec.Crashes, func(endpoint string, _ time.Time) bool { return explained(fingerprint, endpoint) })
-		if len(rec.Crashes) == n || len(rec.Crashes) >= CrashThreshold {
-			continue
-		}
-		if !rec.QuarantinedUntil.IsZero() {
-			rec.QuarantinedUntil = time.Time{}
+	for fingerprint := range rs {
+		if rs.removeCrashes(fingerprint, func(endpoint string, _ time.Time) bool { return explained(fingerprint, endpoint) }) {
 			released = append(released, fingerprint)
 		}
-		if len(rec.Crashes) == 0 {
-			delete(rs, fingerprint)
-		}
 	}
 	return released
 }
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -50,6 +50,8 @@
 	name  string
 	part  func(head, event string) string
 	reset bool
+	// sameBody says that all requests have the same body.
+	sameBody bool
 }
 
 // Parts of an answer that a runner has sent when it crashes.
@@ -75,14 +77,15 @@
 // process that dies takes the head of its answer with it, or has sent an event before.
 func TestDeadlyBlockIsHeldBackWhateverACrashLooksLike(t *testing.T) {
 	signs := []crashSign{
-		{"no byte, end", nothing, false},
-		{"no byte, reset", nothing, true},
-		{"part of the head, end", partOfHead, false},
-		{"head, end", wholeHead, false},
-		{"head, reset", wholeHead, true},
-		{"head and a part of an event, end", headAndPartOfEvent, false},
-		{"head and an event, end", headAndEvent, false},
-		{"head and an event, reset", headAndEvent, true},
+		{"no byte, end", nothing, false, false},
+		{"no byte, end, same body", nothing, false, true},
+		{"no byte, reset", nothing, true, false},
+		{"part of the head, end", partOfHead, false, false},
+		{"head, end", wholeHead, false, false},
+		{"head, reset", wholeHead, true, false},
+		{"head and a part of an event, end", headAndPartOfEvent, false, false},
+		{"head and an event, end", headAndEvent, false, false},
+		{"head and an event, reset", headAndEvent, true, false},
 	}
 	for _, sign := range signs {
 		t.Run(sign.name, func(t *testing.T) {
@@ -217,6 +220,9 @@
 	}
 	id := fmt.Sprintf("call-%d", n)
 	c := platformstandin.Call{ID: id, Path: platformstandin.StreamingPrefix + "x", Key: callerKey, Stream: true, Blocks: blocks, Body: id}
+	if s.sign.sameBody {
+		c.Body = "same"
+	}
 	got, err := platformstandin.Send(ctx, http.DefaultClient, s.vms[n%crashVMs].callerAddress, c)
 	o.served = err == nil && got.Body == c.ExpectedBody()
 	s.observations <- o
