Forward: a first send that waited for room is checked by the quarantine again

Requests wait in the pool's queue for seconds while no endpoint has room, which is when endpoints crash, and were then sent although their prompt block had been found meanwhile.

TestRequestThatWaitedForRoomIsCheckedAgain failed in the row 'waited' before.

--- a/internal/filter/quarantine.go
+++ b/internal/filter/quarantine.go
@@ -53,6 +53,15 @@
 	return f.quarantines.Check(ctx, quarantineQuery(f.x))
 }
 
+// checkWaited asks the quarantine again if the placement waited for room, since what is known may have changed meanwhile. attempt calls
+// it.
+func (f *forwardRun) checkWaited(ctx context.Context, r *Reservation) error {
+	if r.Placement.Waited == 0 {
+		return nil
+	}
+	return f.quarantines.Check(ctx, quarantineQuery(f.x))
+}
+
 // reportRun tells the quarantine how a run ended, if that says something of its request. report calls it.
 func (f *forwardRun) reportRun(ctx context.Context, s *sendTask) {
 	switch {
--- a/internal/filter/quarantine_test.go
+++ b/internal/filter/quarantine_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"cornelmux/internal/endpoint"
+	"cornelmux/internal/pool"
 	"cornelmux/internal/quarantine"
 	"cornelmux/pkg/result"
 	"cornelmux/pkg/routing"
@@ -221,3 +222,49 @@
 		})
 	}
 }
+
+// waitingPool is a Pool whose placements wait for room.
+type waitingPool struct {
+	*fakePool
+	waited time.Duration
+}
+
+func (p waitingPool) Choose(ctx context.Context, q pool.Query) (pool.Placement, error) {
+	place, err := p.fakePool.Choose(ctx, q)
+	place.Waited = p.waited
+	return place, err
+}
+
+// refusingQuarantine is a Quarantines that has begun to refuse all requests.
+type refusingQuarantine struct{ noQuarantine }
+
+func (refusingQuarantine) Check(context.Context, quarantine.Query) error {
+	return result.Errorf(result.RequestQuarantined, "the block crashes endpoints")
+}
+
+// TestRequestThatWaitedForRoomIsCheckedAgain guards against a first send whose prompt was found to crash endpoints while it waited for
+// room.
+func TestRequestThatWaitedForRoomIsCheckedAgain(t *testing.T) {
+	tests := []struct {
+		name   string
+		waited time.Duration
+		sends  int
+		ends   []pool.End
+	}{
+		{"placed at once", 0, 1, []pool.End{pool.EndAnswered}},
+		{"waited", time.Second, 0, []pool.End{pool.EndAbandoned}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			sender := &scriptedSender{script: []scriptedSend{{head: head(200, "a"), chunks: []endpoint.Chunk{event("1", "a"), last("end")}}}}
+			p := &fakePool{}
+			err := Forward{Pool: waitingPool{p, test.waited}, Shifts: noShift{}, Sender: sender, Quarantines: refusingQuarantine{}}.Handle(t.Context(), blockExchange(), nil)
+			qt.Check(t, sender.calls, qt.HasLen, test.sends)
+			qt.Check(t, p.ends, qt.DeepEquals, test.ends)
+			if test.sends == 0 {
+				qt.Check(t, result.From(err).Code, qt.Equals, result.RequestQuarantined)
+				qt.Check(t, result.From(err).Run, qt.Equals, result.NotRun)
+			}
+		})
+	}
+}
