An answer without a length is complete only if its request was written

Cause: the kernel tells of a reset once. The write of the upload gets the error, and the read of the answer then sees an end in order, which ends a body that has neither a length nor chunks. Class: an end that is read is believed without what the other direction of the connection knows.

The client now waits for the end of writing the request at the end of such a body, 100 ms at most; if it failed, the answer is broken. One that ends while its request is still being written counts as cut too, since the two can't be told apart.

--- a/internal/endpoint/http.go
+++ b/internal/endpoint/http.go
@@ -97,12 +97,13 @@
 func (c *Client) Open(ctx context.Context, e Endpoint, call Call, check SendCheck) (Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	guard := &sendGuard{check: check, cancel: cancel}
-	resp, err := c.send(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: guard.gotConn}), e, call)
+	written := NewRequestWrite()
+	resp, err := c.send(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: guard.gotConn, WroteRequest: written.Note}), e, call)
 	if err != nil {
 		cancel()
 		return nil, guard.wrapError(err)
 	}
-	s := newStream(resp, call, cancel)
+	s := newStream(resp, call, written, cancel)
 	if err := s.checkHead(e); err != nil {
 		s.Close()
 		return nil, err
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -27,10 +27,12 @@
 
 // httpStream implements Stream for the answer to one HTTP request.
 type httpStream struct {
-	resp   *http.Response
-	call   Call
-	cancel context.CancelFunc
-	reader *bufio.Reader
+	resp *http.Response
+	call Call
+	// written is how the writing of the request ended.
+	written RequestWrite
+	cancel  context.CancelFunc
+	reader  *bufio.Reader
 	// events says that the answer is read as server-sent events.
 	events bool
 	// offset is that of the next chunk of an answer without events; ended says that there is none.
@@ -41,12 +43,12 @@
 }
 
 // newStream makes the stream of an answer whose head has arrived.
-func newStream(resp *http.Response, call Call, cancel context.CancelFunc) *httpStream {
+func newStream(resp *http.Response, call Call, written RequestWrite, cancel context.CancelFunc) *httpStream {
 	size := serviceChunkBytes
 	if call.Chat {
 		size = eventBufferBytes
 	}
-	return &httpStream{resp: resp, call: call, cancel: cancel, reader: bufio.NewReaderSize(resp.Body, size)}
+	return &httpStream{resp: resp, call: call, written: written, cancel: cancel, reader: bufio.NewReaderSize(resp.Body, size)}
 }
 
 // checkHead returns an error unless the head of the answer starts a usable answer. Client.Open calls it before it
@@ -134,6 +136,11 @@
 		}
 		s.ended = err != nil
 	}
+	if s.ended {
+		if err := s.written.CheckEnd(s.resp); err != nil {
+			return Fragment{}, fmt.Errorf("%w: %w", ErrBroken, err)
+		}
+	}
 	f := Fragment{RunID: s.call.RunID, Offset: s.offset, Chunk: Chunk{Data: buf[:n], Last: s.ended}}
 	s.offset++
 	return f, nil
