Answers with malformed field names are broken

Cause: net/http lets blanks pass in names of answers, and drops them when they are passed on; what it reads was taken for checked. Class: what a library accepts isn't what the protocol allows.

A blank before the colon is refused as well: the standard lets a proxy mend it, but who writes so is in trouble, and dropping the line was neither.

--- a/internal/endpoint/http.go
+++ b/internal/endpoint/http.go
@@ -98,7 +98,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	guard := &sendGuard{check: check, cancel: cancel}
 	written := NewRequestWrite()
-	resp, err := c.send(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: guard.gotConn, WroteRequest: written.Note}), e, call)
+	trace := &httptrace.ClientTrace{GotConn: guard.gotConn, WroteRequest: written.Note, Got1xxResponse: CheckInterim}
+	resp, err := c.send(httptrace.WithClientTrace(ctx, trace), e, call)
 	if err != nil {
 		cancel()
 		return nil, guard.wrapError(err)
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -54,6 +54,9 @@
 // checkHead returns an error unless the head of the answer starts a usable answer. Client.Open calls it before it
 // returns the stream.
 func (s *httpStream) checkHead(e Endpoint) error {
+	if err := CheckFieldNames(s.resp.Header); err != nil {
+		return fmt.Errorf("%w: %w", ErrBroken, err)
+	}
 	if id := s.resp.Header.Get(headerRunID); id != "" && id != s.call.RunID {
 		return fmt.Errorf("%w: endpoint %s answered with the ID of another run", ErrBroken, e.ID)
 	}
--- a/internal/endpoint/written.go
+++ b/internal/endpoint/written.go
@@ -34,11 +34,12 @@
 	}
 }
 
-// CheckEnd fails with ErrRequestCut if a body that ended with its connection may have been cut. It is called at the end of the body of each
-// answer. Writing may have failed on a connection before, so it waits for a success.
+// CheckEnd fails with ErrRequestCut if a body that ended with its connection may have been cut, and with ErrMalformedField if the trailer
+// is malformed. It is called at the end of the body of each answer. Writing may have failed on a connection before, so it waits for a
+// success.
 func (w RequestWrite) CheckEnd(resp *http.Response) error {
 	if IsFramed(resp) {
-		return nil
+		return CheckFieldNames(resp.Trailer)
 	}
 	timer := time.NewTimer(writeEndTimeout)
 	defer timer.Stop()
