--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -31,7 +31,7 @@
 	// Objective is when the answer should begin, Deadline when the caller or the route gives up; zero if there is none.
 	Objective time.Time
 	Deadline  time.Time
-	// Begin is the usual time from the send to the head of the answer; 0 if unknown.
+	// Begin is the typical time from the send to the head of the answer; 0 if unknown.
 	Begin time.Duration
 }
 
--- a/internal/cascade/confidence.go
+++ b/internal/cascade/confidence.go
@@ -31,7 +31,7 @@
 	// Elapsed is the time since the arrival.
 	Objective time.Duration
 	Elapsed   time.Duration
-	// StrongerTTFB and StrongerRest are the usual times that the stronger model takes to the head of such an answer and
+	// StrongerTTFB and StrongerRest are the typical times that the stronger model takes to the head of such an answer and
 	// from there to its end; 0 if unknown.
 	StrongerTTFB time.Duration
 	StrongerRest time.Duration
--- a/internal/cascade/controller_test.go
+++ b/internal/cascade/controller_test.go
@@ -71,7 +71,7 @@
 		c.Assert(plan().Steps, qt.DeepEquals, []Step{{0, true}, {1, false}})
 		levels, err := ctrl.Levels(ctx, key)
 		c.Assert(err, qt.IsNil)
-		c.Assert(levels[1].Direct, qt.Equals, Tally{1, 1})
+		c.Assert(levels[1].Direct, qt.Equals, RatingCounts{1, 1})
 		c.Assert(task.Stop(cancel, ends, 1), qt.IsNil)
 	})
 }
--- a/internal/cascade/decide.go
+++ b/internal/cascade/decide.go
@@ -4,9 +4,9 @@
 
 // Windows and priors of the estimates.
 const (
-	// tallyWindow is the effective number of ratings in a tally; older ones decay.
-	tallyWindow = 64
-	// priorPassed and priorRated are numbers of ratings added to each tally, one passed of two, so that a few ratings
+	// ratingWindow is the effective number of ratings in the counts; older ones decay.
+	ratingWindow = 64
+	// priorPassed and priorRated are numbers of ratings added to the counts, one passed of two, so that a few ratings
 	// do not decide alone.
 	priorPassed = 1
 	priorRated  = 2
@@ -22,15 +22,15 @@
 	unratedMinRatings = 20
 )
 
-// Tally holds exponentially decayed counts of ratings. Passed is at most Rated.
-type Tally struct {
+// RatingCounts holds exponentially decayed counts of ratings. Passed is at most Rated.
+type RatingCounts struct {
 	Passed float64
 	Rated  float64
 }
 
-// Add returns the tally with one more rating.
-func (t Tally) Add(passed bool) Tally {
-	const keep = 1 - 1.0/tallyWindow
+// Add returns the counts with one more rating.
+func (t RatingCounts) Add(passed bool) RatingCounts {
+	const keep = 1 - 1.0/ratingWindow
 	t.Passed *= keep
 	t.Rated = t.Rated*keep + 1
 	if passed {
@@ -40,7 +40,9 @@
 }
 
 // PassProbability estimates the probability that the next answer meets the quality target.
-func (t Tally) PassProbability() float64 { return (t.Passed + priorPassed) / (t.Rated + priorRated) }
+func (t RatingCounts) PassProbability() float64 {
+	return (t.Passed + priorPassed) / (t.Rated + priorRated)
+}
 
 // Level holds the data and estimates of one level of a cascade for a client account.
 type Level struct {
@@ -51,8 +53,8 @@
 	Price float64
 	// Direct counts the ratings of requests that had no answer dropped before, Escalated those of requests whose answer
 	// at a level below was dropped.
-	Direct    Tally
-	Escalated Tally
+	Direct    RatingCounts
+	Escalated RatingCounts
 	// Tokens is the moving mean of the tokens that endpoints reported per answer; 0 if there was none yet.
 	Tokens float64
 }
--- a/internal/cascade/decide_test.go
+++ b/internal/cascade/decide_test.go
@@ -17,13 +17,13 @@
 func TestMain(m *testing.M) { rapidtest.Main(m, rapidtest.Settings{Seed: 6, Checks: 2000}) }
 
 func drawLevel(t *rapid.T) Level {
-	rated := rapid.Float64Range(0, tallyWindow).Draw(t, "rated")
+	rated := rapid.Float64Range(0, ratingWindow).Draw(t, "rated")
 	escalated := rapid.SampledFrom([]float64{0, 10}).Draw(t, "escalated")
 	return Level{
 		Usable: rapid.Bool().Draw(t, "usable"), Price: rapid.Float64Range(0, 10).Draw(t, "price"),
-		Direct:    Tally{rated * rapid.Float64Range(0, 1).Draw(t, "passed"), rated},
+		Direct:    RatingCounts{rated * rapid.Float64Range(0, 1).Draw(t, "passed"), rated},
 		Tokens:    rapid.SampledFrom([]float64{0, 50, 400}).Draw(t, "tokens"),
-		Escalated: Tally{escalated * rapid.Float64Range(0, 1).Draw(t, "escalated passed"), escalated},
+		Escalated: RatingCounts{escalated * rapid.Float64Range(0, 1).Draw(t, "escalated passed"), escalated},
 	}
 }
 
@@ -106,11 +106,11 @@
 
 // TestBuildPlan checks the plans of a cascade with a cheap and a strong level.
 func TestBuildPlan(t *testing.T) {
-	alwaysPasses := Tally{60, 60}
-	neverPasses := Tally{0, 60}
+	alwaysPasses := RatingCounts{60, 60}
+	neverPasses := RatingCounts{0, 60}
 	cheap := Level{Usable: true, Price: 1}
 	strong := Level{Usable: true, Price: 10}
-	with := func(l Level, t Tally) Level {
+	with := func(l Level, t RatingCounts) Level {
 		l.Direct = t
 		return l
 	}
--- a/internal/engine/fit.go
+++ b/internal/engine/fit.go
@@ -43,7 +43,7 @@
 	products [terms]vector
 }
 
-// newFit makes a fit that begins with the prior and stays at or above least. typical is a usual run, for which the prior counts as if
+// newFit makes a fit that begins with the prior and stays at or above least. typical is a typical run, for which the prior counts as if
 // priorRuns had confirmed it.
 func newFit(prior, least, typical vector) fit {
 	f := fit{least: least, coefficients: prior}
--- a/internal/engine/model.go
+++ b/internal/engine/model.go
@@ -32,11 +32,11 @@
 	longest = time.Hour
 )
 
-// Model is what was learned of the engines of a service for one of its models: the times of an endpoint of usual speed.
+// Model is what was learned of the engines of a service for one of its models: the times of an endpoint of typical speed.
 type Model struct {
 	begin, gap fit
-	// usual is the median of the slowness of the endpoints that answered, at least 1.
-	usual float64
+	// medianSlowness is the median of the slowness of the endpoints that answered, at least 1.
+	medianSlowness float64
 }
 
 // NewModel makes a Model that predicts by the prior.
@@ -48,14 +48,14 @@
 	}
 	least[termConstant] = 0
 	gap := vector{termConstant: milliseconds(p.PerEvent)}
-	return &Model{usual: 1, begin: newFit(prior, least, p.Typical.vector()), gap: newFit(gap, vector{}, p.Typical.vector())}
+	return &Model{medianSlowness: 1, begin: newFit(prior, least, p.Typical.vector()), gap: newFit(gap, vector{}, p.Typical.vector())}
 }
 
 // Learn adds a run that was answered at an endpoint of the slowness. One that is slower than others counts less, and as if it were of
-// usual speed, so that four slow ones in ten don't change what is expected of the sound ones.
+// typical speed, so that four slow ones in ten don't change what is expected of the sound ones.
 func (m *Model) Learn(r Run, s Seen, slowness float64) {
 	m.noteSlowness(slowness)
-	share := min(m.usual/slowness, 1)
+	share := min(m.medianSlowness/slowness, 1)
 	if s.Begin > 0 {
 		m.begin.learn(r.vector(), milliseconds(s.Begin)*share, share)
 	}
@@ -66,10 +66,10 @@
 
 // noteSlowness moves the median of the slowness towards that of another run. If all endpoints seem slow, it's the model that is wrong.
 func (m *Model) noteSlowness(slowness float64) {
-	if slowness > m.usual {
-		m.usual *= medianStep
+	if slowness > m.medianSlowness {
+		m.medianSlowness *= medianStep
 	} else {
-		m.usual = max(m.usual/medianStep, 1)
+		m.medianSlowness = max(m.medianSlowness/medianStep, 1)
 	}
 }
 
@@ -83,7 +83,7 @@
 	return f
 }
 
-// TokenTime returns how long an endpoint of usual speed takes to process so many tokens of a prompt.
+// TokenTime returns how long an endpoint of typical speed takes to process so many tokens of a prompt.
 func (m *Model) TokenTime(tokens int) time.Duration {
 	return duration(float64(tokens) / tokenUnit * m.begin.coefficients[termTokens])
 }
--- a/internal/engine/slowness.go
+++ b/internal/engine/slowness.go
@@ -27,7 +27,7 @@
 	at   time.Time
 }
 
-// Learn adds a run that began after seen, where expected was predicted for an endpoint of usual speed.
+// Learn adds a run that began after seen, where expected was predicted for an endpoint of typical speed.
 func (s *Slowness) Learn(seen, expected time.Duration, now time.Time) {
 	if seen <= 0 || expected <= 0 {
 		return
@@ -38,7 +38,7 @@
 	s.excess += (ratio - 1 - s.excess) * slownessShare
 }
 
-// Ratio returns the slowness now: 1 for an endpoint of usual speed or one that nothing is known of.
+// Ratio returns the slowness now: 1 for an endpoint of typical speed or one that nothing is known of.
 func (s *Slowness) Ratio(now time.Time) float64 { return 1 + s.excess*s.left(now) }
 
 // Known reports whether the slowness rests on some runs of late.
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -24,9 +24,9 @@
 	headerSession   = "X-Session-Id"
 	headerVersion   = "X-Cornelmux-Version"
 
-	// bodyPatience is how long a body waits for its memory, at most one of bodyPatienceParts of a request's time.
-	bodyPatience      = 3 * time.Second
-	bodyPatienceParts = 3
+	// bodyMemoryTimeout is how long a body waits for its memory, at most one of bodyPatienceParts of a request's time.
+	bodyMemoryTimeout      = 3 * time.Second
+	bodyMemoryTimeoutParts = 3
 	// defaultRetryAfter is the Retry-After of an overload response whose error has no time of its own.
 	defaultRetryAfter = time.Second
 )
@@ -39,7 +39,7 @@
 	// timeout is how long a request may take from its arrival.
 	timeout time.Duration
 	// newRoom returns the memory for the body of a request, which waits so long for it.
-	newRoom func(patience time.Duration) room
+	newRoom func(timeout time.Duration) room
 	log     logr.Logger
 }
 
@@ -47,7 +47,7 @@
 func (c *callerHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	decoder := &decoder{
-		w: w, r: r, maxBodyBytes: c.maxBodyBytes, deadline: arrived.Add(c.timeout), room: c.newRoom(min(bodyPatience, c.timeout/bodyPatienceParts)),
+		w: w, r: r, maxBodyBytes: c.maxBodyBytes, deadline: arrived.Add(c.timeout), room: c.newRoom(min(bodyMemoryTimeout, c.timeout/bodyMemoryTimeoutParts)),
 	}
 	defer decoder.room.Release()
 	sink := &sink{w: w, decoder: decoder}
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -233,7 +233,7 @@
 	ready := health(v.drain, v.configurations, v.sessions)
 	handler := &callerHandler{
 		chain: v.chain, maxBodyBytes: v.cfg.Limits.BodyBytes, timeout: v.cfg.Limits.RequestTimeout, log: v.log.WithName("callers"),
-		newRoom: func(patience time.Duration) room { return v.memory.BodyClaim("", patience) },
+		newRoom: func(timeout time.Duration) room { return v.memory.BodyClaim("", timeout) },
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == healthPath {
--- a/internal/filter/answermemory.go
+++ b/internal/filter/answermemory.go
@@ -10,13 +10,13 @@
 	"cornelmux/internal/memory"
 )
 
-// answerPatience bounds each wait of an answer for memory.
-const answerPatience = 2 * time.Second
+// answerMemoryTimeout bounds each wait of an answer for memory.
+const answerMemoryTimeout = 2 * time.Second
 
 // AnswerMemory accounts for the bytes that answers hold.
 type AnswerMemory interface {
-	// AnswerClaim returns the claim of an answer to the request, each wait of which is bounded by patience.
-	AnswerClaim(request string, patience time.Duration) *memory.Claim
+	// AnswerClaim returns the claim of an answer to the request, each wait of which is bounded by timeout.
+	AnswerClaim(request string, timeout time.Duration) *memory.Claim
 }
 
 // answerClaim is the memory that the answer to one send holds. It implements endpoint.Memory for the task of the send; after that has
@@ -32,7 +32,7 @@
 	if m == nil {
 		return nil
 	}
-	return &answerClaim{m.AnswerClaim(request, answerPatience), make(chan struct{}, 1)}
+	return &answerClaim{m.AnswerClaim(request, answerMemoryTimeout), make(chan struct{}, 1)}
 }
 
 // Reserve implements endpoint.Memory.
--- a/internal/filter/answermemory_test.go
+++ b/internal/filter/answermemory_test.go
@@ -154,8 +154,8 @@
 		heldFor time.Duration
 		whole   bool
 	}{
-		{"memory in time", answerPatience - time.Millisecond, true},
-		{"no memory in time", answerPatience + time.Second, false},
+		{"memory in time", answerMemoryTimeout - time.Millisecond, true},
+		{"no memory in time", answerMemoryTimeout + time.Second, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/filter/cascade_test.go
+++ b/internal/filter/cascade_test.go
@@ -46,7 +46,7 @@
 type fakePlanner struct {
 	ratingAvailable bool
 	explore         int
-	passed          []cascade.Tally
+	passed          []cascade.RatingCounts
 	sample          bool
 	observed        []cascade.Outcome
 	sampled         []cascade.Sample
@@ -198,7 +198,7 @@
 		idempotent, allow := rapid.Bool().Draw(t, "idempotent"), rapid.Bool().Draw(t, "allow")
 		levels := &fakePlanner{ratingAvailable: rapid.Bool().Draw(t, "up"), explore: rapid.IntRange(-1, 1).Draw(t, "explore"), sample: rapid.Bool().Draw(t, "sample")}
 		for range testLevels {
-			levels.passed = append(levels.passed, cascade.Tally{Passed: rapid.Float64Range(0, 60).Draw(t, "passed"), Rated: 60})
+			levels.passed = append(levels.passed, cascade.RatingCounts{Passed: rapid.Float64Range(0, 60).Draw(t, "passed"), Rated: 60})
 		}
 		answer, bills := &answerSink{}, &billJournal{}
 		x := cascadeExchange(answer, idempotent, allow)
@@ -289,7 +289,7 @@
 	for _, row := range rows {
 		qt.New(t).Run(row.name, func(c *qt.C) {
 			rest := &fakeChain{levels: row.levels, rated: map[int]float64{}}
-			levels := &fakePlanner{ratingAvailable: true, explore: cascade.NoLevel, passed: []cascade.Tally{{Passed: 60, Rated: 60}, {Passed: 60, Rated: 60}, {}}}
+			levels := &fakePlanner{ratingAvailable: true, explore: cascade.NoLevel, passed: []cascade.RatingCounts{{Passed: 60, Rated: 60}, {Passed: 60, Rated: 60}, {}}}
 			answer := &answerSink{}
 			x := cascadeExchange(answer, true, false)
 			err := Cascade{Planner: levels, Rater: rest, MaxBufferedBytes: 100}.Handle(context.Background(), x, rest.run)
@@ -320,7 +320,7 @@
 func TestBufferedAnswerThatBreaksIsRetriedWhole(t *testing.T) {
 	c := qt.New(t)
 	rest := &fakeChain{levels: []levelBehavior{{fail: result.AnswerBroken, sent: true, relayed: true}, {}, {}}, rated: map[int]float64{}}
-	levels := &fakePlanner{ratingAvailable: true, explore: cascade.NoLevel, passed: []cascade.Tally{{Passed: 60, Rated: 60}, {}, {}}}
+	levels := &fakePlanner{ratingAvailable: true, explore: cascade.NoLevel, passed: []cascade.RatingCounts{{Passed: 60, Rated: 60}, {}, {}}}
 	answer, places := &answerSink{}, &fakeEndpoints{}
 	x := cascadeExchange(answer, true, false)
 	next := Chain(Place{Endpoints: places, MaxAttempts: 2}, filterFunc(func(ctx context.Context, x *Exchange) error {
--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -112,7 +112,7 @@
 	RetryAllowed bool
 	// Verdict is the decision on the answer by its model's confidence; 0 if there was none.
 	Verdict cascade.Verdict
-	// StrongerLatency holds the usual latencies of the cascade's strongest model.
+	// StrongerLatency holds the typical latencies of the cascade's strongest model.
 	StrongerLatency pool.Latency
 }
 
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -48,7 +48,7 @@
 	maxAnswerMarginShare = 0.05
 	// minSendTime is the time to the deadline below which a request is not sent any more.
 	minSendTime = 20 * time.Millisecond
-	// ttfbTimeoutFactor multiplies the usual time to first byte to get the silence timeout for the head of an answer,
+	// ttfbTimeoutFactor multiplies the typical time to first byte to get the silence timeout for the head of an answer,
 	// if the request may be retried at another endpoint.
 	ttfbTimeoutFactor = 6
 	// minTTFBTimeoutShare is the least value of that timeout, as a share of the route's objective.
--- a/internal/filter/kept.go
+++ b/internal/filter/kept.go
@@ -10,7 +10,7 @@
 // asked, however long the answer may be.
 const keepShare = 0.5
 
-// keepReserve is the time before the deadline that is left at least for the rest of a kept answer, beside its usual length.
+// keepReserve is the time before the deadline that is left at least for the rest of a kept answer, beside its typical length.
 const keepReserve = 2 * answerMargin
 
 // keeps reports whether the answer of the current send is kept, unread, until the strongest model accepts the request.
--- a/internal/filter/readbody.go
+++ b/internal/filter/readbody.go
@@ -13,13 +13,13 @@
 const (
 	// defaultBodyLimit is the limit of a body in bytes if the route table sets none.
 	defaultBodyLimit = 4 << 20
-	// idempotentPatience and patience are how long a body waits at most for its memory. Callers of idempotent requests leave soon if
+	// idempotentMemoryTimeout and memoryTimeout are how long a body waits at most for its memory. Callers of idempotent requests leave soon if
 	// their bodies aren't read.
-	idempotentPatience = 700 * time.Millisecond
-	patience           = 3 * time.Second
-	// idempotentPatienceShare and patienceShare bound the same by a share of the time left, 0 to 1.
-	idempotentPatienceShare = 0.25
-	patienceShare           = 0.34
+	idempotentMemoryTimeout = 700 * time.Millisecond
+	memoryTimeout           = 3 * time.Second
+	// idempotentMemoryTimeoutShare and memoryTimeoutShare bound the same by a share of the time left, 0 to 1.
+	idempotentMemoryTimeoutShare = 0.25
+	memoryTimeoutShare           = 0.34
 	// memoryRetryAfter is the Retry-After of requests whose bodies got no memory.
 	memoryRetryAfter = time.Second
 )
@@ -44,8 +44,8 @@
 
 // Memory accounts for the bytes that bodies hold.
 type Memory interface {
-	// BodyClaim returns the claim of the request's body, each wait of which is bounded by patience.
-	BodyClaim(request string, patience time.Duration) *memory.Claim
+	// BodyClaim returns the claim of the request's body, each wait of which is bounded by timeout.
+	BodyClaim(request string, timeout time.Duration) *memory.Claim
 }
 
 // ReadBody reads the body of a request that a route table decides on, up to the table's limit, into memory that it reserves. A body
@@ -60,7 +60,7 @@
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
-	claim := f.Memory.BodyClaim(x.Request.ID, bodyPatience(x, time.Now()))
+	claim := f.Memory.BodyClaim(x.Request.ID, bodyMemoryTimeout(x, time.Now()))
 	body, err := readBody(ctx, x, limit, claim)
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
@@ -80,11 +80,11 @@
 	return next(ctx, x)
 }
 
-// bodyPatience returns how long the request's body waits at most for its memory. Handle calls it once.
-func bodyPatience(x *Exchange, now time.Time) time.Duration {
-	most, share := patience, patienceShare
+// bodyMemoryTimeout returns how long the request's body waits at most for its memory. Handle calls it once.
+func bodyMemoryTimeout(x *Exchange, now time.Time) time.Duration {
+	most, share := memoryTimeout, memoryTimeoutShare
 	if x.Idempotent {
-		most, share = idempotentPatience, idempotentPatienceShare
+		most, share = idempotentMemoryTimeout, idempotentMemoryTimeoutShare
 	}
 	if x.Request.Deadline.IsZero() {
 		return most
--- a/internal/filter/silence.go
+++ b/internal/filter/silence.go
@@ -16,7 +16,7 @@
 var errSilence = errors.New("silence timeout of the endpoint")
 
 // firstSilenceLimit returns the silence timeout until the first progress of a send, or 0 if nothing is known to base one on. For
-// a resumed stream it follows from MaxGap and twice the usual time to first byte. It leaves time for a long prompt.
+// a resumed stream it follows from MaxGap and twice the typical time to first byte. It leaves time for a long prompt.
 func (f *forwardRun) firstSilenceLimit(place pool.Placement) time.Duration {
 	r := f.x.Routed.Route
 	prefill := prefillTimeoutFactor * place.PrefillTime
--- a/internal/memory/claim.go
+++ b/internal/memory/claim.go
@@ -13,7 +13,7 @@
 type Claim struct {
 	controller *Controller
 	request    string
-	patience   time.Duration
+	timeout    time.Duration
 	// small and large are the kinds of its pools, kind is that of the pool that it holds bytes of.
 	small, large, kind kind
 	held               int64
@@ -21,7 +21,7 @@
 }
 
 // Reserve waits until n bytes in all may be held, which is no less than before. It fails with ErrFull if there was no memory within
-// the claim's patience, and with the cause of ctx if that ends before.
+// the claim's timeout, and with the cause of ctx if that ends before.
 func (c *Claim) Reserve(ctx context.Context, n int64) error {
 	if n <= max(c.held, FreeBytes) {
 		return nil
@@ -52,15 +52,15 @@
 	return nil
 }
 
-// ask asks for n bytes more, for the time of the claim's patience.
+// ask asks for n bytes more, for the time of the claim's timeout.
 func (c *Claim) ask(ctx context.Context, kind kind, n int64) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.patience)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	granted, err := task.AskOrLeave(ctx, c.controller.stopped, c.controller.mailbox, func(reply task.Reply[bool]) message {
 		return takeMessage{question{kind, n, reply}}
 	})
 	if !granted {
-		c.controller.tell(leftMessage{c.request, kind, n, c.patience})
+		c.controller.tell(leftMessage{c.request, kind, n, c.timeout})
 	}
 	return granted, err
 }
--- a/internal/memory/controller.go
+++ b/internal/memory/controller.go
@@ -114,10 +114,10 @@
 		n    int64
 	}
 	leftMessage struct {
-		request  string
-		kind     kind
-		n        int64
-		patience time.Duration
+		request string
+		kind    kind
+		n       int64
+		timeout time.Duration
 	}
 	stateMessage struct{ reply chan<- State }
 )
@@ -183,7 +183,7 @@
 	if m.kind == smallAnswers || m.kind == largeAnswers {
 		what = "answer given up for memory"
 	}
-	c.log.Info(what, "request", m.request, "bytes", m.n, "patience_ms", m.patience.Milliseconds(), "small_bytes", s.SmallBodies,
+	c.log.Info(what, "request", m.request, "bytes", m.n, "patience_ms", m.timeout.Milliseconds(), "small_bytes", s.SmallBodies,
 		"large_bytes", s.LargeBodies, "small_answer_bytes", s.SmallAnswers, "large_answer_bytes", s.LargeAnswers, "waiting", s.Waiting,
 		"unlogged", c.unlogged)
 	c.loggedAt, c.unlogged = time.Now(), 0
@@ -197,14 +197,14 @@
 	}
 }
 
-// BodyClaim returns the claim of the request's body, which holds nothing yet. patience bounds each wait for memory.
-func (c *Controller) BodyClaim(request string, patience time.Duration) *Claim {
-	return &Claim{controller: c, request: request, patience: patience, small: smallBodies, large: largeBodies, kind: smallBodies}
+// BodyClaim returns the claim of the request's body, which holds nothing yet. timeout bounds each wait for memory.
+func (c *Controller) BodyClaim(request string, timeout time.Duration) *Claim {
+	return &Claim{controller: c, request: request, timeout: timeout, small: smallBodies, large: largeBodies, kind: smallBodies}
 }
 
 // AnswerClaim returns the claim of an answer to the request, as BodyClaim does that of its body.
-func (c *Controller) AnswerClaim(request string, patience time.Duration) *Claim {
-	return &Claim{controller: c, request: request, patience: patience, small: smallAnswers, large: largeAnswers, kind: smallAnswers}
+func (c *Controller) AnswerClaim(request string, timeout time.Duration) *Claim {
+	return &Claim{controller: c, request: request, timeout: timeout, small: smallAnswers, large: largeAnswers, kind: smallAnswers}
 }
 
 // State returns what is held.
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -14,7 +14,7 @@
 	Incarnation uint64
 	// Sequence grows with each datagram of an incarnation.
 	Sequence uint64
-	// SentAt is the time since Incarnation by the sender's monotonic clock; 0 if unknown. Delay is how much later than usual
+	// SentAt is the time since Incarnation by the sender's monotonic clock; 0 if unknown. Delay is how much later than typical
 	// the state was read; the receiver sets it.
 	SentAt time.Duration
 	Delay  time.Duration
@@ -97,7 +97,7 @@
 	PacedSlow uint64
 }
 
-// LatencyBaseline is a usual latency of a service's old version at the sender, while a traffic shift runs.
+// LatencyBaseline is a typical latency of a service's old version at the sender, while a traffic shift runs.
 type LatencyBaseline struct {
 	Service string
 	// Kind is the hash of the name of what was timed, Load the class of the endpoints' load.
--- a/internal/pool/forecast.go
+++ b/internal/pool/forecast.go
@@ -18,8 +18,8 @@
 	servicePrior = engine.Prior{First: 30 * time.Millisecond, PerLoad: 30 * time.Millisecond, Typical: engine.Run{Tokens: 1, Load: 0.5, Queued: 0.5, Waiting: time.Millisecond}}
 )
 
-// usualSlowness is the slowness up to which an endpoint counts as one of usual speed.
-const usualSlowness = 1.5
+// typicalSlowness is the slowness up to which an endpoint counts as one of typical speed.
+const typicalSlowness = 1.5
 
 // models holds what was learned of the engines, by service and model.
 type models map[latencyKey]*engine.Model
@@ -118,7 +118,7 @@
 }
 
 // slowRatio returns how many times longer than expected the runs at the endpoint take, as the mean of what this VM and its peers know. Up
-// to usualSlowness it is 1: runs of usual endpoints differ by that much, and would be placed by chance.
+// to typicalSlowness it is 1: runs of typical endpoints differ by that much, and would be placed by chance.
 func (r *Record) slowRatio(now time.Time) float64 {
 	sum, n := 0.0, 0.0
 	if r.slowness.Known(now) {
@@ -130,7 +130,7 @@
 			n++
 		}
 	}
-	if n == 0 || sum/n <= usualSlowness {
+	if n == 0 || sum/n <= typicalSlowness {
 		return 1
 	}
 	return sum / n
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -60,7 +60,7 @@
 	vm        string
 	log       logr.Logger
 	snapshot  configuration.Snapshot
-	tally     *Tally
+	evidence  *FleetEvidence
 	detectors map[Run]Detector
 	// halts maps each run halted on this VM to the reason, until the configuration holds the halt.
 	halts map[Run]string
@@ -73,7 +73,7 @@
 	return &Controller{
 		mailbox: make(chan message, mailboxSize), proposals: make(chan configuration.Submission, proposalQueueSize),
 		snapshots: snapshots, submitter: s, halter: h, vm: vm, log: log,
-		tally: NewTally(), detectors: map[Run]Detector{}, halts: map[Run]string{}, proposeAt: map[string]time.Time{},
+		evidence: NewFleetEvidence(), detectors: map[Run]Detector{}, halts: map[Run]string{}, proposeAt: map[string]time.Time{},
 	}
 }
 
@@ -173,7 +173,7 @@
 func (m evidenceMessage) handle(c *Controller) {
 	for _, r := range c.snapshot.Catalog.RollOuts {
 		if r.Model == m.model && (r.Version == m.version || c.stableVersion(r) == m.version) {
-			c.tally.Add(Run{m.model, m.version, r.StartedAt}, m.evidence)
+			c.evidence.Add(Run{m.model, m.version, r.StartedAt}, m.evidence)
 		}
 	}
 }
@@ -183,7 +183,7 @@
 	for _, e := range m.state.Evidence {
 		run := Run{e.Model, e.Version, e.StartedAt}
 		if c.isCurrent(run) {
-			c.tally.Receive(m.state.VM, m.state.Incarnation, run, Evidence{Answers: e.Answers, Failures: e.Failures, Rated: e.Rated, RatedBad: e.RatedBad})
+			c.evidence.Receive(m.state.VM, m.state.Incarnation, run, Evidence{Answers: e.Answers, Failures: e.Failures, Rated: e.Rated, RatedBad: e.RatedBad})
 		}
 	}
 	for _, h := range m.state.Halts {
@@ -194,7 +194,7 @@
 // handle replies with the evidence and halts of this VM for the next datagram. Collect sends the message.
 func (m collectMessage) handle(c *Controller) {
 	var r collectReply
-	for run, n := range c.tally.Local() {
+	for run, n := range c.evidence.Local() {
 		r.evidence = append(r.evidence, peer.VersionEvidence{
 			Model: run.Model, Version: run.Version, StartedAt: run.StartedAt,
 			Answers: n.Answers, Failures: n.Failures, Rated: n.Rated, RatedBad: n.RatedBad,
@@ -213,7 +213,7 @@
 		run := runOf(r)
 		d := c.detectors[run]
 		list = append(list, Status{
-			RollOut: r, Version: c.tally.Sum(run), Stable: c.tally.Sum(c.stableRun(r)), LocalHaltReason: c.halts[run],
+			RollOut: r, Version: c.evidence.Sum(run), Stable: c.evidence.Sum(c.stableRun(r)), LocalHaltReason: c.halts[run],
 			Score: max(d.Failures.Score, d.Ratings.Score), HaltScore: haltScore,
 		})
 	}
@@ -236,7 +236,7 @@
 // Run calls it for each snapshot.
 func (c *Controller) applySnapshot(s configuration.Snapshot) {
 	c.snapshot = s
-	c.tally.Retain(c.isCurrent)
+	c.evidence.Retain(c.isCurrent)
 	for run := range c.detectors {
 		if !c.isCurrent(run) {
 			delete(c.detectors, run)
@@ -295,7 +295,7 @@
 		if r.State == catalog.RollOutHalted || r.Version == c.stableVersion(r) {
 			continue
 		}
-		d, reason := c.detectors[run].Update(c.tally.Sum(run), c.tally.Sum(c.stableRun(r)))
+		d, reason := c.detectors[run].Update(c.evidence.Sum(run), c.evidence.Sum(c.stableRun(r)))
 		c.detectors[run] = d
 		if reason != "" {
 			c.halt(run, reason)
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -47,9 +47,9 @@
 	}
 }
 
-// Tally sums the evidence of this VM and its peers. A peer's counts only grow within its incarnation,
+// FleetEvidence sums the evidence of this VM and its peers. A peer's counts only grow within its incarnation,
 // so lost, repeated or reordered datagrams don't distort the sum.
-type Tally struct {
+type FleetEvidence struct {
 	local map[Run]Evidence
 	peers map[string]peerCounts
 	// earlier holds the final counts of earlier incarnations of all peers.
@@ -62,18 +62,18 @@
 	counts      map[Run]Evidence
 }
 
-// NewTally creates an empty Tally.
-func NewTally() *Tally {
-	return &Tally{local: map[Run]Evidence{}, peers: map[string]peerCounts{}, earlier: map[Run]Evidence{}}
+// NewFleetEvidence creates a FleetEvidence that holds none.
+func NewFleetEvidence() *FleetEvidence {
+	return &FleetEvidence{local: map[Run]Evidence{}, peers: map[string]peerCounts{}, earlier: map[Run]Evidence{}}
 }
 
 // Add adds evidence that this VM observed.
-func (t *Tally) Add(r Run, e Evidence) { t.local[r] = t.local[r].Plus(e) }
+func (t *FleetEvidence) Add(r Run, e Evidence) { t.local[r] = t.local[r].Plus(e) }
 
 // Receive merges a peer's counts for a run, as totals of its incarnation. Counts of the peer's earlier incarnations
 // stay in the sum; counts that arrive late from one are ignored. The Controllers of this package and of package shift
 // call it for each received state.
-func (t *Tally) Receive(vm string, incarnation uint64, r Run, e Evidence) {
+func (t *FleetEvidence) Receive(vm string, incarnation uint64, r Run, e Evidence) {
 	p := t.peers[vm]
 	if incarnation < p.incarnation {
 		return
@@ -89,10 +89,10 @@
 }
 
 // Local returns the evidence that this VM observed. The caller must not modify it.
-func (t *Tally) Local() map[Run]Evidence { return t.local }
+func (t *FleetEvidence) Local() map[Run]Evidence { return t.local }
 
 // Sum returns the evidence about a run from all VMs.
-func (t *Tally) Sum(r Run) Evidence {
+func (t *FleetEvidence) Sum(r Run) Evidence {
 	sum := t.local[r].Plus(t.earlier[r])
 	for _, p := range t.peers {
 		sum = sum.Plus(p.counts[r])
@@ -102,7 +102,7 @@
 
 // Retain drops the evidence of every run for which keep returns false. The Controller of this package calls it for each
 // new configuration.
-func (t *Tally) Retain(keep func(Run) bool) {
+func (t *FleetEvidence) Retain(keep func(Run) bool) {
 	drop := func(r Run, _ Evidence) bool { return !keep(r) }
 	maps.DeleteFunc(t.local, drop)
 	maps.DeleteFunc(t.earlier, drop)
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -63,7 +63,7 @@
 func TestTallyCountsOnce(t *testing.T) {
 	run := Run{"m", "v2", 1}
 	rapid.Check(t, func(t *rapid.T) {
-		tally := NewTally()
+		tally := NewFleetEvidence()
 		type sent struct {
 			vm          string
 			incarnation uint64
--- a/internal/shift/attempts.go
+++ b/internal/shift/attempts.go
@@ -34,7 +34,7 @@
 	ID AttemptID
 	// TTFB is the time to first byte.
 	TTFB time.Duration
-	// Pace is the usual time between two events of a stream; 0 is unknown.
+	// Pace is the typical time between two events of a stream; 0 is unknown.
 	Pace time.Duration
 }
 
@@ -97,11 +97,11 @@
 		return
 	}
 	var e rollout.Evidence
-	if usual := s.usualTTFB(&t.Attempt); !t.rated && usual.Known() {
+	if typical := s.typicalTTFB(&t.Attempt); !t.rated && typical.Known() {
 		t.rated = true
-		e = e.Plus(rating(usual.IsLate(m.progress.TTFB)))
+		e = e.Plus(rating(typical.IsLate(m.progress.TTFB)))
 	}
-	if !t.paced && s.usualPace(&t.Attempt).IsSlow(m.progress.Pace) {
+	if !t.paced && s.typicalPace(&t.Attempt).IsSlow(m.progress.Pace) {
 		t.paced = true
 		e = e.Plus(pacing(true))
 	}
@@ -126,7 +126,7 @@
 	if e == (rollout.Evidence{}) {
 		return
 	}
-	c.tally.Add(t.run, e)
+	c.evidence.Add(t.run, e)
 	if e.Failures+e.RatedBad+e.PacedSlow > 0 {
 		s.badEndpoints |= endpointBit(t.Endpoint)
 	}
@@ -141,17 +141,19 @@
 		switch {
 		case t == nil:
 			delete(c.trials, id)
-		case !t.rated && s.usualTTFB(&t.Attempt).IsLate(now.Sub(t.startedAt)):
+		case !t.rated && s.typicalTTFB(&t.Attempt).IsLate(now.Sub(t.startedAt)):
 			t.rated = true
 			c.addTrial(t, s, rating(true))
 		}
 	}
 }
 
-// usualTTFB and usualPace return the old version's latencies for such an attempt.
-func (s *service) usualTTFB(a *Attempt) Baseline { return s.baselines.At(a.Kind, a.Running) }
+// typicalTTFB and usualPace return the old version's latencies for such an attempt.
+func (s *service) typicalTTFB(a *Attempt) Baseline { return s.baselines.At(a.Kind, a.Running) }
 
-func (s *service) usualPace(a *Attempt) Baseline { return s.baselines.At(paceKind(a.Model), a.Running) }
+func (s *service) typicalPace(a *Attempt) Baseline {
+	return s.baselines.At(paceKind(a.Model), a.Running)
+}
 
 // paceKind names the pace of a model, whatever the kind of request.
 func paceKind(model string) string { return "pace of " + model }
--- a/internal/shift/baseline.go
+++ b/internal/shift/baseline.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// lateFactor is the multiple of the usual time to first byte above which an answer is late, lateMargin the least excess,
+	// lateFactor is the multiple of the typical time to first byte above which an answer is late, lateMargin the least excess,
 	// so that an answer isn't late for a few milliseconds.
 	lateFactor = 3.5
 	lateMargin = 150 * time.Millisecond
--- a/internal/shift/controller.go
+++ b/internal/shift/controller.go
@@ -76,8 +76,8 @@
 	sessions map[sessionKey]*session
 	// trials holds the attempts in flight at the targets of running traffic shifts.
 	trials map[AttemptID]*trial
-	// tally sums the evidence of this VM and its peers.
-	tally *rollout.Tally
+	// evidence sums the evidence of this VM and its peers.
+	evidence *rollout.FleetEvidence
 	// jobs holds the calls that wait for the network; runJobs makes them one at a time.
 	jobs chan func(context.Context)
 	// lastExpiry is when ended sessions were last removed.
@@ -136,7 +136,7 @@
 func New(records RecordStore, versions Versions, o Options, log logr.Logger) *Controller {
 	return &Controller{
 		mailbox: make(chan message, mailboxSize), records: records, versions: versions, opts: o, log: log,
-		watch: task.NewStopwatch("shift", o.Meter, log), services: map[string]*service{}, sessions: map[sessionKey]*session{}, trials: map[AttemptID]*trial{}, tally: rollout.NewTally(),
+		watch: task.NewStopwatch("shift", o.Meter, log), services: map[string]*service{}, sessions: map[sessionKey]*session{}, trials: map[AttemptID]*trial{}, evidence: rollout.NewFleetEvidence(),
 		jobs: make(chan func(context.Context), mailboxSize), writing: map[string]bool{},
 	}
 }
@@ -240,7 +240,7 @@
 			delete(c.sessions, k)
 		}
 	}
-	c.tally.Retain(func(r rollout.Run) bool {
+	c.evidence.Retain(func(r rollout.Run) bool {
 		s, ok := c.services[r.Model]
 		return ok && s.record.State == StateRunning && s.run().StartedAt == r.StartedAt
 	})
--- a/internal/shift/evidence.go
+++ b/internal/shift/evidence.go
@@ -23,7 +23,7 @@
 	// TTFB is the time to first byte; 0 if none came. Duration is the time until the end.
 	TTFB     time.Duration
 	Duration time.Duration
-	// Pace is the usual time between two events of a stream; 0 is unknown, as for an answer dropped after its head.
+	// Pace is the typical time between two events of a stream; 0 is unknown, as for an answer dropped after its head.
 	Pace time.Duration
 }
 
@@ -68,7 +68,7 @@
 		known.endedAt = time.Now()
 	}
 	s := c.service(o.Service)
-	e := o.evidence(s.usualTTFB(&o.Attempt), s.usualPace(&o.Attempt))
+	e := o.evidence(s.typicalTTFB(&o.Attempt), s.typicalPace(&o.Attempt))
 	if s.isTarget(o.Version) {
 		t, ok := c.trials[o.ID]
 		if !ok || t.run != s.run() {
@@ -80,7 +80,7 @@
 	}
 	s.stable = s.stable.Plus(e)
 	if s.record.State == StateRunning {
-		c.tally.Add(s.oldRun(), e)
+		c.evidence.Add(s.oldRun(), e)
 	}
 	if o.Conclusive && !o.Failed && !o.TimedOut && o.TTFB > 0 {
 		s.baselines.Add(o.Kind, o.Running, o.TTFB)
@@ -121,7 +121,7 @@
 // way, tick proposes the rollback later.
 func (c *Controller) evaluate(name string, s *service) {
 	var reason string
-	version, stable := c.tally.Sum(s.run()), s.before.Plus(c.tally.Sum(s.oldRun()))
+	version, stable := c.evidence.Sum(s.run()), s.before.Plus(c.evidence.Sum(s.oldRun()))
 	s.detector.RatingHaltThreshold, s.detector.RatingFactor, s.detector.PaceHaltThreshold = slowHaltThreshold, slowRateFactor, paceHaltThreshold
 	if Share(time.Since(s.startedAt), s.record.Duration) > probeShare {
 		s.detector.RatingHaltThreshold, s.detector.PaceHaltThreshold = rampSlowHaltThreshold, rampPaceHaltThreshold
@@ -139,8 +139,8 @@
 
 // standing returns what is known of the target, for Decide and Allowed. tick calls it.
 func (c *Controller) standing(name string, s *service, now time.Time) Standing {
-	elapsed, total := now.Sub(s.startedAt), c.tally.Sum(s.run())
-	all := total.Plus(c.tally.Sum(s.oldRun()))
+	elapsed, total := now.Sub(s.startedAt), c.evidence.Sum(s.run())
+	all := total.Plus(c.evidence.Sum(s.oldRun()))
 	return Standing{
 		Elapsed: elapsed, Duration: s.record.Duration, Share: s.share, Total: total, Recent: total.Since(s.history.oldest(total)),
 		Rate: judged(all) / max(elapsed.Seconds(), 1), GoodRates: s.detector.GoodRates(), Suspicion: s.detector.Suspicion(),
--- a/internal/shift/gossip.go
+++ b/internal/shift/gossip.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		for _, run := range []rollout.Run{s.run(), s.oldRun()} {
-			if e := c.tally.Local()[run]; e != (rollout.Evidence{}) {
+			if e := c.evidence.Local()[run]; e != (rollout.Evidence{}) {
 				g.evidence = append(g.evidence, s.toPeer(run, e))
 			}
 		}
@@ -86,7 +86,7 @@
 		if !ok || s.record.State != StateRunning || (run != s.run() && run != s.oldRun()) {
 			continue
 		}
-		c.tally.Receive(m.state.VM, m.state.Incarnation, run, rollout.Evidence{
+		c.evidence.Receive(m.state.VM, m.state.Incarnation, run, rollout.Evidence{
 			Answers: e.Answers, Failures: e.Failures, Rated: e.Rated, RatedBad: e.RatedBad, Paced: e.Paced, PacedSlow: e.PacedSlow,
 		})
 		s.badEndpoints |= e.BadEndpoints
--- a/internal/shift/records.go
+++ b/internal/shift/records.go
@@ -83,7 +83,7 @@
 }
 
 // resetEvidence resets the detector, the share, the bad endpoints, the halt and the pinned sessions. What this VM knows of the
-// old version stays; the tally keeps the evidence of all VMs by order. It is called when another order comes into force.
+// old version stays; the counts keep the evidence of all VMs by order. It is called when another order comes into force.
 func (s *service) resetEvidence() {
 	s.detector = rollout.Detector{HaltThreshold: haltThreshold}
 	s.before, s.history, s.share, s.badEndpoints = s.stable, nil, 0, 0
--- a/internal/warmup/share.go
+++ b/internal/warmup/share.go
@@ -1,5 +1,5 @@
 // Package warmup bounds the requests that all VMs together send to a cold endpoint, one that has just started and crashes under its
-// usual load. Each VM decides alone by what it knows of the others: no message passes for it. The package has no net, no clock and no
+// typical load. Each VM decides alone by what it knows of the others: no message passes for it. The package has no net, no clock and no
 // encoding.
 package warmup
 
--- a/measure/exposure.go
+++ b/measure/exposure.go
@@ -42,7 +42,7 @@
 
 // simulatedVM is one VM of the simulated fleet.
 type simulatedVM struct {
-	tally    *rollout.Tally
+	tally    *rollout.FleetEvidence
 	detector rollout.Detector
 	halted   bool
 	// latest is the latest evidence that the VM has of each VM, itself included.
@@ -75,7 +75,7 @@
 func newRolloutFleet(seed uint64, vms int, rate, share float64) *rolloutFleet {
 	f := &rolloutFleet{random: rand.New(rand.NewPCG(exposureSeed, seed)), requestRate: rate, trafficShare: share}
 	for range vms {
-		f.vms = append(f.vms, &simulatedVM{tally: rollout.NewTally(), latest: make([]vmEvidence, vms)})
+		f.vms = append(f.vms, &simulatedVM{tally: rollout.NewFleetEvidence(), latest: make([]vmEvidence, vms)})
 	}
 	return f
 }
