--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -167,8 +167,8 @@
 }
 
 // attempt checks the quarantine before a retry and after a wait for room, places the run unless a placement is reserved, sends it and
-// follows the send to its end, and to those of its replacements. If the check or the placement fails, nothing is sent or reported, and there is no
-// retry. Handle calls it for the first send and for each retry.
+// follows the send to its end, and to those of its replacements. If a check or the placement fails, nothing is sent or reported, and there
+// is no retry. Handle calls it for the first send and for each retry.
 func (f *forwardRun) attempt(ctx context.Context) error {
 	if err := f.checkResend(ctx); err != nil {
 		return err
--- a/internal/filter/sendtask.go
+++ b/internal/filter/sendtask.go
@@ -71,8 +71,8 @@
 	// began is when the send started, duration the time until its end.
 	began    time.Time
 	duration time.Duration
-	// events counts the events that were read, firstEventAt and lastEventAt are the times of the first and the last, and gaps holds the times between them. The
-	// pace is reported after as many events as reportAt says.
+	// events counts the events that were read, firstEventAt and lastEventAt are the times of the first and the last, and gaps holds the
+	// times between them. The pace is reported after as many events as reportAt says.
 	events       int
 	firstEventAt time.Time
 	lastEventAt  time.Time
