--- a/internal/endpoint/head.go
+++ b/internal/endpoint/head.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+	"sync/atomic"
 )
 
 // ErrMalformedField reports a field of an answer whose name is no token, as HTTP asks (RFC 9110, 5.1). net/http lets blanks pass in names.
@@ -21,9 +22,22 @@
 	return nil
 }
 
-// CheckInterim is a hook of httptrace.ClientTrace that refuses malformed interim answers, and with them the answer.
-func CheckInterim(_ int, fields textproto.MIMEHeader) error {
-	return CheckFieldNames(http.Header(fields))
+// maxInterim is the number of interim answers that may come before an answer, as net/http has it without a hook.
+const maxInterim = 5
+
+// errManyInterim reports an answer with more interim answers before it than maxInterim.
+var errManyInterim = errors.New("too many interim answers")
+
+// NewInterimCheck returns a hook of httptrace.ClientTrace for one request, which refuses malformed interim answers, and too many, and with
+// them the answer.
+func NewInterimCheck() func(code int, fields textproto.MIMEHeader) error {
+	var count atomic.Int32
+	return func(_ int, fields textproto.MIMEHeader) error {
+		if count.Add(1) > maxInterim {
+			return errManyInterim
+		}
+		return CheckFieldNames(http.Header(fields))
+	}
 }
 
 // isTokenChar reports whether a character may stand in a token.
--- a/internal/endpoint/http.go
+++ b/internal/endpoint/http.go
@@ -98,7 +98,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	guard := &sendGuard{check: check, cancel: cancel}
 	written := NewRequestWrite()
-	trace := &httptrace.ClientTrace{GotConn: guard.gotConn, WroteRequest: written.Note, Got1xxResponse: CheckInterim}
+	trace := &httptrace.ClientTrace{GotConn: guard.gotConn, WroteRequest: written.Note, Got1xxResponse: NewInterimCheck()}
 	resp, err := c.send(httptrace.WithClientTrace(ctx, trace), e, call)
 	if err != nil {
 		cancel()
