Comments of gossip messages and fingerprints say what they hold now

The comments on lost runs, clearances and crash reports still told of runs with a head and no event, and of whole answers.

--- a/internal/filter/deduplicate.go
+++ b/internal/filter/deduplicate.go
@@ -85,8 +85,9 @@
 	}
 }
 
-// Fingerprint returns a hash of the client account, the target and the body of a request. It tells a resend from
-// another request with the same ID, and identifies the requests that crash endpoints.
+// Fingerprint returns a hash of the client account, the target, the body and the shared prompt blocks of a request. It tells a resend from
+// another request with the same ID, and identifies the requests that crash endpoints. The last block may be the session's and is left out,
+// so that a request that comes again is recognized.
 func Fingerprint(x *Exchange) uint64 {
 	h := xxhash.New()
 	for _, s := range []string{x.Account.Name, x.Request.Model, x.Request.Service, x.Request.Method, x.Request.Path} {
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -127,14 +127,13 @@
 }
 
 // CrashReport tells that an endpoint crashed while it ran the request with the fingerprint, a hash of the client
-// account, the target and the body.
+// account, the target, the body and the shared prompt blocks.
 type CrashReport struct {
 	Fingerprint uint64
 	Endpoint    string
 }
 
-// LostRun tells that a run was lost after the head of its answer and before the first event, as by a prompt that crashes the
-// endpoint.
+// LostRun tells that the connection of a run ended at the start of its answer, as by a prompt that crashes the endpoint.
 type LostRun struct {
 	// Request is the fingerprint of the request, Endpoint the hash of the endpoint and its incarnation.
 	Request  uint64
@@ -145,7 +144,7 @@
 	Age time.Duration
 }
 
-// Clearance tells that a run came whole. Key is a prompt block of the run, or its endpoint as in LostRun.
+// Clearance tells that a run survived its start. Key is a prompt block of the run, or its endpoint or request as in LostRun.
 type Clearance struct {
 	Key uint64
 	// Age is the time since the run was sent.
