--- a/review/rig/poison.go
+++ b/review/rig/poison.go
@@ -18,6 +18,10 @@
 	crashCause = "666"
 	// allowedRetries is how many retries of it may reach runners later than contactTimeout after the third crash.
 	allowedRetries = 3
+	// bookingTime is how long a runner works on a booking, lookInterval and bookInterval the times between two look-ups and two bookings.
+	bookingTime  = 100 * time.Millisecond
+	lookInterval = 50 * time.Millisecond
+	bookInterval = 50 * time.Millisecond
 )
 
 // crashingApp is an application whose runners crash when they begin to run a request that names crashCause.
@@ -28,6 +32,8 @@
 	// crashes are the times at which such a request began to run, and ids the requests.
 	crashes []time.Time
 	ids     []string
+	// begun holds the IDs of the sound requests that began to run.
+	begun map[string]bool
 }
 
 // boot is one start of a runner, which ends by a crash.
@@ -64,7 +70,7 @@
 		}
 		beating, cancel := context.WithCancel(ctx)
 		b := &boot{
-			runner: &runner{id: fmt.Sprintf("i-%d-%d", number, n), service: appService, zone: "a", address: address, born: time.Now().UnixMilli(), record: a.record, ran: func(run) {}, state: "ready"},
+			runner: &runner{id: fmt.Sprintf("i-%d-%d", number, n), service: appService, zone: "a", address: address, born: time.Now().UnixMilli(), record: a.record, ran: a.begin, bookingTime: bookingTime, state: "ready"},
 			app:    a, gone: make(chan struct{}),
 		}
 		server := &http.Server{Handler: b}
@@ -82,6 +88,20 @@
 	}
 }
 
+// begin notes that a sound request begins to run.
+func (a *crashingApp) begin(r run) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.begun[r.id] = true
+}
+
+// hasBegun reports whether a sound request began to run.
+func (a *crashingApp) hasBegun(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.begun[id]
+}
+
 // expire removes the entry of a runner that has crashed after three heartbeats of silence.
 func (a *crashingApp) expire(id string) {
 	time.Sleep(3 * heartbeat)
@@ -99,7 +119,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	app := &crashingApp{record: c.record, store: s}
+	app := &crashingApp{record: c.record, store: s, begun: map[string]bool{}}
 	for i := range appRunners {
 		address, err := freeAddress("127.0.66.2")
 		if err != nil {
@@ -109,7 +129,7 @@
 	}
 	look := route("r-look", "/look/", "safe")
 	look["max_attempts"] = 2
-	s.put(operatorPrefix+"config", configuration(3, map[string]string{"one": "key-1"}, look))
+	s.put(operatorPrefix+"config", configuration(3, map[string]string{"one": "key-1"}, look, route("r-book", "/book/", "unsafe")))
 	for i := range 2 {
 		if _, err := c.start(fmt.Sprintf("vm-%d", i), "a", fmt.Sprintf("127.0.66.%d", 10+i), s); err != nil {
 			return nil, err
@@ -118,16 +138,15 @@
 	time.Sleep(2 * time.Second)
 	const target = "/look/stock?item=%s"
 	end := time.Now().Add(40 * time.Second)
-	statuses := map[int]int{}
-	var wg sync.WaitGroup
-	wg.Add(1)
+	var others sync.WaitGroup
+	others.Add(2)
 	go func() {
-		defer wg.Done()
-		for i := 0; time.Now().Before(end); i++ {
-			a := exchange(c.vms[i%2], "GET", fmt.Sprintf(target, fmt.Sprint(i%50)), "key-1", fmt.Sprintf("s%05d", i), "")
-			statuses[a.status]++
-			time.Sleep(50 * time.Millisecond)
-		}
+		defer others.Done()
+		c.lookUp(target, end)
+	}()
+	go func() {
+		defer others.Done()
+		c.book(app, end)
 	}()
 	for i := 0; time.Now().Before(end); i++ {
 		if c.trouble {
@@ -135,11 +154,44 @@
 		}
 		time.Sleep(2 * time.Second)
 	}
-	wg.Wait()
-	c.note("the sound requests' answers by status: %v", statuses)
+	others.Wait()
 	return app.check(), nil
 }
 
+// lookUp sends sound look-ups until end, each for another item than the one before.
+func (c *play) lookUp(target string, end time.Time) {
+	statuses := map[int]int{}
+	for i := 0; time.Now().Before(end); i++ {
+		a := exchange(c.vms[i%2], "GET", fmt.Sprintf(target, fmt.Sprint(i%50)), "key-1", fmt.Sprintf("s%05d", i), "")
+		statuses[a.status]++
+		time.Sleep(lookInterval)
+	}
+	c.note("the sound look-ups' answers by status: %v", statuses)
+}
+
+// book sends bookings until end, and notes those that had begun to run and got no success.
+func (c *play) book(app *crashingApp, end time.Time) {
+	statuses, lost := map[int]int{}, 0
+	var mu sync.Mutex
+	var open sync.WaitGroup
+	for i := 0; time.Now().Before(end); i++ {
+		id := fmt.Sprintf("b%05d", i)
+		open.Go(func() {
+			a := exchange(c.vms[i%2], "POST", "/book/x", "key-1", id, "one crate")
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[a.status]++
+			if a.status != http.StatusOK && app.hasBegun(id) {
+				lost++
+				c.note("booking %s had begun to run and got %d", id, a.status)
+			}
+		})
+		time.Sleep(bookInterval)
+	}
+	open.Wait()
+	c.note("the bookings' answers by status: %v; %d had begun to run and got no success", statuses, lost)
+}
+
 // check returns what breaks the rule.
 func (a *crashingApp) check() []string {
 	a.mu.Lock()
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -62,6 +62,8 @@
 	born                       int64
 	record                     *record
 	ran                        func(run)
+	// bookingTime is how long the runner works on a POST.
+	bookingTime time.Duration
 
 	mu    sync.Mutex
 	state string
@@ -103,6 +105,9 @@
 	}
 	n.record.note("runner %s runs %s: %s %s", n.id, id, r.Method, r.URL.RequestURI())
 	n.ran(run{n.id, id, r.Method, r.URL.RequestURI(), string(body), time.Now()})
+	if r.Method == http.MethodPost {
+		time.Sleep(n.bookingTime)
+	}
 	w.Header().Set(headerPrefix+"Response-Signature", n.id+"."+id)
 	_, _ = io.WriteString(w, "answer to "+id) // fails only if the VM has disconnected
 }
