A restored store is followed: each era has a replica of its own

Cause: feed.Replica orders the items of a key by the store's revision alone. A restore gives revisions out again, so what is written after it lies below what is held and is passed over, and nothing read Store-Era, neither from the store nor between VMs.

Change: an answer of the store, a page, a watch or an update of a peer has the store's era. In a later era the VM reads the store into an empty replica, which orders by revision as before; updates and late answers of an earlier era are dropped. Apart from it stands what is in force: an item of the restored store isn't applied where the one in force was written later by what both say themselves (version of a configuration, start and sequence of a runner's entry), until its writer writes again. Where nothing tells (orders, evacuations), the one in force stays for 10 s at most. Records of traffic shifts that were lost are written again by one VM; an order that was written again goes on as it is. The member key and the secret of the datagrams are written again where they are missing. One VM of a zone reads the store, the others get its replica by datagram.

--- a/internal/feed/controller.go
+++ b/internal/feed/controller.go
@@ -68,6 +68,15 @@
 	synced   bool
 	replica  *Replica
 	scanKeys []string
+	// era is the store's era that replica and revision belong to; 0 if the store doesn't tell. eraTold is a later one that a single
+	// answer told. eraUnknown says that the last answer told none that can be right, though others did.
+	era        uint64
+	eraTold    uint64
+	eraUnknown bool
+	// previous holds what was in force before the store was restored, until the first full scan of the era is complete, and is nil
+	// otherwise. kept holds the items of that time which are still in force.
+	previous map[string]Item
+	kept     map[string]keptItem
 	// completed says that a full scan was completed, so that the replica holds all changes up to revision, even if another
 	// scan is due.
 	completed bool
@@ -95,9 +104,11 @@
 	zoneMembers []string
 	// secret is the key of the datagrams' MAC; empty before it was read.
 	secret []byte
-	// leases receives the lease of the VM's member key after the first scan; 0 if there is none.
-	leases chan uint64
-	// secretDueAt is when the VM creates the secret if there is still none; creatingSecret is set once it does.
+	// leases receives the lease of the VM's member key after the first scan of each era; 0 if there is none. leaseSent says that it did.
+	leases    chan uint64
+	leaseSent bool
+	// secretMissing says that the store has no secret. secretDueAt is when the VM creates it then; creatingSecret is set once it does.
+	secretMissing  bool
 	secretDueAt    time.Time
 	creatingSecret bool
 	// forwarded holds the updates of the last resendWindow, oldest first.
@@ -136,16 +147,17 @@
 	// scanMessage is the result of a full scan.
 	scanMessage struct {
 		items []Item
-		// revision is that of the oldest page.
+		// revision is that of the oldest page, era that of all pages.
 		revision uint64
+		era      uint64
 		err      error
 	}
-	// watchMessage is the result of a watch: the changes after from, up to revision.
+	// watchMessage is the result of a watch: the changes after the revision from of the era fromEra.
 	watchMessage struct {
-		items    []Item
-		from     uint64
-		revision uint64
-		err      error
+		changes Changes
+		from    uint64
+		fromEra uint64
+		err     error
 	}
 	// packetMessage is a received datagram.
 	packetMessage struct{ data []byte }
@@ -155,7 +167,7 @@
 func (m scanMessage) Size() int { return len(m.items) }
 
 // Size implements task.Sized.
-func (m watchMessage) Size() int { return len(m.items) }
+func (m watchMessage) Size() int { return len(m.changes.Items) }
 
 // Size implements task.Sized.
 func (m packetMessage) Size() int { return len(m.data) }
@@ -166,6 +178,7 @@
 	return &Controller{
 		mailbox: make(chan message, mailboxSize), source: source, registrar: registrar, transport: transport, receiver: receiver,
 		opts: o, watch: task.NewStopwatch("feed", o.Meter, log), timing: NewTiming(o.PropagationBound), log: log, zoneRank: -1, leases: make(chan uint64, 1), ends: make(chan task.End, 4), members: map[string]Member{}, replica: NewReplica(),
+		kept:         map[string]keptItem{},
 		reassemblers: map[string]*Reassembler{}, sections: sections, lastStates: map[string]stateID{}, transits: map[string]*transit{},
 		started: now, incarnation: uint64(now.UnixNano()), messageNumber: messageBase(o.Self.VM) | uint64(rand.Uint32()>>1),
 		outbox: Outbox{budget: sendBurst}, nextRemote: rand.IntN(maxRemoteStart),
@@ -202,6 +215,7 @@
 		case now := <-ticker.C:
 			started := time.Now()
 			c.startRead(ctx, now)
+			c.releaseOverdue(ctx, now)
 			c.createSecretIfDue(ctx, now)
 			c.gossip(ctx, now)
 			c.sendWaiting(now)
@@ -234,14 +248,14 @@
 		c.start(ctx, "full scan", func(ctx context.Context) error { return c.fullScan(ctx, stale) })
 		return
 	}
-	from, wait := c.revision, max(c.timing.WatchTimeout-now.Sub(c.lastUpdateAt), 0)
+	from, era, wait := c.revision, c.era, max(c.timing.WatchTimeout-now.Sub(c.lastUpdateAt), 0)
 	if c.scanKeys != nil {
 		wait = 0
 	}
 	c.watchStartedAt = now
 	c.start(ctx, "watch", func(ctx context.Context) error {
-		items, revision, err := c.source.Watch(ctx, from, wait)
-		return c.tell(ctx, watchMessage{items, from, revision, err})
+		changes, err := c.source.Watch(ctx, from, wait)
+		return c.tell(ctx, watchMessage{changes, from, era, err})
 	})
 }
 
@@ -253,25 +267,39 @@
 // createSecretIfDue creates the secret if there is still none after the delay. Every VM but the zone's reader waits
 // secretDelay longer. Run calls it at each tick.
 func (c *Controller) createSecretIfDue(ctx context.Context, now time.Time) {
-	if c.creatingSecret || len(c.secret) > 0 || c.secretDueAt.IsZero() || now.Before(c.secretDueAt) {
+	if c.creatingSecret || !c.secretMissing || now.Before(c.secretDueAt) {
 		return
 	}
 	if c.zoneRank != rankReader && now.Before(c.secretDueAt.Add(secretDelay)) {
 		return
 	}
 	c.creatingSecret = true
-	c.start(ctx, "secret", func(ctx context.Context) error { return createSecret(ctx, c.registrar, c.log) })
+	secret := c.secret
+	c.start(ctx, "secret", func(ctx context.Context) error { return createSecret(ctx, c.registrar, secret, c.log) })
 }
 
 // handle applies the changes of a watch and forwards them to the zone. It schedules the next watch, or a full scan without
-// stale pages if the store no longer has the changes. A failed watch is repeated after a pause. The task that startRead
+// stale pages if the store no longer has the changes or was restored. A failed watch is repeated after a pause. The task that startRead
 // started for the watch sends the message.
 func (m watchMessage) handle(ctx context.Context, c *Controller) {
 	now := time.Now()
 	c.reading, c.readFailed = false, m.err != nil
-	if errors.Is(m.err, ErrHistoryGone) {
+	order := compareEras(c.era, m.changes.Era)
+	c.logUnknownEra(m.changes.Era, order)
+	switch {
+	case m.fromEra != c.era:
+		return // the answer comes late: another VM told of a later era meanwhile
+	case order == eraOlder && c.completed:
+		c.nextRead = now.Add(jitter(retryPause))
+		return
+	case order != eraSame:
+		c.eraTold = m.changes.Era
+		c.log.Info("store has another era, full scan follows", "era", c.era, "other", m.changes.Era, "after", m.from)
+		c.requireScan()
+		return
+	case errors.Is(m.err, ErrHistoryGone):
 		c.log.Info("store history is gone, full scan follows", "after", m.from)
-		c.synced, c.scanKeys, c.requireFresh = false, nil, true
+		c.requireScan()
 		return
 	}
 	c.receiver.SetReachable(ctx, m.err == nil, m.err)
@@ -280,19 +308,29 @@
 		return
 	}
 	c.nextRead = c.watchStartedAt.Add(c.timing.BatchDelay)
-	if len(m.items) > 0 {
+	items := m.changes.Items
+	if len(items) > 0 {
 		c.nextRead = now.Add(c.timing.BatchDelay)
 	}
-	c.apply(ctx, m.items)
-	to := max(m.revision, m.from)
+	c.apply(ctx, items)
+	to := max(m.changes.Revision, m.from)
 	c.revision = max(c.revision, to)
 	if c.scanKeys != nil {
-		c.finishScan(ctx, m.items)
+		c.finishScan(ctx, items)
 	}
 	c.lastUpdateAt, c.missingSince = now, time.Time{}
 	c.forward(m.from, now)
 }
 
+// requireScan makes the next read a full scan without stale pages. The handler of watchMessage calls it. Before a first scan is complete,
+// its era isn't confirmed and is dropped.
+func (c *Controller) requireScan() {
+	c.synced, c.scanKeys, c.requireFresh = false, nil, true
+	if !c.completed {
+		c.era = 0
+	}
+}
+
 // apply applies the changes of a watch or of a peer's update. The handlers of these messages call it.
 func (c *Controller) apply(ctx context.Context, items []Item) {
 	for _, i := range items {
@@ -303,12 +341,34 @@
 }
 
 // applyItem stores an item in the replica unless that has the same or a newer one. Members and the secret are kept here, all
-// other items go to the receiver. It is called for each item of a scan, a watch or an update. A member record that can't be
-// decoded or names another VM is logged and ignored.
+// other items go to the receiver. It is called for each item that was written in the replica's era.
 func (c *Controller) applyItem(ctx context.Context, i Item) {
-	if !c.replica.Put(i) {
+	i.Era = c.era
+	if !c.replica.Put(i) || c.applyOwn(i) {
 		return
 	}
+	delete(c.kept, i.Key)
+	delete(c.previous, i.Key)
+	c.receiver.Apply(ctx, i)
+}
+
+// applyScanned is applyItem for an item of a full scan. After a restore of the store it may be older than the one in force, which is kept
+// then.
+func (c *Controller) applyScanned(ctx context.Context, i Item) {
+	held, known := c.previous[i.Key]
+	if !known {
+		c.applyItem(ctx, i)
+		return
+	}
+	i.Era = c.era
+	if c.replica.Put(i) && !c.applyOwn(i) && !c.keep(held, i, time.Now()) {
+		c.receiver.Apply(ctx, i)
+	}
+}
+
+// applyOwn takes in an item of a member or of the secret, and returns false for any other. A member record that can't be decoded or names
+// another VM is logged and ignored.
+func (c *Controller) applyOwn(i Item) bool {
 	name, isMember := memberName(i.Key)
 	switch {
 	case isMember && i.Deleted:
@@ -317,14 +377,15 @@
 		var m Member
 		if err := json.Unmarshal(i.Value, &m); err != nil || m.VM != name {
 			c.log.Info("invalid member record", "key", i.Key)
-			return
+			return true
 		}
 		c.members[name] = m
 	case i.Key == secretKey && !i.Deleted:
-		c.secret = i.Value
+		c.secret, c.secretMissing = i.Value, false
 	default:
-		c.receiver.Apply(ctx, i)
+		return false
 	}
+	return true
 }
 
 // updateRanks computes the VM's ranks anew; it is called when members may have changed.
--- a/internal/feed/cost_bench_test.go
+++ b/internal/feed/cost_bench_test.go
@@ -13,6 +13,8 @@
 
 func (ignored) Apply(context.Context, Item)               {}
 func (ignored) ApplyFullScan(context.Context, []string)   {}
+func (ignored) Compare(Item, Item) Precedence             { return PrecedenceUnknown }
+func (ignored) SetRestored(context.Context)               {}
 func (ignored) SetReachable(context.Context, bool, error) {}
 func (ignored) SetFleetRank(context.Context, int)         {}
 func (ignored) SetZoneMembers(context.Context, []string)  {}
--- a/internal/feed/exchange.go
+++ b/internal/feed/exchange.go
@@ -87,7 +87,7 @@
 		return SentMessage{}, false
 	}
 	c.messageNumber++
-	u.VM, u.Address = c.opts.Self.VM, c.opts.Self.Address
+	u.VM, u.Address, u.Era = c.opts.Self.VM, c.opts.Self.Address, c.era
 	packets, err := Encode(c.secret, c.messageNumber, u)
 	if err != nil {
 		c.log.Info("update not sent", "error", err.Error())
@@ -99,7 +99,7 @@
 // handle applies a peer's state or update, or replies to its request. The first byte of a datagram tells a state from an
 // update. Updates are ignored before the first full scan, requests until it is complete. After a full scan, an update may
 // bring the changes since then in place of the watch, which the store may refuse. An update that ends before the replica's
-// revision is dropped. The transport delivers one message for each datagram.
+// revision, or of an earlier era, is dropped. The transport delivers one message for each datagram.
 func (m packetMessage) handle(ctx context.Context, c *Controller) {
 	if len(m.data) > 0 && m.data[0] == peer.FormatVersion {
 		c.receiveState(ctx, m.data)
@@ -114,6 +114,10 @@
 		if c.completed && c.scanKeys == nil {
 			c.reply(u)
 		}
+	case u.Era < c.era:
+		c.log.V(1).Info("update of an earlier era dropped", "vm", u.VM, "era", u.Era)
+	case u.Era > c.era:
+		c.followEra(ctx, u)
 	case u.From > c.revision:
 		c.requestMissing(ctx, u)
 	case u.To >= c.revision:
@@ -234,22 +238,30 @@
 	c.startRead(ctx, now)
 }
 
-// reply sends a VM the changes that it requested, with all keys if deletions may be missing among them. If they are too large, that VM
-// reads the store. The VMs that lack the same changes get the same message. The handler of packetMessage calls it.
+// reply sends a VM the changes that it requested, with all keys if deletions may be missing among them. A VM that knows another era gets
+// the whole replica. If the changes are too large, that VM reads the store. The VMs that lack the same changes get the same message. The
+// handler of packetMessage calls it.
 func (c *Controller) reply(u Update) {
 	if c.outbox.WaitsFor(u.Address) {
 		return // what it asks for may wait already, and it asks again
 	}
-	m, encoded := c.outbox.Reply(u.From, c.revision)
+	if u.Era > c.era {
+		return
+	}
+	from := u.From
+	if u.Era != c.era {
+		from = 0
+	}
+	m, encoded := c.outbox.Reply(from, c.revision)
 	if !encoded {
-		items, complete := c.replica.Since(u.From)
-		answer := Update{From: u.From, To: c.revision, Items: items}
+		items, complete := c.replica.Since(from)
+		answer := Update{From: from, To: c.revision, Items: items}
 		if !complete {
 			answer.Keys = c.replica.Keys()
 		}
 		m, encoded = c.encode(answer)
 		if !encoded || len(m.packets) > maxReplyDatagrams {
-			c.log.Info("update request not answered", "vm", u.VM, "from", u.From, "bytes", totalBytes(items), "datagrams", len(m.packets), "whole", complete)
+			c.log.Info("update request not answered", "vm", u.VM, "from", from, "bytes", totalBytes(items), "datagrams", len(m.packets), "whole", complete)
 			return
 		}
 	}
--- a/internal/feed/fakes_test.go
+++ b/internal/feed/fakes_test.go
@@ -46,19 +46,23 @@
 type state struct {
 	items    []Item
 	revision uint64
+	// era rises with each restore; down makes all calls fail.
+	era  uint64
+	down bool
 	// watches counts the completed watches of each VM.
 	watches map[string]int
 	// historyGone holds the VMs whose next watch fails with ErrHistoryGone.
 	historyGone map[string]bool
-	// refused holds the VMs whose watches fail.
-	refused map[string]bool
+	// refused holds the VMs whose watches fail, and with refuseScans their full scans.
+	refused     map[string]bool
+	refuseScans bool
 }
 
 // newStore returns an empty store, whose goroutine ends with ctx.
 func newStore(ctx context.Context) store {
 	s := store{work: make(chan func(*state))}
 	go func() {
-		st := &state{watches: map[string]int{}, historyGone: map[string]bool{}, refused: map[string]bool{}}
+		st := &state{era: 1, watches: map[string]int{}, historyGone: map[string]bool{}, refused: map[string]bool{}}
 		for {
 			select {
 			case f := <-s.work:
@@ -99,6 +103,28 @@
 	})
 }
 
+// backup is a copy of a store.
+type backup struct {
+	items    []Item
+	revision uint64
+}
+
+// backUp returns a copy of what the store holds.
+func (s store) backUp(ctx context.Context) (b backup) {
+	_ = s.do(ctx, func(st *state) { b = backup{slices.Clone(st.items), st.revision} })
+	return b
+}
+
+// restore takes the store away for a time and brings it back from a backup.
+func (s store) restore(ctx context.Context, b backup, away time.Duration) {
+	_ = s.do(ctx, func(st *state) { st.down = true })
+	task.Sleep(ctx, away)
+	_ = s.do(ctx, func(st *state) {
+		st.items, st.revision, st.down = slices.Clone(b.items), b.revision, false
+		st.era++
+	})
+}
+
 // vmStore is the store as one VM uses it.
 type vmStore struct {
 	store
@@ -108,39 +134,49 @@
 var errRefused = errors.New("refused")
 
 func (r vmStore) Range(ctx context.Context, _ string, _ bool) (p Page, err error) {
+	down := false
 	err = r.do(ctx, func(st *state) {
-		there := slices.DeleteFunc(slices.Clone(st.items), func(i Item) bool { return i.Deleted })
-		p = Page{Items: there, Revision: st.revision}
+		newest := map[string]Item{}
+		for _, i := range st.items {
+			newest[i.Key] = i
+		}
+		p = Page{Revision: st.revision, Era: st.era}
+		for _, i := range newest {
+			if !i.Deleted {
+				p.Items = append(p.Items, i)
+			}
+		}
+		down = st.down || st.refused[r.vm] && st.refuseScans
 	})
+	if down {
+		return Page{}, errRefused
+	}
 	return p, err
 }
 
 // Watch implements Source: it polls the store until there are changes or wait is over.
-func (r vmStore) Watch(ctx context.Context, after uint64, wait time.Duration) (items []Item, revision uint64, err error) {
+func (r vmStore) Watch(ctx context.Context, after uint64, wait time.Duration) (out Changes, err error) {
 	deadline := time.Now().Add(wait)
-	refused, gone := false, false
-	_ = r.do(ctx, func(st *state) {
-		refused, gone = st.refused[r.vm], st.historyGone[r.vm]
-		delete(st.historyGone, r.vm)
-	})
-	switch {
-	case refused:
-		return nil, 0, errRefused
-	case gone:
-		return nil, 0, ErrHistoryGone
-	}
 	for {
+		refused, gone := false, false
 		err = r.do(ctx, func(st *state) {
-			revision = st.revision
+			refused, gone = st.refused[r.vm] || st.down, st.historyGone[r.vm] || after > st.revision
+			delete(st.historyGone, r.vm)
+			out = Changes{Revision: st.revision, Era: st.era}
 			for _, i := range st.items {
 				if i.Revision > after {
-					items = append(items, i)
+					out.Items = append(out.Items, i)
 				}
 			}
 		})
-		if err != nil || len(items) > 0 || time.Now().After(deadline) || !task.Sleep(ctx, 10*time.Millisecond) {
+		switch {
+		case refused:
+			return Changes{}, errRefused
+		case gone:
+			return Changes{Era: out.Era}, ErrHistoryGone
+		case err != nil || len(out.Items) > 0 || time.Now().After(deadline) || !task.Sleep(ctx, 10*time.Millisecond):
 			_ = r.do(ctx, func(st *state) { st.watches[r.vm]++ })
-			return items, revision, err
+			return out, err
 		}
 	}
 }
@@ -177,6 +213,8 @@
 func (r recorder) Apply(_ context.Context, i Item) {
 	r.applied <- r.vm + " " + i.Key + "=" + string(i.Value)
 }
+func (recorder) Compare(Item, Item) Precedence             { return PrecedenceUnknown }
+func (recorder) SetRestored(context.Context)               {}
 func (recorder) ApplyFullScan(context.Context, []string)   {}
 func (recorder) SetFleetRank(context.Context, int)         {}
 func (recorder) SetZoneMembers(context.Context, []string)  {}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -31,8 +31,11 @@
 	Lease uint64 `json:"lease,omitempty"`
 	// Revision is the store's revision of the change.
 	Revision uint64 `json:"revision"`
-	// Deleted is set on a tombstone: the key was deleted at the revision.
-	Deleted bool `json:"deleted,omitempty"`
+	// Deleted is set on a tombstone: the key was deleted at the revision. LastValue is the value before, if that is known.
+	Deleted   bool   `json:"deleted,omitempty"`
+	LastValue []byte `json:"last_value,omitempty"`
+	// Era is the store's era that the revision belongs to. An Update has one for all its items.
+	Era uint64 `json:"-"`
 }
 
 // Page is one part of a full scan.
@@ -42,6 +45,17 @@
 	More bool
 	// Revision is the store's revision when the page was read.
 	Revision uint64
+	// Era is the store's era when the page was read; 0 if the answer doesn't tell.
+	Era uint64
+}
+
+// Changes are the changes of the store after a revision.
+type Changes struct {
+	Items []Item
+	// Revision is the one that the changes lead to.
+	Revision uint64
+	// Era is the store's era; 0 if the answer doesn't tell. A failed answer may tell it as well.
+	Era uint64
 }
 
 // Source reads the store.
@@ -49,9 +63,9 @@
 	// Range returns the first items after a key, in the order of their keys. A stale page is cheaper for the store and
 	// may be some seconds old; Page.Revision tells how old.
 	Range(ctx context.Context, after string, stale bool) (Page, error)
-	// Watch waits until there are changes after a revision, for at most wait, and returns them with the revision that
-	// they lead to. It fails with ErrHistoryGone if the store no longer has them.
-	Watch(ctx context.Context, after uint64, wait time.Duration) ([]Item, uint64, error)
+	// Watch waits until there are changes after a revision, for at most wait, and returns them. It fails with ErrHistoryGone if the
+	// store no longer has them.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
 }
 
 // Receiver applies what the VM learns of the store. The Controller calls it in Run.
@@ -60,6 +74,11 @@
 	Apply(ctx context.Context, i Item)
 	// ApplyFullScan takes in all keys of the store; every other key is gone.
 	ApplyFullScan(ctx context.Context, keys []string)
+	// Compare tells which of two items of a key was written last, by what they say themselves: after a restore of the store their
+	// revisions don't tell.
+	Compare(held, found Item) Precedence
+	// SetRestored tells that the store was restored from a backup. Apply and ApplyFullScan follow with what it holds now.
+	SetRestored(ctx context.Context)
 	// SetReachable tells whether the store can be read, directly or through a peer; err is the cause if it can't.
 	SetReachable(ctx context.Context, ok bool, err error)
 	// SetFleetRank tells the VM's rank among all VMs, from 0.
--- a/internal/feed/history_test.go
+++ b/internal/feed/history_test.go
@@ -89,8 +89,8 @@
 	return Page{Items: []Item{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}, More: true, Revision: 2}, nil
 }
 
-func (s endlessSource) Watch(context.Context, uint64, time.Duration) ([]Item, uint64, error) {
-	return nil, 0, errRefused
+func (s endlessSource) Watch(context.Context, uint64, time.Duration) (Changes, error) {
+	return Changes{}, errRefused
 }
 
 // TestFullScanEndsWherePagesRepeat guards against a scan that reads the same keys until the memory is used up, as the key of
--- a/internal/feed/members_test.go
+++ b/internal/feed/members_test.go
@@ -18,6 +18,8 @@
 type memberRecorder struct{ told chan string }
 
 func (memberRecorder) Apply(context.Context, Item)               {}
+func (memberRecorder) Compare(Item, Item) Precedence             { return PrecedenceUnknown }
+func (memberRecorder) SetRestored(context.Context)               {}
 func (memberRecorder) SetFleetRank(context.Context, int)         {}
 func (memberRecorder) SetReachable(context.Context, bool, error) {}
 
--- a/internal/feed/outbox.go
+++ b/internal/feed/outbox.go
@@ -54,6 +54,9 @@
 	return from, !o.later
 }
 
+// Reset forgets the messages sent and the changes that wait, whose revisions no longer count. beginEra calls it.
+func (o *Outbox) Reset() { o.sent, o.later, o.laterFrom = nil, false, 0 }
+
 // Add queues the datagrams for each address, and remembers the message. The Controller calls Flush after it.
 func (o *Outbox) Add(m SentMessage, addresses ...string) {
 	if _, kept := o.message(m.number); !kept && len(m.packets) > 1 {
--- a/internal/feed/register.go
+++ b/internal/feed/register.go
@@ -37,8 +37,8 @@
 }
 
 // KeepRegistered keeps the VM's member key alive until ctx ends. It starts with the lease received from leases, so that a
-// restarted VM goes on with the key that it had. It runs as a task of the Controller. After a failure it writes the key
-// under a new lease.
+// restarted VM goes on with the key that it had, and goes over to each further one: after a restore of the store the key may have
+// another lease, or none. It runs as a task of the Controller. After a failure it writes the key under a new lease.
 func KeepRegistered(ctx context.Context, r Registrar, self Member, leases <-chan uint64, log logr.Logger) error {
 	var lease uint64
 	select {
@@ -47,20 +47,23 @@
 		return ctx.Err()
 	}
 	for ctx.Err() == nil {
-		if err := renewMember(ctx, r, self, lease); err != nil && ctx.Err() == nil {
+		next, err := renewMember(ctx, r, self, lease, leases)
+		if err != nil && ctx.Err() == nil {
 			log.Info("member key not renewed", "error", err.Error())
 		}
-		lease = 0
+		lease = next
 		task.Sleep(ctx, jitter(registerPause))
 	}
 	return ctx.Err()
 }
 
-// createSecret creates the secret of the datagrams unless it exists, and retries until the store answers. createSecretIfDue
-// starts it as a task. The VM learns the secret by its next watch.
-func createSecret(ctx context.Context, r Registrar, log logr.Logger) error {
-	secret := make([]byte, secretBytes)
-	_, _ = rand.Read(secret) // never fails
+// createSecret creates the secret of the datagrams unless it exists, and retries until the store answers. The secret is the one that the
+// VM uses, if the store lost it, or else a new one. createSecretIfDue starts it as a task. The VM learns the secret by its next watch.
+func createSecret(ctx context.Context, r Registrar, secret []byte, log logr.Logger) error {
+	if len(secret) == 0 {
+		secret = make([]byte, secretBytes)
+		_, _ = rand.Read(secret) // never fails
+	}
 	for ctx.Err() == nil {
 		err := r.Create(ctx, secretKey, secret)
 		if err == nil || errors.Is(err, ErrExists) {
@@ -72,26 +75,33 @@
 	return ctx.Err()
 }
 
-// renewMember renews the lease of the member key until that fails. It first writes the key under a new lease if lease
-// is 0 or has expired. KeepRegistered calls it again until ctx ends.
-func renewMember(ctx context.Context, r Registrar, self Member, lease uint64) error {
+// renewMember renews the lease of the member key until that fails or another lease comes from leases, and returns the lease to go on
+// with; 0 is a new one. It first writes the key under a new lease if lease is 0 or has expired. KeepRegistered calls it again until ctx
+// ends.
+func renewMember(ctx context.Context, r Registrar, self Member, lease uint64, leases <-chan uint64) (uint64, error) {
 	if lease == 0 || r.Renew(ctx, lease) != nil {
 		var err error
 		if lease, err = writeMember(ctx, r, self); err != nil {
-			return err
+			return 0, err
 		}
 	}
 	renewed := time.Now()
-	for task.Sleep(ctx, jitter(renewInterval)) {
+	for {
+		select {
+		case next := <-leases:
+			return next, nil
+		case <-time.After(jitter(renewInterval)):
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
 		err := r.Renew(ctx, lease)
 		switch {
 		case err == nil:
 			renewed = time.Now()
 		case errors.Is(err, ErrLeaseGone) || time.Since(renewed) > memberLease:
-			return err
+			return 0, err
 		}
 	}
-	return ctx.Err()
 }
 
 // writeMember writes the member key under a new lease and returns the lease. renewMember calls it.
--- a/internal/feed/replica.go
+++ b/internal/feed/replica.go
@@ -8,7 +8,7 @@
 // maxTombstones is the maximum number of deleted keys that a replica remembers.
 const maxTombstones = 2048
 
-// Replica is a VM's copy of the store: the newest item of each key, with tombstones of deleted keys.
+// Replica is a VM's copy of the store in one era: the newest item of each key, with tombstones of deleted keys.
 type Replica struct {
 	items map[string]Item
 	// completeSince is the store's revision after which no deletion is missing: tombstones up to it were dropped, or keys were deleted
@@ -22,9 +22,13 @@
 // Put stores an item, also a deleted one, and reports true, or false if the replica has the same or a newer revision of its
 // key. applyItem calls it.
 func (r *Replica) Put(i Item) bool {
-	if old, ok := r.items[i.Key]; ok && old.Revision >= i.Revision {
+	old, ok := r.items[i.Key]
+	if ok && old.Revision >= i.Revision {
 		return false
 	}
+	if i.Deleted && i.LastValue == nil {
+		i.LastValue = old.Value
+	}
 	r.items[i.Key] = i
 	return true
 }
@@ -54,7 +58,7 @@
 	}
 	for k, i := range r.items {
 		if !present[k] && !i.Deleted && i.Revision <= revision {
-			r.items[k] = Item{Key: k, Revision: revision, Deleted: true}
+			r.items[k] = Item{Key: k, LastValue: i.Value, Revision: revision, Deleted: true, Era: i.Era}
 		}
 	}
 	r.prune()
--- a/internal/feed/restart_test.go
+++ b/internal/feed/restart_test.go
@@ -47,7 +47,7 @@
 }
 
 // Watch implements Source.
-func (s *staleSource) Watch(ctx context.Context, after uint64, wait time.Duration) ([]Item, uint64, error) {
+func (s *staleSource) Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error) {
 	var items []Item
 	for _, i := range s.changes {
 		if i.Revision > after {
@@ -57,7 +57,7 @@
 	if len(items) == 0 {
 		task.Sleep(ctx, wait)
 	}
-	return items, s.changes[len(s.changes)-1].Revision, ctx.Err()
+	return Changes{Items: items, Revision: s.changes[len(s.changes)-1].Revision}, ctx.Err()
 }
 
 // snapshotReceiver is a Receiver that notes what is known when the first full scan is complete.
@@ -83,6 +83,8 @@
 	}
 	r.complete <- state
 }
+func (*snapshotReceiver) Compare(Item, Item) Precedence             { return PrecedenceUnknown }
+func (*snapshotReceiver) SetRestored(context.Context)               {}
 func (*snapshotReceiver) SetFleetRank(context.Context, int)         {}
 func (*snapshotReceiver) SetZoneMembers(context.Context, []string)  {}
 func (*snapshotReceiver) SetReachable(context.Context, bool, error) {}
--- /dev/null
+++ b/internal/feed/restore.go
@@ -0,0 +1,229 @@
+package feed
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"cornelmux/internal/task"
+)
+
+// The store may be restored from a backup. Its era rises then, its revisions go back and are given out again, and what was written after
+// the backup is lost until its writers write it again. A VM reads the store anew in each era. Meanwhile it goes on with what was in force
+// wherever that was written after what the store holds now.
+
+const (
+	// rewriteTimeout is how long after a restore an item stays in force that the restored store doesn't have, if nothing tells which of
+	// the two was written last.
+	rewriteTimeout = 10 * time.Second
+	// maxEraStep is the greatest rise of the era that is believed.
+	maxEraStep = 1000
+)
+
+// Precedence tells which of two items of a key was written last.
+type Precedence int
+
+// Values of Precedence. PrecedenceHeld is for the item in force, PrecedenceFound for the one that the restored store holds.
+const (
+	PrecedenceUnknown Precedence = iota
+	PrecedenceHeld
+	PrecedenceFound
+)
+
+// eraOrder is how the era of an answer lies to the one known.
+type eraOrder int
+
+const (
+	eraSame eraOrder = iota
+	eraOlder
+	eraNewer
+)
+
+// compareEras compares the era of an answer with the one known. An answer that tells none, or one that can't be right, counts as one of
+// the era known.
+func compareEras(known, seen uint64) eraOrder {
+	switch {
+	case !plausibleEra(known, seen) || seen == known:
+		return eraSame
+	case seen < known:
+		return eraOlder
+	default:
+		return eraNewer
+	}
+}
+
+// plausibleEra reports whether an answer tells an era that can be right.
+func plausibleEra(known, seen uint64) bool {
+	return seen != 0 && (known == 0 || seen < known || seen-known <= maxEraStep)
+}
+
+// logUnknownEra logs the first answer without a plausible era after one that had it.
+func (c *Controller) logUnknownEra(seen uint64, order eraOrder) {
+	unknown := c.era != 0 && order == eraSame && seen != c.era
+	if unknown && !c.eraUnknown {
+		c.log.Info("answer of the store without a plausible era, counted as the present one", "era", c.era, "told", seen)
+	}
+	c.eraUnknown = unknown
+}
+
+// keptItem is an item that stays in force after a restore, in place of the one found in the restored store.
+type keptItem struct {
+	inForce Item
+	found   Item
+	// until is when found comes into force; zero if inForce was written later, so that only another write replaces it.
+	until time.Time
+}
+
+// beginEra begins an era with an empty replica. What was in force stays so, until the items of the era are applied. It is called for the
+// first full scan of an era, from the store or from a peer.
+func (c *Controller) beginEra(ctx context.Context, era, revision uint64, from string) {
+	if c.completed {
+		c.log.Info("store was restored from a backup", "era", era, "before", c.era, "revision", revision, "revision_before", c.revision, "from", from)
+		c.previous = c.inForce()
+		c.receiver.SetRestored(ctx)
+	}
+	c.era, c.revision, c.replica = era, 0, NewReplica()
+	c.forwarded, c.kept = nil, map[string]keptItem{}
+	c.creatingSecret, c.secretDueAt = false, time.Time{}
+	c.outbox.Reset()
+}
+
+// inForce returns the items that the receiver goes by, tombstones included. beginEra calls it.
+func (c *Controller) inForce() map[string]Item {
+	items := map[string]Item{}
+	maps.Copy(items, c.previous) // of an era whose scan was never completed
+	maps.Copy(items, c.replica.items)
+	for key, k := range c.kept {
+		items[key] = k.inForce
+	}
+	return items
+}
+
+// keep reports whether the item held stays in force, and notes that. applyScanned and finishRestore call it for the items of a restored
+// store.
+func (c *Controller) keep(held, found Item, now time.Time) bool {
+	k := keptItem{inForce: held, found: found}
+	switch c.receiver.Compare(held, found) {
+	case PrecedenceFound:
+		return false
+	case PrecedenceUnknown:
+		k.until = now.Add(rewriteTimeout)
+	}
+	c.kept[held.Key] = k
+	c.log.Info("item of the restored store not applied", "key", held.Key, "revision", found.Revision, "missing", found.Deleted,
+		"in_force", held.Revision, "newer", k.until.IsZero())
+	return true
+}
+
+// finishRestore ends the first full scan of an era: it passes on that keys in force are missing, unless they are kept. listed holds the
+// store's keys. In a later full scan it releases the kept items whose keys changed since. finishScan calls it.
+func (c *Controller) finishRestore(ctx context.Context, listed map[string]bool) {
+	if c.previous == nil {
+		c.releaseChanged(ctx)
+		return
+	}
+	now := time.Now()
+	for key, held := range c.previous {
+		_, isMember := memberName(key)
+		if held.Deleted || listed[key] || isMember || key == secretKey {
+			continue
+		}
+		missing := Item{Key: key, LastValue: held.Value, Revision: c.revision, Deleted: true, Era: c.era}
+		if !c.keep(held, missing, now) {
+			c.receiver.Apply(ctx, missing)
+		}
+	}
+	c.log.Info("items of the restored store applied", "era", c.era, "keys", len(listed), "kept", len(c.kept))
+	c.previous = nil
+	c.sendLease()
+}
+
+// releaseChanged applies the items of keys that were written or deleted since their items were kept.
+func (c *Controller) releaseChanged(ctx context.Context) {
+	for key, k := range c.kept {
+		i, ok := c.replica.items[key]
+		if ok && i.Revision != k.found.Revision {
+			delete(c.kept, key)
+			c.receiver.Apply(ctx, i)
+		}
+	}
+}
+
+// releaseOverdue puts the items of the restored store into force that weren't written again in time. Run calls it at each tick.
+func (c *Controller) releaseOverdue(ctx context.Context, now time.Time) {
+	for key, k := range c.kept {
+		if k.until.IsZero() || now.Before(k.until) {
+			continue
+		}
+		delete(c.kept, key)
+		c.log.Info("item of the restored store in force, as nothing else was written", "key", key, "revision", k.found.Revision, "missing", k.found.Deleted)
+		c.receiver.Apply(ctx, k.found)
+	}
+}
+
+// keysInForce returns the store's keys as far as their items are in force, with those of kept items.
+func (c *Controller) keysInForce(listed map[string]bool) []string {
+	var keys []string
+	for key := range listed {
+		if _, kept := c.kept[key]; !kept {
+			keys = append(keys, key)
+		}
+	}
+	for key, k := range c.kept {
+		if !k.inForce.Deleted {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// followEra takes in a peer's whole replica of a later era, or asks for it. If none comes within the silence timeout, the store is read.
+// The handler of packetMessage calls it.
+func (c *Controller) followEra(ctx context.Context, u Update) {
+	if !plausibleEra(c.era, u.Era) {
+		c.log.Info("update of an implausible era dropped", "vm", u.VM, "era", c.era, "told", u.Era)
+		return
+	}
+	if u.From == 0 && len(u.Keys) > 0 {
+		c.noteApplied(u.Number)
+		c.applyReplica(ctx, u)
+		return
+	}
+	now := time.Now()
+	if now.Sub(c.lastRequestAt) >= requestInterval {
+		c.lastRequestAt = now
+		c.send(Update{From: c.revision, Request: true}, u.Address)
+	}
+	if c.missingSince.IsZero() {
+		c.missingSince = now
+		c.synced, c.scanKeys, c.requireFresh = false, nil, true
+		c.nextRead = now.Add(jitter(c.timing.Silence))
+	}
+}
+
+// applyReplica takes in a peer's whole replica of a later era in place of a full scan.
+func (c *Controller) applyReplica(ctx context.Context, u Update) {
+	c.beginEra(ctx, u.Era, u.To, u.VM)
+	for _, i := range u.Items {
+		c.applyScanned(ctx, i)
+	}
+	c.synced, c.revision, c.scanKeys = true, u.To, u.Keys
+	c.replica.BeginAt(u.To)
+	c.finishScan(ctx, nil)
+	c.markCurrent(ctx)
+}
+
+// sendLease passes the lease of the VM's member key in the store on to the registration; 0 if there is none. It is called for the first
+// full scan of each era.
+func (c *Controller) sendLease() {
+	lease := uint64(0)
+	if i := c.replica.items[memberPrefix+c.opts.Self.VM]; !i.Deleted && c.members[c.opts.Self.VM] == c.opts.Self {
+		lease = i.Lease
+	}
+	select {
+	case <-c.leases: // one of an earlier era, which no longer counts
+	default:
+	}
+	c.leaseSent = true
+	_ = task.Tell(c.leases, lease) // there is room: only this goroutine sends
+}
--- a/internal/feed/scan.go
+++ b/internal/feed/scan.go
@@ -7,12 +7,15 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"cornelmux/internal/task"
 )
 
-// errScanStalled reports a page of a full scan that doesn't lead past the page before.
-var errScanStalled = errors.New("the pages of the full scan don't go on")
+// Errors of a full scan.
+var (
+	// errScanStalled reports a page that doesn't lead past the page before.
+	errScanStalled = errors.New("the pages of the full scan don't go on")
+	// errScanSplit reports pages of different eras.
+	errScanSplit = errors.New("the store was restored during the full scan")
+)
 
 // fullScan reads every key of the store and tells the Controller. The pages are no snapshot, and stale ones may differ in
 // age, so the changes since the oldest page are read by a watch afterwards. startRead starts it as a task. A failed page, or
@@ -25,6 +28,10 @@
 		if err != nil {
 			return c.tell(ctx, scanMessage{err: err})
 		}
+		if after != "" && page.Era != all.era {
+			return c.tell(ctx, scanMessage{err: errScanSplit})
+		}
+		all.era = page.Era
 		if after == "" || page.Revision < all.revision {
 			all.revision = page.Revision
 		}
@@ -40,26 +47,34 @@
 	}
 }
 
-// handle applies the items of a full scan and starts the watch that completes it, or schedules a retry. The VM's member key
-// gives the lease that its registration starts with. fullScan sends the message at its end.
+// handle applies the items of a full scan and starts the watch that completes it, or schedules a retry. A scan of a later era begins
+// that era once two answers told it; one of an earlier era is dropped. The VM's member key gives the lease that its registration starts with. fullScan sends the
+// message at its end.
 func (m scanMessage) handle(ctx context.Context, c *Controller) {
 	now := time.Now()
 	c.reading, c.readFailed = false, m.err != nil
 	c.receiver.SetReachable(ctx, m.err == nil, m.err)
-	if m.err != nil {
+	order := compareEras(c.era, m.era)
+	c.logUnknownEra(m.era, order)
+	if m.err != nil || order == eraOlder {
 		c.nextRead = now.Add(jitter(retryPause))
 		return
 	}
+	if order == eraNewer && c.completed && m.era != c.eraTold {
+		c.eraTold, c.nextRead = m.era, now.Add(jitter(retryPause))
+		return
+	}
+	if order == eraNewer {
+		c.beginEra(ctx, m.era, m.revision, "store")
+	}
 	c.scanKeys = make([]string, 0, len(m.items))
-	lease := uint64(0)
 	for _, i := range m.items {
 		c.scanKeys = append(c.scanKeys, i.Key)
-		c.applyItem(ctx, i)
-		if i.Key == memberPrefix+c.opts.Self.VM && c.members[c.opts.Self.VM] == c.opts.Self {
-			lease = i.Lease
-		}
+		c.applyScanned(ctx, i)
+	}
+	if !c.leaseSent {
+		c.sendLease()
 	}
-	_ = task.Tell(c.leases, lease) // only the first lease is used
 	// Stale pages may be older than the replica, so the changes since the scan are read in any case.
 	c.synced, c.revision, c.nextRead = true, m.revision, now
 	c.replica.BeginAt(m.revision)
@@ -86,10 +101,12 @@
 	}
 	maps.DeleteFunc(c.members, func(vm string, _ Member) bool { return !listed[memberPrefix+vm] })
 	c.updateRanks(ctx)
-	c.receiver.ApplyFullScan(ctx, keys)
+	c.finishRestore(ctx, listed)
+	c.receiver.ApplyFullScan(ctx, c.keysInForce(listed))
 	c.scanKeys, c.requireFresh, c.completed = nil, false, true
 	c.tellZoneMembers(ctx)
-	if len(c.secret) == 0 && c.secretDueAt.IsZero() {
+	c.secretMissing = !listed[secretKey]
+	if c.secretMissing && c.secretDueAt.IsZero() {
 		c.secretDueAt = time.Now().Add(rand.N(secretDelay))
 	}
 }
--- a/internal/feed/storm_test.go
+++ b/internal/feed/storm_test.go
@@ -47,11 +47,11 @@
 type linkStore struct{ vmStore }
 
 // Watch implements Source.
-func (s linkStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]Item, uint64, error) {
-	items, revision, err := s.vmStore.Watch(ctx, after, wait)
-	encoded := totalBytes(items) * 4 / 3
+func (s linkStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error) {
+	changes, err := s.vmStore.Watch(ctx, after, wait)
+	encoded := totalBytes(changes.Items) * 4 / 3
 	task.Sleep(ctx, time.Duration(encoded)*time.Second/linkBytesPerSecond)
-	return items, revision, err
+	return changes, err
 }
 
 // arrival tells when a VM learned of a version.
--- a/internal/feed/update.go
+++ b/internal/feed/update.go
@@ -19,6 +19,8 @@
 	VM string `json:"vm"`
 	// Address is where the sender receives datagrams, as host:port.
 	Address string `json:"address"`
+	// Era is the store's era that the revisions belong to.
+	Era     uint64 `json:"era,omitempty"`
 	From    uint64 `json:"from"`
 	To      uint64 `json:"to"`
 	Request bool   `json:"wants,omitempty"`
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -83,6 +83,7 @@
 	withdrawMessage  struct{ id string }
 	retainMessage    struct{ ids []string }
 	reachableMessage struct{ ok bool }
+	restoredMessage  struct{}
 
 	chooseMessage struct {
 		query Query
@@ -178,6 +179,11 @@
 	return c.tellWithTimeout(ctx, reachableMessage{ok})
 }
 
+// NoteRestored says that the directory was restored from a backup. The decoder calls it before what the directory holds now.
+func (c *Controller) NoteRestored(ctx context.Context) error {
+	return c.tellWithTimeout(ctx, restoredMessage{})
+}
+
 // WaitFirstScan waits for the first full scan of the directory and returns the number of endpoints in it. platform.VM
 // calls it once at its start.
 func (c *Controller) WaitFirstScan(ctx context.Context) (int, error) {
@@ -276,6 +282,10 @@
 	c.table.SetReachable(m.ok, time.Now())
 }
 
+func (m restoredMessage) handle(_ context.Context, c *Controller) {
+	c.table.NoteRestored(time.Now())
+}
+
 func (m firstScanMessage) handle(_ context.Context, c *Controller) {
 	if c.scanned {
 		m.reply <- c.table.Size()
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -63,7 +63,7 @@
 	delays    delays
 	// placed is the number of the last placement.
 	placed uint64
-	// directoryDown says that the directory cannot be read now; directoryUpAt is when it last became readable again.
+	// directoryDown says that the directory cannot be read now; directoryUpAt is when it last became readable again, or was restored.
 	directoryDown bool
 	directoryUpAt time.Time
 }
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -88,6 +88,23 @@
 	t.peers[vm] = p
 }
 
+// Rename moves the evidence about a run to another name of it.
+func (t *FleetEvidence) Rename(from, to Run) {
+	if from == to {
+		return
+	}
+	counts := []map[Run]Evidence{t.local, t.earlier}
+	for _, p := range t.peers {
+		counts = append(counts, p.counts)
+	}
+	for _, c := range counts {
+		if e, ok := c[from]; ok {
+			c[to] = c[to].elementwiseMax(e)
+			delete(c, from)
+		}
+	}
+}
+
 // Local returns the evidence that this VM observed. The caller must not modify it.
 func (t *FleetEvidence) Local() map[Run]Evidence { return t.local }
 
--- a/internal/shift/controller.go
+++ b/internal/shift/controller.go
@@ -94,10 +94,12 @@
 	order Order
 	// record is the record in force, or this VM's own proposal until one is stored.
 	record Record
-	// revision is the store's revision of the newest record seen; 0 is none.
-	revision uint64
-	// recordedOrder is the revision of the order in that record; 0 is none.
-	recordedOrder uint64
+	// stored is the newest record seen in the store, recordEra the store's era of it, and revision its revision; 0 is none. missingSince
+	// is when it first lacked the outcome of a traffic shift that ended; zero if it doesn't.
+	stored       Record
+	recordEra    uint64
+	revision     uint64
+	missingSince time.Time
 	// startedAt is the start of the traffic shift by this VM's clock.
 	startedAt time.Time
 	// share is the share of sessions that get the new version.
@@ -207,6 +209,7 @@
 func (c *Controller) tick(now time.Time) {
 	c.countOverdue(now)
 	for name, s := range c.services {
+		c.restoreOutcome(name, s, now)
 		if s.record.State != StateRunning || s.record.Target == "" {
 			continue
 		}
--- a/internal/shift/plan.go
+++ b/internal/shift/plan.go
@@ -34,10 +34,26 @@
 	Target  string
 	// Duration is the time within which all traffic has to move.
 	Duration time.Duration
-	// Revision is the store's revision of the order; a later order has a greater one.
+	// Era is the store's era in which the order was read, Revision its revision there. A later order has a greater revision in the same
+	// era.
+	Era      uint64
 	Revision uint64
 }
 
+// isOlder reports whether the order is older than another one, or the same.
+func (o *Order) isOlder(than *Order) bool {
+	if o.Era != than.Era {
+		return o.Era < than.Era
+	}
+	return o.Revision <= than.Revision
+}
+
+// isRewriteOf reports whether the order is one of an earlier era that the operator wrote again, since a restore of the store lost it, or
+// that the restored store still has.
+func (o *Order) isRewriteOf(earlier *Order) bool {
+	return o.Era > earlier.Era && o.Target == earlier.Target && o.Duration == earlier.Duration
+}
+
 // State is the state of a traffic shift.
 type State int
 
@@ -63,6 +79,9 @@
 	return 0
 }
 
+// ended reports whether a traffic shift in the state never changes its state again.
+func (s State) ended() bool { return s == StateCompleted || s == StateRolledBack }
+
 // Record is the state of a traffic shift that all VMs share through the store.
 type Record struct {
 	Order
--- a/internal/shift/records.go
+++ b/internal/shift/records.go
@@ -24,7 +24,11 @@
 )
 
 type (
-	rankMessage   struct{ rank int }
+	rankMessage       struct{ rank int }
+	dropRecordMessage struct {
+		service string
+		era     uint64
+	}
 	orderMessage  struct{ order Order }
 	recordMessage struct {
 		record   Record
@@ -52,6 +56,12 @@
 	return task.Tell(c.mailbox, message(recordMessage{r, revision}))
 }
 
+// DropRecord notes that the store has no record of the service in an era, since it was restored from a backup. It is called when the VM
+// learns that from the store.
+func (c *Controller) DropRecord(_ context.Context, service string, era uint64) error {
+	return task.Tell(c.mailbox, message(dropRecordMessage{service, era}))
+}
+
 // SetFleetRank sets the VM's rank among all VMs, from 0. VMs propose a change in this order, so that not all write at once.
 // The feed's Controller calls it through its Receiver when the rank changes.
 func (c *Controller) SetFleetRank(_ context.Context, rank int) error {
@@ -66,14 +76,24 @@
 }
 
 // handle starts the traffic shift here, before any VM has written its record. ApplyOrder sends the message. An order that
-// isn't newer than the known one is ignored.
+// isn't newer than the known one is ignored, and one that was written again goes on as it is.
 func (m orderMessage) handle(_ context.Context, c *Controller) {
 	s := c.service(m.order.Service)
-	if m.order.Revision <= s.order.Revision {
+	if m.order.isOlder(&s.order) {
 		return
 	}
+	if m.order.isRewriteOf(&s.order) {
+		c.renewOrder(s, m.order)
+		return
+	}
+	inEra := s.order.Era == m.order.Era || s.order.Target == ""
 	s.order = m.order
-	if s.record.Order.Revision >= m.order.Revision {
+	if inEra && s.record.Order.Revision >= m.order.Revision {
+		return
+	}
+	if s.stored.Order.Revision == m.order.Revision && s.stored.Target == m.order.Target {
+		s.resetEvidence()
+		s.adopt(s.stored, time.Now())
 		return
 	}
 	c.log.Info("shift ordered", "service", m.order.Service, "target", m.order.Target, "seconds", m.order.Duration.Seconds(), "revision", m.order.Revision)
@@ -82,6 +102,34 @@
 	s.startedAt = time.Now()
 }
 
+// renewOrder gives an order, and the traffic shift that follows it, the revision that the order has in a new era of the store. What the
+// VMs know of the traffic shift goes on.
+func (c *Controller) renewOrder(s *service, o Order) {
+	if s.record.Order.Revision == s.order.Revision {
+		run, oldRun := s.run(), s.oldRun()
+		s.record.Order = o
+		c.renameRun(run, s.run())
+		c.renameRun(oldRun, s.oldRun())
+	}
+	if s.order.Revision != o.Revision {
+		c.log.Info("shift order was written again", "service", o.Service, "target", o.Target, "revision", o.Revision, "before", s.order.Revision, "era", o.Era)
+	}
+	s.order = o
+	if s.stored.Order.Revision == o.Revision && s.stored.State.ended() && !s.record.State.ended() {
+		s.adopt(s.stored, time.Now())
+	}
+}
+
+// renameRun moves the evidence about a run, and the attempts in flight, to another name of it.
+func (c *Controller) renameRun(from, to rollout.Run) {
+	c.evidence.Rename(from, to)
+	for _, t := range c.trials {
+		if t.run == from {
+			t.run = to
+		}
+	}
+}
+
 // resetEvidence resets the detector, the share, the bad endpoints, the halt and the pinned sessions. What this VM knows of the
 // old version stays; the counts keep the evidence of all VMs by order. It is called when another order comes into force.
 func (s *service) resetEvidence() {
@@ -91,17 +139,20 @@
 	s.pinned, s.pins, s.halted, s.reason, s.due, s.dueSince = map[uint64]bool{}, pinsUnpublished, false, "", DecisionContinue, time.Time{}
 }
 
-// handle adopts a record that is newer than the one known, unless it belongs to an older order. ApplyRecord sends the
-// message.
+// handle adopts a record that is newer than the one known, unless it belongs to an older order, or to the order of a traffic shift that
+// this VM knows to have ended. ApplyRecord sends the message.
 func (m recordMessage) handle(_ context.Context, c *Controller) {
 	s := c.service(m.record.Service)
-	if m.revision <= s.revision {
+	if m.record.Era < s.recordEra || (m.record.Era == s.recordEra && m.revision <= s.revision) {
 		return
 	}
-	s.revision, s.recordedOrder = m.revision, m.record.Order.Revision
+	s.stored, s.recordEra, s.revision = m.record, m.record.Era, m.revision
 	if m.record.Order.Revision < s.order.Revision {
 		return
 	}
+	if m.record.Order.Revision == s.record.Order.Revision && s.record.State.ended() && m.record.State == StateRunning {
+		return
+	}
 	now := time.Now()
 	if m.record.Order.Revision > s.record.Order.Revision || s.record.Target == "" {
 		s.resetEvidence()
@@ -111,15 +162,45 @@
 		c.log.Info("shift", "service", m.record.Service, "target", m.record.Target, "state", m.record.State.String(),
 			"reason", m.record.Reason, "revision", m.revision)
 	}
-	s.record = m.record
-	if m.record.State == StateCompleted {
+	s.adopt(m.record, now)
+}
+
+// adopt puts a record of the store into force.
+func (s *service) adopt(r Record, now time.Time) {
+	s.record = r
+	if r.State == StateCompleted {
 		// Nothing may be sent to the old version any more, so a halt here would leave no version to send to.
 		s.halted = false
 	}
 	// StartedAt is by another VM's clock, which may be wrong. A VM that saw the order before its record keeps its own start.
 	// If StartedAt lies in the future, the traffic shift starts now.
 	if now.Sub(s.startedAt) < sameUpdateTime || s.startedAt.IsZero() {
-		s.startedAt = now.Add(-max(now.Sub(m.record.StartedAt), 0))
+		s.startedAt = now.Add(-max(now.Sub(r.StartedAt), 0))
+	}
+}
+
+// handle notes that the store has no record, so that the next one is written as the first. DropRecord sends the message.
+func (m dropRecordMessage) handle(_ context.Context, c *Controller) {
+	s := c.service(m.service)
+	if m.era < s.recordEra {
+		return
+	}
+	s.stored, s.recordEra, s.revision = Record{}, m.era, 0
+}
+
+// restoreOutcome proposes the record of a traffic shift that ended, if a restored store lost it and has its order again. tick calls it.
+func (c *Controller) restoreOutcome(name string, s *service, now time.Time) {
+	recorded := s.stored.Order.Revision == s.record.Order.Revision && s.stored.State.ended()
+	if !s.record.State.ended() || recorded || s.order.Era != s.recordEra || s.order.Revision != s.record.Order.Revision {
+		s.missingSince = time.Time{}
+		return
+	}
+	if s.missingSince.IsZero() {
+		s.missingSince = now
+		c.log.Info("outcome of a shift is missing in the store", "service", name, "target", s.record.Target, "state", s.record.State.String())
+	}
+	if c.mayPropose(s.missingSince, now) {
+		c.propose(name, s, s.record.State, s.record.Reason)
 	}
 }
 
@@ -140,7 +221,7 @@
 // The job of queryVersions sends the message.
 func (m versionsMessage) handle(_ context.Context, c *Controller) {
 	s := c.service(m.service)
-	if s.recordedOrder == s.record.Order.Revision {
+	if s.stored.Order.Revision == s.record.Order.Revision {
 		return
 	}
 	s.record.OldVersions = nil
@@ -191,7 +272,7 @@
 			"recent", standing.Recent, "total", standing.Total)
 	}
 	switch {
-	case s.recordedOrder != s.record.Order.Revision:
+	case s.stored.Order.Revision != s.record.Order.Revision:
 		if !c.writing[name] && c.mayPropose(s.startedAt, now) {
 			c.queryVersions(name)
 		}
