Restored store: tests of the replica, the era and the traffic shifts

An item of a higher revision than the one held was written later whatever it is, so it is applied at once: found by the row "revisions have passed the old ones", where a value without an order of its own waited 10 s.

--- a/internal/feed/fakes_test.go
+++ b/internal/feed/fakes_test.go
@@ -49,6 +49,10 @@
 	// era rises with each restore; down makes all calls fail.
 	era  uint64
 	down bool
+	// tellEra holds the eras that the next answers tell in place of it.
+	tellEra []uint64
+	// scans counts the full scans.
+	scans int
 	// watches counts the completed watches of each VM.
 	watches map[string]int
 	// historyGone holds the VMs whose next watch fails with ErrHistoryGone.
@@ -58,6 +62,16 @@
 	refuseScans bool
 }
 
+// told returns the era that an answer tells.
+func (st *state) told() uint64 {
+	if len(st.tellEra) == 0 {
+		return st.era
+	}
+	era := st.tellEra[0]
+	st.tellEra = st.tellEra[1:]
+	return era
+}
+
 // newStore returns an empty store, whose goroutine ends with ctx.
 func newStore(ctx context.Context) store {
 	s := store{work: make(chan func(*state))}
@@ -140,7 +154,8 @@
 		for _, i := range st.items {
 			newest[i.Key] = i
 		}
-		p = Page{Revision: st.revision, Era: st.era}
+		st.scans++
+		p = Page{Revision: st.revision, Era: st.told()}
 		for _, i := range newest {
 			if !i.Deleted {
 				p.Items = append(p.Items, i)
@@ -158,23 +173,27 @@
 func (r vmStore) Watch(ctx context.Context, after uint64, wait time.Duration) (out Changes, err error) {
 	deadline := time.Now().Add(wait)
 	for {
-		refused, gone := false, false
+		refused, gone, ended := false, false, false
 		err = r.do(ctx, func(st *state) {
 			refused, gone = st.refused[r.vm] || st.down, st.historyGone[r.vm] || after > st.revision
 			delete(st.historyGone, r.vm)
-			out = Changes{Revision: st.revision, Era: st.era}
+			out = Changes{Revision: st.revision}
 			for _, i := range st.items {
 				if i.Revision > after {
 					out.Items = append(out.Items, i)
 				}
 			}
+			ended = len(out.Items) > 0 || !time.Now().Before(deadline)
+			if gone || ended {
+				out.Era = st.told()
+			}
 		})
 		switch {
 		case refused:
 			return Changes{}, errRefused
 		case gone:
 			return Changes{Era: out.Era}, ErrHistoryGone
-		case err != nil || len(out.Items) > 0 || time.Now().After(deadline) || !task.Sleep(ctx, 10*time.Millisecond):
+		case err != nil || ended || !task.Sleep(ctx, 10*time.Millisecond):
 			_ = r.do(ctx, func(st *state) { st.watches[r.vm]++ })
 			return out, err
 		}
--- a/internal/feed/restore.go
+++ b/internal/feed/restore.go
@@ -100,8 +100,12 @@
 }
 
 // keep reports whether the item held stays in force, and notes that. applyScanned and finishRestore call it for the items of a restored
-// store.
+// store. A backup has no item of the key that is older than the one held but for one of a lower revision, so an item of a higher revision
+// was written later.
 func (c *Controller) keep(held, found Item, now time.Time) bool {
+	if !found.Deleted && found.Revision > held.Revision {
+		return false
+	}
 	k := keptItem{inForce: held, found: found}
 	switch c.receiver.Compare(held, found) {
 	case PrecedenceFound:
