--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -133,8 +133,8 @@
 	Failed bool
 	// ConnectionLost says that the connection broke after the send, as it does when the endpoint crashes.
 	ConnectionLost bool
-	// Fingerprint identifies the content of the request, to count the crashes that it causes.
-	Fingerprint uint64
+	// Fingerprints identify the request, to count the crashes that it causes.
+	Fingerprints Fingerprints
 }
 
 // crashes returns the crash that the outcome shows once the endpoint is known to have restarted.
@@ -142,5 +142,5 @@
 	if !o.ConnectionLost {
 		return nil
 	}
-	return []Crash{newCrash(o.Fingerprint, o.Endpoint, o.Incarnation)}
+	return []Crash{newCrash(o.Fingerprints, o.Endpoint, o.Incarnation)}
 }
--- a/internal/endpoint/controller.go
+++ b/internal/endpoint/controller.go
@@ -56,7 +56,7 @@
 
 // Crashes counts the crashes of endpoints. Crashed must not block.
 type Crashes interface {
-	Crashed(ctx context.Context, fingerprint uint64, endpoint string) error
+	Crashed(ctx context.Context, f Fingerprints, endpoint string) error
 }
 
 // Options identify the VM.
@@ -309,11 +309,11 @@
 // reportCrashes logs the crashes and passes them on to be counted. It is called after each poll and each Done.
 func (c *Controller) reportCrashes(ctx context.Context, list []Crash) {
 	for _, crash := range list {
-		c.log.Info("endpoint crashed", "endpoint", crash.Endpoint, "fingerprint", crash.Fingerprint)
+		c.log.Info("endpoint crashed", "endpoint", crash.Endpoint, "fingerprint", crash.Fingerprints.Whole())
 		if c.crashes == nil {
 			continue
 		}
-		if err := c.crashes.Crashed(ctx, crash.Fingerprint, crash.Endpoint); err != nil {
+		if err := c.crashes.Crashed(ctx, crash.Fingerprints, crash.Endpoint); err != nil {
 			c.log.Info("cannot count crash", "endpoint", crash.Endpoint, "error", err.Error())
 		}
 	}
--- a/internal/endpoint/controller_test.go
+++ b/internal/endpoint/controller_test.go
@@ -42,10 +42,10 @@
 	return f.reports[address], f.errs[address]
 }
 
-func (f *fakeEndpoints) Crashed(_ context.Context, fingerprint uint64, _ string) error {
+func (f *fakeEndpoints) Crashed(_ context.Context, request Fingerprints, _ string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.crashes = append(f.crashes, fingerprint)
+	f.crashes = append(f.crashes, request.Path)
 	return nil
 }
 
@@ -102,7 +102,7 @@
 		{"crash during a run", func(c *qt.C, f *fakeEndpoints, e *Controller) {
 			c.Assert(place(e, time.Second), qt.IsNil)
 			f.set(firstAddress, Report{Incarnation: 2, Versions: []string{"m/v1"}}, nil)
-			o := Outcome{Endpoint: "e1", Incarnation: 1, Failed: true, ConnectionLost: true, Fingerprint: 7}
+			o := Outcome{Endpoint: "e1", Incarnation: 1, Failed: true, ConnectionLost: true, Fingerprints: Fingerprints{Path: 7}}
 			c.Assert(e.Done(context.Background(), o), qt.IsNil)
 			time.Sleep(time.Second)
 			f.mu.Lock()
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -63,23 +63,23 @@
 	sentAt  time.Time
 }
 
-// lostRun is the fingerprint of a request, when its connection was found lost, and when it no longer counts.
+// lostRun holds the fingerprints of a request, when its connection was found lost, and when it no longer counts.
 type lostRun struct {
-	fingerprint uint64
-	lostAt      time.Time
-	expiresAt   time.Time
+	fingerprints Fingerprints
+	lostAt       time.Time
+	expiresAt    time.Time
 }
 
-// Crash says that an endpoint crashed while it ran the request with the fingerprint. Endpoint is its ID and
+// Crash says that an endpoint crashed while it ran the request with the fingerprints. Endpoint is its ID and
 // incarnation, so that two crashes of one endpoint differ.
 type Crash struct {
-	Fingerprint uint64
-	Endpoint    string
+	Fingerprints Fingerprints
+	Endpoint     string
 }
 
 // newCrash makes the Crash of an incarnation of an endpoint.
-func newCrash(fingerprint uint64, id string, incarnation uint64) Crash {
-	return Crash{fingerprint, id + "#" + strconv.FormatUint(incarnation, 10)}
+func newCrash(f Fingerprints, id string, incarnation uint64) Crash {
+	return Crash{f, id + "#" + strconv.FormatUint(incarnation, 10)}
 }
 
 // Table holds all known endpoints, indexed by what they serve and by distance. It takes the time as an argument and
@@ -211,7 +211,7 @@
 	var list []Crash
 	for _, l := range r.lostRuns {
 		if now.Before(l.expiresAt) {
-			list = append(list, newCrash(l.fingerprint, r.ID, r.Incarnation))
+			list = append(list, newCrash(l.fingerprints, r.ID, r.Incarnation))
 		}
 	}
 	r.lostRuns = nil
@@ -310,7 +310,7 @@
 		return o.crashes()
 	}
 	if o.ConnectionLost && len(r.lostRuns) < maxLostRuns {
-		r.lostRuns = append(r.lostRuns, lostRun{o.Fingerprint, now, now.Add(lostRunTTL)})
+		r.lostRuns = append(r.lostRuns, lostRun{o.Fingerprints, now, now.Add(lostRunTTL)})
 	}
 	r.markSuspect(now)
 	r.nextProbeAt = now
--- a/internal/endpoint/table_test.go
+++ b/internal/endpoint/table_test.go
@@ -223,7 +223,7 @@
 		qt.New(t).Run(row.name, func(c *qt.C) {
 			table := NewTable(testHere)
 			table.ApplyList([]consul.Instance{instance("e1", testHere, 5, false)}, at)
-			o := Outcome{Endpoint: "e1", Incarnation: 5, Failed: true, ConnectionLost: row.lost, Fingerprint: 9}
+			o := Outcome{Endpoint: "e1", Incarnation: 5, Failed: true, ConnectionLost: row.lost, Fingerprints: Fingerprints{Path: 9}}
 			c.Assert(table.Done(o, at), qt.HasLen, 0)
 			c.Assert(table.ApplyReport("e1", row.report, row.err, at), qt.HasLen, row.want)
 			c.Assert(table.ApplyReport("e1", row.report, row.err, at), qt.HasLen, 0)
@@ -248,7 +248,7 @@
 		qt.New(t).Run(row.name, func(c *qt.C) {
 			table := NewTable(testHere)
 			table.ApplyList([]consul.Instance{instance("e1", testHere, 5, false)}, at)
-			o := Outcome{Endpoint: "e1", Incarnation: 5, Failed: true, ConnectionLost: true, Fingerprint: 9}
+			o := Outcome{Endpoint: "e1", Incarnation: 5, Failed: true, ConnectionLost: true, Fingerprints: Fingerprints{Path: 9}}
 			c.Assert(table.Done(o, at), qt.HasLen, 0)
 			table.records["e1"].polledAt = row.polledAt
 			c.Assert(table.ApplyReport("e1", Report{Incarnation: 5}, nil, at.Add(time.Second)), qt.HasLen, 0)
--- a/internal/filter/deduplicate.go
+++ b/internal/filter/deduplicate.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cornelmux/internal/endpoint"
 	"cornelmux/internal/journal"
 	"cornelmux/pkg/result"
@@ -33,7 +30,7 @@
 
 // Handle implements Filter. If Journal.Open fails, the caller gets its error, and nothing is sent.
 func (f Deduplicate) Handle(ctx context.Context, x *Exchange, next Next) error {
-	o, err := f.Journal.Open(ctx, x.Key(), x.Idempotent, Fingerprint(x))
+	o, err := f.Journal.Open(ctx, x.Key(), x.Idempotent, Fingerprints(x).Path)
 	if err != nil {
 		return err
 	}
@@ -85,21 +82,6 @@
 	}
 }
 
-// Fingerprint returns a hash of the client account, the target, the body and the shared prompt blocks of a request. It tells a resend from
-// another request with the same ID, and identifies the requests that crash endpoints. The last block may be the session's and is left out,
-// so that a request that comes again is recognized.
-func Fingerprint(x *Exchange) uint64 {
-	h := xxhash.New()
-	for _, s := range []string{x.Account.Name, x.Request.Model, x.Request.Service, x.Request.Method, x.Request.Path} {
-		_, _ = h.WriteString(s + "\x00") // a hash does not fail
-	}
-	_, _ = h.Write(x.Request.Body)
-	for _, b := range x.Routed.Prompt.SharedBlocks() {
-		_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, b))
-	}
-	return h.Sum64()
-}
-
 // replay passes an answer from the journal to the caller. Handle calls it for a resend.
 func replay(ctx context.Context, x *Exchange, a journal.Answer) error {
 	head := Head{RequestID: x.Request.ID, Status: a.Status, ContentType: a.ContentType, Model: a.Model, Version: a.Version, Fields: a.Fields}
--- a/internal/filter/outcome.go
+++ b/internal/filter/outcome.go
@@ -59,7 +59,7 @@
 	x, place := f.x, s.place
 	o := pool.Outcome{
 		Endpoint: place.ID, Incarnation: place.Incarnation, End: s.end, Service: x.Routed.Service, TTFB: s.ttfb,
-		SentAt: s.began, Events: s.events, Number: place.Number, Run: place.Run, Fingerprint: Fingerprint(x),
+		SentAt: s.began, Events: s.events, Number: place.Number, Run: place.Run, Fingerprints: Fingerprints(x),
 	}
 	a := shift.Outcome{
 		Attempt: s.present, Failed: s.end == pool.EndFailed, TimedOut: s.end == pool.EndTimeout,
--- a/internal/filter/pausing_test.go
+++ b/internal/filter/pausing_test.go
@@ -121,7 +121,7 @@
 // noCrashes implements pool.Crashes.
 type noCrashes struct{}
 
-func (noCrashes) Crashed(context.Context, uint64, string) error { return nil }
+func (noCrashes) Crashed(context.Context, endpoint.Fingerprints, string) error { return nil }
 
 // pausedEndpoint is a Sender of streams that come without a pause, except that all streams of the endpoint stand still from
 // after their first event until a moment.
--- a/internal/filter/place.go
+++ b/internal/filter/place.go
@@ -57,7 +57,7 @@
 	failed := isEndpointFailure(err)
 	return endpoint.Outcome{
 		Endpoint: x.Attempt.Endpoint.ID, Incarnation: x.Attempt.Endpoint.Incarnation,
-		Failed: failed, ConnectionLost: failed && result.From(err).Run != result.NotRun, Fingerprint: Fingerprint(x),
+		Failed: failed, ConnectionLost: failed && result.From(err).Run != result.NotRun, Fingerprints: Fingerprints(x),
 	}
 }
 
--- a/internal/filter/quarantine.go
+++ b/internal/filter/quarantine.go
@@ -41,7 +41,7 @@
 
 // quarantineQuery describes the request for a check before a send.
 func quarantineQuery(x *Exchange) quarantine.Query {
-	return quarantine.Query{Fingerprint: Fingerprint(x), Blocks: x.Routed.Prompt.SharedBlocks(), Resend: x.Routed.Attempts > 0}
+	return quarantine.Query{Fingerprints: Fingerprints(x), Blocks: x.Routed.Prompt.SharedBlocks(), Resend: x.Routed.Attempts > 0}
 }
 
 // checkResend asks the quarantine again before each send but the first, since what is known may have changed while the
@@ -84,7 +84,7 @@
 // quarantineRun describes the run of a send.
 func (f *forwardRun) quarantineRun(s *sendTask) quarantine.Run {
 	return quarantine.Run{
-		Fingerprint: Fingerprint(f.x), Blocks: f.x.Routed.Prompt.SharedBlocks(), Endpoint: s.place.ID, Incarnation: s.place.Incarnation, SentAt: s.began,
+		Fingerprints: Fingerprints(f.x), Blocks: f.x.Routed.Prompt.SharedBlocks(), Endpoint: s.place.ID, Incarnation: s.place.Incarnation, SentAt: s.began,
 	}
 }
 
--- a/internal/filter/quarantine_test.go
+++ b/internal/filter/quarantine_test.go
@@ -83,7 +83,7 @@
 			qt.Check(t, quarantines.survived, qt.HasLen, 1)
 			for _, r := range append(quarantines.lost, quarantines.survived...) {
 				qt.Check(t, r.Blocks, qt.DeepEquals, []uint64{1, 2})
-				qt.Check(t, r.Fingerprint, qt.Equals, Fingerprint(x))
+				qt.Check(t, r.Fingerprints, qt.DeepEquals, Fingerprints(x))
 				qt.Check(t, r.SentAt.IsZero(), qt.IsFalse)
 			}
 		})
@@ -203,7 +203,7 @@
 		for _, b := range blocks {
 			x.Routed.Prompt.Blocks = append(x.Routed.Prompt.Blocks, routing.PrefixBlock{ID: b})
 		}
-		return Fingerprint(x)
+		return Fingerprints(x).Path
 	}
 	tests := []struct {
 		name  string
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -216,7 +216,7 @@
 		d.Demand = append(d.Demand, demandToWire(a))
 	}
 	for _, c := range s.Crashes {
-		d.Crashes = append(d.Crashes, &wire.CrashReport{Fingerprint: c.Fingerprint, Endpoint: c.Endpoint})
+		d.Crashes = append(d.Crashes, &wire.CrashReport{Fingerprint: c.Fingerprint, Endpoint: c.Endpoint, Target: c.Target, Parameters: c.Parameters.List()})
 	}
 	for _, b := range s.Sessions {
 		d.Sessions = append(d.Sessions, &wire.SessionSet{Model: b.Model, Version: b.Version, Filter: b.Filter})
@@ -261,7 +261,7 @@
 		s.Demand = append(s.Demand, demandFromWire(a))
 	}
 	for _, c := range d.Crashes {
-		s.Crashes = append(s.Crashes, CrashReport{Fingerprint: c.Fingerprint, Endpoint: c.Endpoint})
+		s.Crashes = append(s.Crashes, CrashReport{Fingerprint: c.Fingerprint, Endpoint: c.Endpoint, Target: c.Target, Parameters: NewParameters(c.Parameters)})
 	}
 	for _, b := range d.Sessions {
 		s.Sessions = append(s.Sessions, SessionSet{Model: b.Model, Version: b.Version, Filter: b.Filter})
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -21,7 +21,7 @@
 		Endpoints:  []EndpointReport{{Endpoint: "e1", Incarnation: 3, Queued: 4, Running: 5, Age: time.Second, Suspect: true, Versions: []string{"m/v1"}, EngineLoad: 2.25, FailureRate: 0.5, Slowness: 1.5, WaitingWork: 90 * time.Millisecond}},
 		Evidence:   []VersionEvidence{{Model: "m", Version: "v2", Answers: 10, Failures: 1, Rated: 5, RatedBad: 2, StartedAt: 7, Paced: 4, PacedSlow: 3}},
 		Demand:     []AccountDemand{{Account: "a", RequestsPerSecond: 1.5}},
-		Crashes:    []CrashReport{{Fingerprint: 9, Endpoint: "e1"}},
+		Crashes:    []CrashReport{{Fingerprint: 9, Endpoint: "e1", Target: 8, Parameters: Parameters{7, 6}}, {Fingerprint: 5, Endpoint: "e2"}},
 		Sessions:   []SessionSet{{Model: "m", Version: "v1", Filter: []byte{1, 2}}},
 		Halts:      []Halt{{Model: "m", Version: "v2", Reason: "failures", StartedAt: 7}},
 		Latencies:  []LatencyBaseline{{Service: "s", Kind: 11, Load: 2, Count: 3, Mean: time.Millisecond}},
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -126,11 +127,30 @@
 	RequestsPerSecond float64
 }
 
-// CrashReport tells that an endpoint crashed while it ran the request with the fingerprint, a hash of the client
-// account, the target, the body and the shared prompt blocks.
+// maxParameters is the maximum number of a query's parameters that have fingerprints.
+const maxParameters = 4
+
+// Parameters are the fingerprints of the first parameters of a request's query; 0 is none.
+type Parameters [maxParameters]uint64
+
+// NewParameters returns the first of the fingerprints.
+func NewParameters(list []uint64) (p Parameters) {
+	copy(p[:], list)
+	return p
+}
+
+// List returns the fingerprints without those that are none.
+func (p Parameters) List() []uint64 {
+	return slices.DeleteFunc(slices.Clone(p[:]), func(f uint64) bool { return f == 0 })
+}
+
+// CrashReport tells that an endpoint crashed while it ran a request. Fingerprint is the Path of its endpoint.Fingerprints.
 type CrashReport struct {
 	Fingerprint uint64
 	Endpoint    string
+	// Target and Parameters are the others. A VM of an earlier version doesn't tell them.
+	Target     uint64
+	Parameters Parameters
 }
 
 // LostRun tells that the connection of a run ended at the start of its answer, as by a prompt that crashes the endpoint.
--- a/internal/pool/controller.go
+++ b/internal/pool/controller.go
@@ -31,7 +31,7 @@
 
 // Crashes counts the crashes of endpoints. Crashed must not block.
 type Crashes interface {
-	Crashed(ctx context.Context, fingerprint uint64, endpoint string) error
+	Crashed(ctx context.Context, f endpoint.Fingerprints, endpoint string) error
 }
 
 // Options hold the location of the VM and the limit on retries.
@@ -401,8 +401,8 @@
 // reportCrashes logs the crashes and passes them on to be counted. It is called after each Put, Drop, Retain and Done.
 func (c *Controller) reportCrashes(ctx context.Context, list []Crash) {
 	for _, crash := range list {
-		c.log.Info("endpoint crashed", "endpoint", crash.Endpoint, "fingerprint", crash.Fingerprint)
-		if err := c.crashes.Crashed(ctx, crash.Fingerprint, crash.Endpoint); err != nil {
+		c.log.Info("endpoint crashed", "endpoint", crash.Endpoint, "fingerprint", crash.Fingerprints.Whole())
+		if err := c.crashes.Crashed(ctx, crash.Fingerprints, crash.Endpoint); err != nil {
 			c.log.Info("cannot count crash", "endpoint", crash.Endpoint, "error", err.Error())
 		}
 	}
--- a/internal/pool/controller_test.go
+++ b/internal/pool/controller_test.go
@@ -17,7 +17,7 @@
 // noCrashes implements Crashes and counts nothing.
 type noCrashes struct{}
 
-func (noCrashes) Crashed(context.Context, uint64, string) error { return nil }
+func (noCrashes) Crashed(context.Context, endpoint.Fingerprints, string) error { return nil }
 
 // withController runs test in a bubble with a Controller that knows the entries and allows the number of retries.
 func withController(t *testing.T, retries float64, entries []Entry, test func(t *testing.T, c *Controller)) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"cornelmux/internal/endpoint"
 	"cornelmux/internal/engine"
 	"cornelmux/pkg/routing"
 )
@@ -172,6 +173,6 @@
 	// SentAt is when the run was sent. Events counts the events of its answer that arrived.
 	SentAt time.Time
 	Events int
-	// Fingerprint identifies the content of the request, to count the crashes that it causes.
-	Fingerprint uint64
+	// Fingerprints identify the request, to count the crashes that it causes.
+	Fingerprints endpoint.Fingerprints
 }
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"cornelmux/internal/endpoint"
 	"cornelmux/internal/engine"
 	"cornelmux/internal/warmup"
 )
@@ -95,10 +96,10 @@
 	lostRuns []lostRun
 }
 
-// lostRun is the fingerprint of a request and when its run was lost.
+// lostRun holds the fingerprints of a request and when its run was lost.
 type lostRun struct {
-	fingerprint uint64
-	lostAt      time.Time
+	fingerprints endpoint.Fingerprints
+	lostAt       time.Time
 }
 
 // newRecord makes the Record of an endpoint that is not known yet.
@@ -244,11 +245,11 @@
 
 // takeCrashes returns the fingerprints of the lost runs that still count and forgets them. It is called when the
 // endpoint is known to be down or restarted.
-func (r *Record) takeCrashes(now time.Time) []uint64 {
-	var list []uint64
+func (r *Record) takeCrashes(now time.Time) []endpoint.Fingerprints {
+	var list []endpoint.Fingerprints
 	for _, l := range r.lostRuns {
 		if now.Sub(l.lostAt) < lostRunTTL {
-			list = append(list, l.fingerprint)
+			list = append(list, l.fingerprints)
 		}
 	}
 	r.lostRuns = nil
@@ -262,6 +263,6 @@
 	case o.End == EndAnswered:
 		r.lostRuns = slices.DeleteFunc(r.lostRuns, func(l lostRun) bool { return l.lostAt.Before(o.SentAt) })
 	case o.End == EndLost && o.Events <= maxCrashEvents && len(r.lostRuns) < maxLostRuns:
-		r.lostRuns = append(r.lostRuns, lostRun{o.Fingerprint, now})
+		r.lostRuns = append(r.lostRuns, lostRun{o.Fingerprints, now})
 	}
 }
--- a/internal/pool/table.go
+++ b/internal/pool/table.go
@@ -37,11 +37,11 @@
 	ChoiceLeaving
 )
 
-// Crash says that an endpoint crashed while it ran the request with the fingerprint. Endpoint is its ID and its incarnation,
+// Crash says that an endpoint crashed while it ran the request with the fingerprints. Endpoint is its ID and its incarnation,
 // with '#' between.
 type Crash struct {
-	Fingerprint uint64
-	Endpoint    string
+	Fingerprints endpoint.Fingerprints
+	Endpoint     string
 }
 
 // Table holds the known endpoints by service. It takes the time as an argument and does no I/O.
@@ -323,7 +323,7 @@
 	r.returnColdRun(o)
 	if r.Incarnation != o.Incarnation {
 		if o.End == EndLost && o.Events <= maxCrashEvents {
-			return newCrashes([]uint64{o.Fingerprint}, o.Endpoint, o.Incarnation)
+			return newCrashes([]endpoint.Fingerprints{o.Fingerprints}, o.Endpoint, o.Incarnation)
 		}
 		return nil
 	}
@@ -358,10 +358,10 @@
 // Size returns the number of known endpoints.
 func (t *Table) Size() int { return len(t.records) }
 
-// newCrashes returns a Crash of the endpoint's incarnation for each fingerprint.
-func newCrashes(fingerprints []uint64, id string, incarnation int64) []Crash {
+// newCrashes returns a Crash of the endpoint's incarnation for each request.
+func newCrashes(requests []endpoint.Fingerprints, id string, incarnation int64) []Crash {
 	var list []Crash
-	for _, f := range fingerprints {
+	for _, f := range requests {
 		list = append(list, Crash{f, id + "#" + strconv.FormatInt(incarnation, 10)})
 	}
 	return list
--- a/internal/pool/table_test.go
+++ b/internal/pool/table_test.go
@@ -111,10 +111,10 @@
 func TestNewIncarnationProvesCrash(t *testing.T) {
 	table := newTable(entry("a"))
 	_, _ = table.Choose(&Query{Service: "s"}, start)
-	table.Done(&Outcome{Endpoint: "a", Incarnation: 5, End: EndLost, Service: "s", Fingerprint: 77}, start)
+	table.Done(&Outcome{Endpoint: "a", Incarnation: 5, End: EndLost, Service: "s", Fingerprints: endpoint.Fingerprints{Path: 77}}, start)
 	again := entry("a")
 	again.Incarnation = 6
-	qt.Assert(t, table.Put(again, start.Add(time.Second)), qt.DeepEquals, []Crash{{77, "a#5"}})
+	qt.Assert(t, table.Put(again, start.Add(time.Second)), qt.DeepEquals, []Crash{{endpoint.Fingerprints{Path: 77}, "a#5"}})
 }
 
 // TestCrashProofs loses a run and checks what proves that the endpoint crashed. Whole requests were refused that had merely been
@@ -125,7 +125,7 @@
 		outcome End // 0 means that the entry is dropped
 		events  int
 	}
-	crash := []Crash{{77, "a#5"}}
+	crash := []Crash{{endpoint.Fingerprints{Path: 77}, "a#5"}}
 	tests := []struct {
 		name  string
 		steps []step
@@ -152,7 +152,7 @@
 					continue
 				}
 				_, _ = table.Choose(&Query{Service: "s"}, now)
-				o := Outcome{Endpoint: "a", Incarnation: 5, End: s.outcome, Service: "s", Fingerprint: 77, Events: s.events, SentAt: now}
+				o := Outcome{Endpoint: "a", Incarnation: 5, End: s.outcome, Service: "s", Fingerprints: endpoint.Fingerprints{Path: 77}, Events: s.events, SentAt: now}
 				crashes = append(crashes, table.Done(&o, now)...)
 			}
 			qt.Assert(t, crashes, qt.DeepEquals, test.want)
--- a/internal/quarantine/abandon_test.go
+++ b/internal/quarantine/abandon_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
+	"cornelmux/internal/endpoint"
 	"cornelmux/internal/peer"
 	"cornelmux/internal/task"
 	"cornelmux/pkg/result"
@@ -36,7 +37,7 @@
 // up by the time the Controller came to it.
 func TestStateThatIsNotSentTakesNothing(t *testing.T) {
 	withHeldUp(t, func(t *testing.T, c *Controller) {
-		qt.Assert(t, c.Lost(t.Context(), Run{Fingerprint: 7, Blocks: []uint64{1}, Endpoint: "e", Incarnation: 1}, ProgressHead), qt.IsNil)
+		qt.Assert(t, c.Lost(t.Context(), Run{Fingerprints: endpoint.Fingerprints{Path: 7}, Blocks: []uint64{1}, Endpoint: "e", Incarnation: 1}, ProgressHead), qt.IsNil)
 		for range announceRounds {
 			qt.Assert(t, task.Tell(c.mailbox, message(holdMessage{time.Second})), qt.IsNil)
 			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
@@ -67,7 +68,7 @@
 				ctx, cancel := context.WithTimeout(t.Context(), test.timeout)
 				defer cancel()
 				began := time.Now()
-				err := c.Check(ctx, Query{Fingerprint: 7})
+				err := c.Check(ctx, Query{Fingerprints: endpoint.Fingerprints{Path: 7}})
 				qt.Check(t, time.Since(began), qt.Equals, test.after)
 				code := result.OK
 				if err != nil {
--- a/internal/quarantine/blocks.go
+++ b/internal/quarantine/blocks.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -21,6 +22,8 @@
 	// lastLoss is the time of the newest lost run, by block and by endpoint.
 	lastLoss   map[uint64]time.Time
 	clearances ClearanceTable
+	// requests holds the clearances of fingerprints, apart from those of blocks, since each request may have new ones.
+	requests ClearanceTable
 	// clearancesDue holds in how many more states the clearance of a key is named.
 	clearancesDue map[uint64]int
 	quarantines   map[uint64]*BlockQuarantine
@@ -317,9 +320,30 @@
 	return changes
 }
 
-// AddRequestSurvival notes that a run of a request, sent at a time, survived its start. The Controller calls it for the runs of this VM.
+// AddRequestSurvival notes that a run of a request, sent at a time, survived its start. The Controller calls it for each fingerprint of
+// the runs of this VM.
 func (s *Blocks) AddRequestSurvival(fingerprint uint64, sentAt time.Time) {
-	s.clear(fingerprint, clearance{at: sentAt}, "")
+	before := s.requests.ClearedAt(fingerprint)
+	if !s.requests.add(fingerprint, clearance{at: sentAt}) {
+		return
+	}
+	if loss, ok := s.lastLoss[fingerprint]; ok && before.Before(loss) {
+		s.clearancesDue[fingerprint] = announceRounds
+	}
+}
+
+// ClearedAt implements Clearances for fingerprints. Peers tell of them as of blocks.
+func (s *Blocks) ClearedAt(fingerprint uint64) time.Time {
+	own, peers := s.requests.ClearedAt(fingerprint), s.clearances.ClearedAt(fingerprint)
+	if own.After(peers) {
+		return own
+	}
+	return peers
+}
+
+// Sweep forgets the losses that no longer count. The Controller calls it every sweepInterval.
+func (s *Blocks) Sweep(now time.Time) {
+	maps.DeleteFunc(s.lastLoss, func(_ uint64, at time.Time) bool { return now.Sub(at) >= CrashWindow })
 }
 
 // NoteCrash notes that a request was at an endpoint that crashed, so that the peers are told if a run of it survives. The Controller calls
@@ -329,7 +353,7 @@
 // RequestSurvivedSince reports whether a run of the request was sent later and survived its start. The peers are told of it, since they
 // may have heard of the same crash.
 func (s *Blocks) RequestSurvivedSince(fingerprint uint64, at time.Time) bool {
-	survived := s.clearances.ClearedAt(fingerprint).After(at)
+	survived := s.ClearedAt(fingerprint).After(at)
 	if survived {
 		s.clearancesDue[fingerprint] = announceRounds
 	}
--- a/internal/quarantine/controller.go
+++ b/internal/quarantine/controller.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"cornelmux/internal/endpoint"
 	"cornelmux/internal/peer"
 	"cornelmux/internal/task"
 	"cornelmux/pkg/result"
@@ -21,7 +23,7 @@
 	announceTime = 10 * time.Second
 	// maxAnnouncements is the maximum number of crashes that are announced at the same time, maxReportsPerState that of
 	// those in one gossiped state.
-	maxAnnouncements   = 64
+	maxAnnouncements   = 128
 	maxReportsPerState = 8
 	// holdBackRetryAfter is the Retry-After of a request that isn't sent again because it may crash endpoints.
 	holdBackRetryAfter = time.Second
@@ -34,7 +36,7 @@
 	watch   *task.Stopwatch
 	records Records
 	blocks  *Blocks
-	// announcements are ordered by the time at which they expire.
+	// announcements are told in turn.
 	announcements []announcement
 }
 
@@ -59,8 +61,11 @@
 		query Query
 		reply task.Reply[refusal]
 	}
-	crashMessage struct{ report peer.CrashReport }
-	lostMessage  struct {
+	crashMessage struct {
+		fingerprints endpoint.Fingerprints
+		endpoint     string
+	}
+	lostMessage struct {
 		run      Run
 		progress Progress
 	}
@@ -85,7 +90,7 @@
 
 // Query describes a request that is about to be sent.
 type Query struct {
-	Fingerprint uint64
+	Fingerprints endpoint.Fingerprints
 	// Blocks are the IDs of the prompt blocks that other requests may share.
 	Blocks []uint64
 	// Resend says that the request was sent before.
@@ -111,6 +116,7 @@
 		case now := <-ticker.C:
 			started := time.Now()
 			c.records.Sweep(now)
+			c.blocks.Sweep(now)
 			c.watch.Ticked(started)
 		case <-ctx.Done():
 			return ctx.Err()
@@ -149,8 +155,8 @@
 
 // Crashed implements endpoint.Crashes and pool.Crashes: it counts a crash that this VM saw. If the mailbox is full, it
 // fails and the crash isn't counted.
-func (c *Controller) Crashed(_ context.Context, fingerprint uint64, endpoint string) error {
-	return task.Tell(c.mailbox, message(crashMessage{peer.CrashReport{Fingerprint: fingerprint, Endpoint: endpoint}}))
+func (c *Controller) Crashed(_ context.Context, f endpoint.Fingerprints, endpoint string) error {
+	return task.Tell(c.mailbox, message(crashMessage{f, endpoint}))
 }
 
 // Collect implements peer.Section. It adds what is announced to the state.
@@ -181,13 +187,13 @@
 	now := time.Now()
 	c.applyChanges(c.blocks.DecideSoon(now), now)
 	block, remaining := c.blocks.Quarantined(m.query.Blocks, now)
-	requestRemaining := c.records.Remaining(m.query.Fingerprint, now)
+	requestRemaining := c.records.Remaining(m.query.Fingerprints, now)
 	switch {
 	case remaining > 0:
 		return refusal{"prompt block " + blockName(block) + " crashed endpoints", remaining}
 	case requestRemaining > 0:
 		return refusal{"request crashed endpoints while they ran it", requestRemaining}
-	case m.query.Resend && c.blocks.HoldsBack(m.query.Fingerprint, m.query.Blocks):
+	case m.query.Resend && c.blocks.HoldsBack(m.query.Fingerprints.Path, m.query.Blocks):
 		return refusal{"request was lost at the start of its answer, and may have crashed the endpoint", holdBackRetryAfter}
 	default:
 		return refusal{}
@@ -197,15 +203,19 @@
 // handle logs the run, since such runs are what quarantines of blocks rest on.
 func (m lostMessage) handle(c *Controller) {
 	now := time.Now()
-	c.log.Info("run lost at the start of its answer", "fingerprint", m.run.Fingerprint, "endpoint", m.run.Endpoint, "blocks", BlockNames(m.run.Blocks),
+	c.log.Info("run lost at the start of its answer", "fingerprint", m.run.Fingerprints.Whole(), "endpoint", m.run.Endpoint, "blocks", BlockNames(m.run.Blocks),
 		"answer", m.progress.String())
-	c.applyChanges(c.blocks.AddLostRun(LostRun{m.run.Fingerprint, m.run.endpoint(), m.run.Blocks, now}, now), now)
+	c.applyChanges(c.blocks.AddLostRun(LostRun{m.run.Fingerprints.Path, m.run.endpointHash(), m.run.Blocks, now}, now), now)
 }
 
 func (m survivedMessage) handle(c *Controller) {
-	c.blocks.AddRequestSurvival(m.run.Fingerprint, m.run.SentAt)
-	c.refute(m.run.Fingerprint, m.run.SentAt)
-	c.applyChanges(c.blocks.AddSurvival(m.run.Blocks, m.run.endpoint(), m.run.SentAt), time.Now())
+	for _, key := range m.run.Fingerprints.All() {
+		c.blocks.AddRequestSurvival(key, m.run.SentAt)
+	}
+	if c.records.Refute(m.run.Fingerprints, m.run.SentAt, time.Now()) {
+		c.log.Info("request released", "fingerprint", m.run.Fingerprints.Target, "why", "a run of it survived its start")
+	}
+	c.applyChanges(c.blocks.AddSurvival(m.run.Blocks, m.run.endpointHash(), m.run.SentAt), time.Now())
 }
 
 // applyChanges logs the changes. It removes the crashes of requests of which another cause is known now. It is called after
@@ -255,9 +265,10 @@
 
 func (m crashMessage) handle(c *Controller) {
 	now := time.Now()
-	c.addCrashes([]peer.CrashReport{m.report}, now)
+	r := peer.CrashReport{Fingerprint: m.fingerprints.Path, Target: m.fingerprints.Target, Parameters: m.fingerprints.Parameters, Endpoint: m.endpoint}
+	c.addCrashes([]peer.CrashReport{r}, now)
 	if len(c.announcements) < maxAnnouncements {
-		c.announcements = append(c.announcements, announcement{m.report, now.Add(announceTime)})
+		c.announcements = append(c.announcements, announcement{r, now.Add(announceTime)})
 	}
 }
 
@@ -265,18 +276,11 @@
 	now := time.Now()
 	c.applyChanges(c.blocks.Receive(m.state, now), now)
 	for _, cl := range m.state.Clearances {
-		c.refute(cl.Key, now.Add(-m.state.Delay-cl.Age))
+		c.records.RefuteKey(cl.Key, now.Add(-m.state.Delay-cl.Age))
 	}
 	c.addCrashes(m.state.Crashes, now)
 }
 
-// refute removes the crashes of a request that a run refutes, which was sent at a time and survived its start, and logs its release.
-func (c *Controller) refute(fingerprint uint64, sentAt time.Time) {
-	if c.records.Refute(fingerprint, sentAt) {
-		c.log.Info("request released", "fingerprint", fingerprint, "why", "a run of it survived its start")
-	}
-}
-
 // addCrashes adds crashes that this VM or a peer saw, except those of which another cause is known or that a run refutes, and logs the
 // requests that they quarantine.
 func (c *Controller) addCrashes(list []peer.CrashReport, now time.Time) {
@@ -285,18 +289,21 @@
 	}
 	explanations := c.blocks.Explanations(now)
 	for _, r := range list {
-		if explanations[hashEndpoint(r.Endpoint)].Explains(r.Fingerprint) || c.blocks.RequestSurvivedSince(r.Fingerprint, now.Add(-proofTime)) {
+		f := endpoint.Fingerprints{Path: r.Fingerprint, Target: r.Target, Parameters: r.Parameters}
+		if explanations[hashEndpoint(r.Endpoint)].Explains(f.Path) || c.blocks.RequestSurvivedSince(f.Whole(), now.Add(-proofTime)) {
 			continue
 		}
-		c.blocks.NoteCrash(r.Fingerprint, now)
-		before := c.records.Remaining(r.Fingerprint, now)
-		if c.records.AddCrash(r, now) && before == 0 && c.records.Remaining(r.Fingerprint, now) > 0 {
-			c.log.Info("request quarantined", "fingerprint", r.Fingerprint, "endpoint", r.Endpoint, "seconds", Duration.Seconds())
+		for _, key := range f.All() {
+			c.blocks.NoteCrash(key, now)
+		}
+		before := c.records.Remaining(f, now)
+		if c.records.AddCrash(r, c.blocks, now) && before == 0 && c.records.Remaining(f, now) > 0 {
+			c.log.Info("request quarantined", "fingerprint", f.Target, "path", f.Path, "endpoint", r.Endpoint, "seconds", Duration.Seconds())
 		}
 	}
 }
 
-// handle drops the expired announcements and answers with the oldest of the others and what is known of blocks. Collect sends
+// handle drops the expired announcements and answers with the next of the others and what is known of blocks. Collect sends
 // the message for each gossiped state. What it tells counts as told, so that a state that isn't sent any more must not take it.
 func (m collectMessage) handle(c *Controller) {
 	if !m.reply.Wanted() {
@@ -304,13 +311,13 @@
 	}
 	now := time.Now()
 	c.applyChanges(c.blocks.Decide(now), now)
-	for len(c.announcements) > 0 && !now.Before(c.announcements[0].until) {
-		c.announcements = c.announcements[1:]
-	}
+	c.announcements = slices.DeleteFunc(c.announcements, func(a announcement) bool { return !now.Before(a.until) })
+	n := min(len(c.announcements), maxReportsPerState)
 	var s peer.State
-	for _, a := range c.announcements[:min(len(c.announcements), maxReportsPerState)] {
+	for _, a := range c.announcements[:n] {
 		s.Crashes = append(s.Crashes, a.report)
 	}
+	c.announcements = append(slices.Clone(c.announcements[n:]), c.announcements[:n]...)
 	c.blocks.Collect(&s, now)
 	m.reply.Send(s)
 }
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -87,7 +87,7 @@
 		st.LostRuns = append(st.LostRuns, peer.LostRun{Request: k.Request, Endpoint: k.Endpoint, Blocks: k.Blocks, Age: now.Sub(k.At)})
 	}
 	for _, key := range s.dueClearances() {
-		st.Clearances = append(st.Clearances, peer.Clearance{Key: key, Age: now.Sub(s.clearances.find(key).at)})
+		st.Clearances = append(st.Clearances, peer.Clearance{Key: key, Age: now.Sub(s.newestClearance(key))})
 		if s.clearancesDue[key]--; s.clearancesDue[key] <= 0 {
 			delete(s.clearancesDue, key)
 		}
@@ -105,6 +105,15 @@
 	}
 }
 
+// newestClearance returns when the newest run with a block or a fingerprint was sent that survived its start.
+func (s *Blocks) newestClearance(key uint64) time.Time {
+	block, request := s.clearances.find(key).at, s.requests.find(key).at
+	if request.After(block) {
+		return request
+	}
+	return block
+}
+
 // dueClearances returns the keys whose clearances to name in the next state: first those with which most runs were lost.
 // Collect calls it.
 func (s *Blocks) dueClearances() []uint64 {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
+	"cornelmux/internal/endpoint"
 	"cornelmux/internal/peer"
 	"cornelmux/internal/task"
 	"cornelmux/pkg/result"
@@ -43,9 +44,9 @@
 		qt.New(t).Run(row.name, func(c *qt.C) {
 			records := Records{}
 			for _, reported := range row.crashes {
-				records.AddCrash(peer.CrashReport{Fingerprint: reported.request, Endpoint: reported.endpoint}, start.Add(reported.after))
+				records.AddCrash(peer.CrashReport{Fingerprint: reported.request, Endpoint: reported.endpoint}, &ClearanceTable{}, start.Add(reported.after))
 			}
-			c.Assert(records.Remaining(1, start.Add(row.at)), qt.Equals, row.want)
+			c.Assert(records.Remaining(endpoint.Fingerprints{Path: 1}, start.Add(row.at)), qt.Equals, row.want)
 			records.Sweep(start.Add(row.at + CrashWindow + Duration))
 			c.Assert(records, qt.HasLen, 0)
 		})
@@ -63,17 +64,17 @@
 			task.Start(ctx, "quarantine", ends, vm.Run)
 		}
 		defer func() { c.Check(task.Stop(cancel, ends, len(vms)), qt.IsNil) }()
-		c.Assert(vms[0].Crashed(ctx, 7, "e1#1"), qt.IsNil)
-		c.Assert(vms[1].Crashed(ctx, 7, "e2#1"), qt.IsNil)
-		c.Assert(vms[1].Check(ctx, Query{Fingerprint: 7}), qt.IsNil)
+		c.Assert(vms[0].Crashed(ctx, endpoint.Fingerprints{Path: 7}, "e1#1"), qt.IsNil)
+		c.Assert(vms[1].Crashed(ctx, endpoint.Fingerprints{Path: 7}, "e2#1"), qt.IsNil)
+		c.Assert(vms[1].Check(ctx, Query{Fingerprints: endpoint.Fingerprints{Path: 7}}), qt.IsNil)
 		var s peer.State
 		c.Assert(vms[0].Collect(ctx, &s), qt.IsNil)
 		c.Assert(vms[1].Receive(ctx, s), qt.IsNil)
-		e := result.From(vms[1].Check(ctx, Query{Fingerprint: 7}))
+		e := result.From(vms[1].Check(ctx, Query{Fingerprints: endpoint.Fingerprints{Path: 7}}))
 		c.Assert(e.Code, qt.Equals, result.RequestQuarantined)
 		c.Assert(e.Run, qt.Equals, result.NotRun)
-		c.Assert(vms[1].Check(ctx, Query{Fingerprint: 8}), qt.IsNil)
+		c.Assert(vms[1].Check(ctx, Query{Fingerprints: endpoint.Fingerprints{Path: 8}}), qt.IsNil)
 		time.Sleep(Duration)
-		c.Assert(vms[1].Check(ctx, Query{Fingerprint: 7}), qt.IsNil)
+		c.Assert(vms[1].Check(ctx, Query{Fingerprints: endpoint.Fingerprints{Path: 7}}), qt.IsNil)
 	})
 }
--- a/internal/quarantine/records.go
+++ b/internal/quarantine/records.go
@@ -4,128 +4,171 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
+	"cornelmux/internal/endpoint"
 	"cornelmux/internal/peer"
 )
 
 // Limits of a quarantine.
 const (
-	// CrashThreshold is how many crashes within CrashWindow quarantine a request for Duration.
-	CrashThreshold = 2
-	CrashWindow    = 10 * time.Minute
-	Duration       = 5 * time.Minute
-	// maxRecords is the maximum number of requests whose crashes are remembered, maxCrashes that of crashes of one
-	// request.
+	// CrashThreshold is how many crashes within CrashWindow quarantine a request for Duration, or all requests on its path.
+	// ParameterThreshold is how many quarantine the requests with some parameters.
+	CrashThreshold     = 2
+	ParameterThreshold = 3
+	CrashWindow        = 10 * time.Minute
+	Duration           = 5 * time.Minute
+	// maxRecords is the maximum number of paths whose crashes are remembered, maxCrashes that of crashes of requests on one path.
 	maxRecords = 4096
-	maxCrashes = 8
+	maxCrashes = 32
 	// proofTime is the longest time from the loss of a run to the report that its endpoint crashed. A run that was sent so long before the
 	// report, or later, and survived its start refutes it.
 	proofTime = 10 * time.Second
 )
 
-// Record holds the crashes that one request caused.
+// Crash is a crash of an endpoint while it ran a request.
+type Crash struct {
+	Endpoint string
+	// Target and Parameters are of the request, as in endpoint.Fingerprints. Target is 0 if it isn't known.
+	Target     uint64
+	Parameters peer.Parameters
+	// At is when this VM learned of it.
+	At time.Time
+}
+
+// Record holds the crashes that requests on one path may have caused, the oldest first.
 type Record struct {
-	// Crashes holds when this VM learned of each crash, by the Endpoint of its report.
-	Crashes map[string]time.Time
-	// QuarantinedUntil is when the quarantine ends; zero if there was none.
-	QuarantinedUntil time.Time
+	Crashes []Crash
+	// Cleared holds when the newest run was sent that survived its start, by the path's fingerprint and by parameter.
+	Cleared map[uint64]time.Time
 }
 
-// Records holds the requests that crashed endpoints, by fingerprint.
+// Records holds the requests that crashed endpoints, by the fingerprint of their path.
 type Records map[uint64]*Record
 
-// AddCrash adds a crash and quarantines the request if it has caused enough. It returns false if the crash was known or
-// there is no room for it. The Controller calls it for each crash that this VM or a peer saw.
-func (rs Records) AddCrash(r peer.CrashReport, now time.Time) bool {
+// AddCrash adds a crash, and returns false if it was known. What is known of earlier runs that survived their start comes from c. The
+// Controller calls it for each crash that this VM or a peer saw.
+func (rs Records) AddCrash(r peer.CrashReport, c Clearances, now time.Time) bool {
 	rec, ok := rs[r.Fingerprint]
 	if !ok {
 		if len(rs) >= maxRecords {
-			return false
+			rs.makeRoom()
 		}
-		rec = &Record{Crashes: map[string]time.Time{}}
+		rec = &Record{Cleared: map[uint64]time.Time{}}
 		rs[r.Fingerprint] = rec
 	}
-	if _, ok := rec.Crashes[r.Endpoint]; ok || len(rec.Crashes) >= maxCrashes {
+	if slices.ContainsFunc(rec.Crashes, func(k Crash) bool { return k.Endpoint == r.Endpoint && k.Target == r.Target }) {
 		return false
 	}
-	rec.Crashes[r.Endpoint] = now
-	if rec.recentCrashes(now) >= CrashThreshold {
-		rec.QuarantinedUntil = now.Add(Duration)
+	if len(rec.Crashes) >= maxCrashes {
+		rec.makeRoom()
+	}
+	rec.Crashes = append(rec.Crashes, Crash{r.Endpoint, r.Target, r.Parameters, now})
+	for _, key := range append(r.Parameters.List(), r.Fingerprint) {
+		if at := c.ClearedAt(key); at.After(rec.Cleared[key]) {
+			rec.Cleared[key] = at
+		}
 	}
 	return true
 }
 
-// recentCrashes returns the number of crashes within CrashWindow.
-func (r *Record) recentCrashes(now time.Time) int {
-	n := 0
-	for _, at := range r.Crashes {
-		if now.Sub(at) < CrashWindow {
-			n++
-		}
+// makeRoom removes the quarter of the records whose newest crashes are oldest. AddCrash calls it.
+func (rs Records) makeRoom() {
+	fingerprints := slices.Collect(maps.Keys(rs))
+	slices.SortFunc(fingerprints, func(a, b uint64) int { return rs[a].newest().Compare(rs[b].newest()) })
+	for _, f := range fingerprints[:len(fingerprints)/4] {
+		delete(rs, f)
 	}
-	return n
 }
 
-// Remaining returns how long the request with the fingerprint stays in quarantine, or 0.
-func (rs Records) Remaining(fingerprint uint64, now time.Time) time.Duration {
-	rec, ok := rs[fingerprint]
-	if !ok {
-		return 0
+// newest returns when the newest crash was learned.
+func (r *Record) newest() time.Time { return r.Crashes[len(r.Crashes)-1].At }
+
+// makeRoom removes the oldest crash of a request that caused no other, or else the oldest one: a request that was merely there when others
+// crashed its endpoint is lost once.
+func (r *Record) makeRoom() {
+	count := map[uint64]int{}
+	for _, k := range r.Crashes {
+		count[k.Target]++
 	}
-	return max(0, rec.QuarantinedUntil.Sub(now))
+	i := max(slices.IndexFunc(r.Crashes, func(k Crash) bool { return count[k.Target] == 1 }), 0)
+	r.Crashes = slices.Delete(r.Crashes, i, i+1)
 }
 
-// Refute removes the crashes of a request that were learned no later than proofTime after one of its runs was sent, which survived its
-// start, and reports whether that ended its quarantine. The Controller calls it for each such run that this VM or a peer saw.
-func (rs Records) Refute(fingerprint uint64, sentAt time.Time) (released bool) {
-	return rs.removeCrashes(fingerprint, func(_ string, at time.Time) bool { return at.Sub(sentAt) < proofTime })
+// Remaining returns how long the request stays in quarantine, or 0.
+func (rs Records) Remaining(f endpoint.Fingerprints, now time.Time) time.Duration {
+	rec, ok := rs[f.Path]
+	if !ok {
+		return 0
+	}
+	recent := slices.DeleteFunc(slices.Clone(rec.Crashes), func(k Crash) bool { return now.Sub(k.At) >= CrashWindow })
+	return max(0, rec.accused(f, recent).Add(Duration).Sub(now))
 }
 
-// removeCrashes removes crashes of a request, and ends its quarantine if too few are left; it reports whether there was one. Refute and
-// Forgive call it.
-func (rs Records) removeCrashes(fingerprint uint64, remove func(endpoint string, at time.Time) bool) (released bool) {
-	rec, ok := rs[fingerprint]
+// Refute removes the crashes that a run refutes, which was sent at a time and survived its start: those of its request that were learned no
+// later than proofTime afterwards. It speaks for the path and the parameters as well. It reports whether that ends a quarantine. The
+// Controller calls it for each such run that this VM saw.
+func (rs Records) Refute(f endpoint.Fingerprints, sentAt, now time.Time) (released bool) {
+	rec, ok := rs[f.Path]
 	if !ok {
 		return false
 	}
-	n := len(rec.Crashes)
-	maps.DeleteFunc(rec.Crashes, remove)
-	if len(rec.Crashes) == n || len(rec.Crashes) >= CrashThreshold {
-		return false
+	before := rs.Remaining(f, now)
+	for _, key := range f.All() {
+		rec.refute(key, f.Path, sentAt)
 	}
-	released = !rec.QuarantinedUntil.IsZero()
-	rec.QuarantinedUntil = time.Time{}
-	if len(rec.Crashes) == 0 {
-		delete(rs, fingerprint)
+	rs.removeEmpty(f.Path)
+	return before > 0 && rs.Remaining(f, now) == 0
+}
+
+// RefuteKey is Refute for a run of which a peer tells one fingerprint.
+func (rs Records) RefuteKey(key uint64, sentAt time.Time) {
+	for path, rec := range rs {
+		rec.refute(key, path, sentAt)
+		rs.removeEmpty(path)
+	}
+}
+
+// refute notes that a run with the fingerprint survived its start. A crash of which the target isn't known counts as one of any.
+func (r *Record) refute(key, path uint64, sentAt time.Time) {
+	r.Crashes = slices.DeleteFunc(r.Crashes, func(k Crash) bool {
+		same := k.Target == key || (k.Target == 0 && key == path)
+		return same && k.At.Sub(sentAt) < proofTime
+	})
+	known := key == path || slices.ContainsFunc(r.Crashes, func(k Crash) bool { return slices.Contains(k.Parameters[:], key) })
+	if known && sentAt.After(r.Cleared[key]) {
+		r.Cleared[key] = sentAt
 	}
-	return released
 }
 
-// Sweep removes crashes older than CrashWindow, and requests without crashes that are not in quarantine. The
-// Controller calls it every sweepInterval.
+// removeEmpty removes the record of a path that has no crashes.
+func (rs Records) removeEmpty(path uint64) {
+	if len(rs[path].Crashes) == 0 {
+		delete(rs, path)
+	}
+}
+
+// Sweep removes crashes older than CrashWindow. The Controller calls it every sweepInterval.
 func (rs Records) Sweep(now time.Time) {
-	for fingerprint, rec := range rs {
-		for endpoint, at := range rec.Crashes {
-			if now.Sub(at) >= CrashWindow {
-				delete(rec.Crashes, endpoint)
-			}
-		}
-		if len(rec.Crashes) == 0 && !now.Before(rec.QuarantinedUntil) {
-			delete(rs, fingerprint)
-		}
+	for path, rec := range rs {
+		rec.Crashes = slices.DeleteFunc(rec.Crashes, func(k Crash) bool { return now.Sub(k.At) >= CrashWindow })
+		maps.DeleteFunc(rec.Cleared, func(_ uint64, at time.Time) bool { return now.Sub(at) >= CrashWindow })
+		rs.removeEmpty(path)
 	}
 }
 
-// Forgive removes the crashes of requests at endpoints for which explained returns true, and ends the quarantines that no longer have
-// enough crashes. It returns the fingerprints of the requests that it released. The Controller calls it after each change of
-// what it knows of prompt blocks.
-func (rs Records) Forgive(explained func(fingerprint uint64, endpoint string) bool) []uint64 {
+// Forgive removes the crashes at endpoints for which explained returns true, and returns the fingerprints of the paths on which that ends
+// a quarantine. The Controller calls it after each change of what it knows of prompt blocks.
+func (rs Records) Forgive(explained func(path uint64, endpoint string) bool) []uint64 {
 	var released []uint64
-	for fingerprint := range rs {
-		if rs.removeCrashes(fingerprint, func(endpoint string, _ time.Time) bool { return explained(fingerprint, endpoint) }) {
-			released = append(released, fingerprint)
+	for path, rec := range rs {
+		before := rec.accusesAny(path)
+		rec.Crashes = slices.DeleteFunc(rec.Crashes, func(k Crash) bool { return explained(path, k.Endpoint) })
+		if before && !rec.accusesAny(path) {
+			released = append(released, path)
 		}
+		rs.removeEmpty(path)
 	}
 	return released
 }
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cornelmux/internal/endpoint"
 )
 
 const (
@@ -17,7 +19,7 @@
 
 // Run is one run of a request at an endpoint.
 type Run struct {
-	Fingerprint uint64
+	Fingerprints endpoint.Fingerprints
 	// Blocks are the IDs of the prompt blocks that other requests may share.
 	Blocks []uint64
 	// Endpoint is the ID of the endpoint, Incarnation that of its process.
@@ -26,8 +28,8 @@
 	SentAt      time.Time
 }
 
-// endpoint returns the hash of the endpoint and its incarnation.
-func (r *Run) endpoint() uint64 {
+// endpointHash returns the hash of the endpoint and its incarnation.
+func (r *Run) endpointHash() uint64 {
 	return hashEndpoint(r.Endpoint + "#" + strconv.FormatInt(r.Incarnation, 10))
 }
 
--- a/internal/quarantine/survival_test.go
+++ b/internal/quarantine/survival_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
+	"cornelmux/internal/endpoint"
 	"cornelmux/internal/peer"
 	"cornelmux/internal/task"
 )
@@ -50,9 +51,9 @@
 				for _, e := range test.events {
 					time.Sleep(e.after)
 					if e.crashed != "" {
-						qt.Assert(t, vms[e.vm].Crashed(ctx, request, e.crashed), qt.IsNil)
+						qt.Assert(t, vms[e.vm].Crashed(ctx, endpoint.Fingerprints{Path: request}, e.crashed), qt.IsNil)
 					} else {
-						qt.Assert(t, vms[e.vm].Survived(ctx, Run{Fingerprint: request, Endpoint: "e3", SentAt: time.Now().Add(-e.ago)}), qt.IsNil)
+						qt.Assert(t, vms[e.vm].Survived(ctx, Run{Fingerprints: endpoint.Fingerprints{Path: request}, Endpoint: "e3", SentAt: time.Now().Add(-e.ago)}), qt.IsNil)
 					}
 					for i, vm := range vms {
 						s := peer.State{VM: string(rune('a' + i))}
@@ -61,7 +62,7 @@
 					}
 				}
 				for _, vm := range vms {
-					qt.Check(t, vm.Check(ctx, Query{Fingerprint: request}) != nil, qt.Equals, test.refused)
+					qt.Check(t, vm.Check(ctx, Query{Fingerprints: endpoint.Fingerprints{Path: request}}) != nil, qt.Equals, test.refused)
 				}
 			})
 		})
