A request with another query is no resend

Change: entries and questions between VMs have the fingerprint with the query beside the one without. Where one of them is missing, as in entries and questions of a VM of the earlier version, the other decides as before, so that an upgrade tells nobody that a request did not run which did.

Evidence: TestRequestWithAnotherQueryIsNoResend; with the target taken back on a scratch copy two of its rows fail. Rows of TestDecide for entries of either version.

--- a/internal/entry/peerclient.go
+++ b/internal/entry/peerclient.go
@@ -121,8 +121,8 @@
 
 // FetchAnswer implements journal.Peers. It polls the VM for as long as that reports the request as running, and fails if the VM doesn't
 // answer a poll.
-func (p *peerClient) FetchAnswer(ctx context.Context, address string, k journal.Key, fingerprint uint64) (journal.FindResult, error) {
-	q := &wire.AnswerRequest{Region: k.Region, Account: k.Account, RequestId: k.Request, Fingerprint: fingerprint}
+func (p *peerClient) FetchAnswer(ctx context.Context, address string, k journal.Key, f journal.Fingerprint) (journal.FindResult, error) {
+	q := &wire.AnswerRequest{Region: k.Region, Account: k.Account, RequestId: k.Request, Fingerprint: f.Path, Target: f.Target}
 	r, err := p.pollAnswer(ctx, address, q)
 	for err == nil && r.Running {
 		r, err = p.pollAnswer(ctx, address, q)
--- a/internal/entry/peerservice.go
+++ b/internal/entry/peerservice.go
@@ -120,7 +120,7 @@
 	k := journal.Key{Region: r.Region, Account: r.Account, Request: r.RequestId}
 	wait, cancel := context.WithTimeout(ctx, answerPollWait)
 	defer cancel()
-	found, err := p.journal.Find(wait, k, r.Fingerprint)
+	found, err := p.journal.Find(wait, k, journal.Fingerprint{Path: r.Fingerprint, Target: r.Target})
 	if errors.Is(err, context.DeadlineExceeded) {
 		return &wire.AnswerResponse{Running: true}, nil
 	}
--- a/internal/filter/answerlimit_test.go
+++ b/internal/filter/answerlimit_test.go
@@ -18,7 +18,7 @@
 	err    error
 }
 
-func (f *finishJournal) Open(context.Context, journal.Key, bool, uint64) (journal.OpenResult, error) {
+func (f *finishJournal) Open(context.Context, journal.Key, bool, journal.Fingerprint) (journal.OpenResult, error) {
 	return journal.OpenResult{}, nil
 }
 
--- a/internal/filter/deduplicate.go
+++ b/internal/filter/deduplicate.go
@@ -12,7 +12,7 @@
 // Journal records requests: whether they may have been sent, and their answers.
 type Journal interface {
 	// Open finds or adds the request. A non-idempotent one is recorded in the platform before Open returns.
-	Open(ctx context.Context, k journal.Key, idempotent bool, fingerprint uint64) (journal.OpenResult, error)
+	Open(ctx context.Context, k journal.Key, idempotent bool, f journal.Fingerprint) (journal.OpenResult, error)
 	// Release records that nothing was sent under the claim.
 	Release(ctx context.Context, c journal.Claim) error
 	// Finish stores the answer, or passes err to the callers that wait for the same request.
@@ -30,7 +30,7 @@
 
 // Handle implements Filter. If Journal.Open fails, the caller gets its error, and nothing is sent.
 func (f Deduplicate) Handle(ctx context.Context, x *Exchange, next Next) error {
-	o, err := f.Journal.Open(ctx, x.Key(), x.Idempotent, Fingerprints(x).Path)
+	o, err := f.Journal.Open(ctx, x.Key(), x.Idempotent, resendFingerprint(x))
 	if err != nil {
 		return err
 	}
--- a/internal/filter/deduplicate_test.go
+++ b/internal/filter/deduplicate_test.go
@@ -1,6 +1,8 @@
 package filter
 
 import (
+	"context"
+	"errors"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -57,3 +59,41 @@
 		})
 	}
 }
+
+// openRecorder is a Journal that notes the fingerprints of the requests, and opens none.
+type openRecorder struct {
+	Journal
+	fingerprints []journal.Fingerprint
+}
+
+func (j *openRecorder) Open(_ context.Context, _ journal.Key, _ bool, f journal.Fingerprint) (journal.OpenResult, error) {
+	j.fingerprints = append(j.fingerprints, f)
+	return journal.OpenResult{}, errRecorded
+}
+
+var errRecorded = errors.New("recorded")
+
+// TestRequestWithAnotherQueryIsNoResend guards against a caller that gets the answer to another request, which had the same request ID and
+// differed by its query alone.
+func TestRequestWithAnotherQueryIsNoResend(t *testing.T) {
+	tests := []struct {
+		name          string
+		first, second Request
+		resend        bool
+	}{
+		{"same", Request{Path: "/look", Query: "item=5"}, Request{Path: "/look", Query: "item=5"}, true},
+		{"another query", Request{Path: "/look", Query: "item=5"}, Request{Path: "/look", Query: "item=6"}, false},
+		{"no query", Request{Path: "/look", Query: "item=5"}, Request{Path: "/look"}, false},
+		{"another body", Request{Path: "/look", Body: []byte("a")}, Request{Path: "/look", Body: []byte("b")}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			j := &openRecorder{}
+			for _, r := range []Request{test.first, test.second} {
+				err := Deduplicate{Journal: j}.Handle(t.Context(), &Exchange{Request: r}, nil)
+				qt.Assert(t, err, qt.ErrorIs, errRecorded)
+			}
+			qt.Check(t, j.fingerprints[0] == j.fingerprints[1], qt.Equals, test.resend)
+		})
+	}
+}
--- a/internal/filter/fingerprint.go
+++ b/internal/filter/fingerprint.go
@@ -7,12 +7,12 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cornelmux/internal/endpoint"
+	"cornelmux/internal/journal"
 	"cornelmux/internal/peer"
 )
 
-// Fingerprints returns the fingerprints of a request. They identify the requests that crash endpoints, and tell a resend from another
-// request with the same ID. The last block of a prompt may be the session's and is left out, so that a request that comes again is
-// recognized.
+// Fingerprints returns the fingerprints of a request, by which those that crash endpoints are told apart. The last block of a prompt may be
+// the session's and is left out, so that a request that comes again is recognized.
 func Fingerprints(x *Exchange) endpoint.Fingerprints {
 	h := hashPath(x)
 	_, _ = h.Write(x.Request.Body)
@@ -51,3 +51,9 @@
 	}
 	return p
 }
+
+// resendFingerprint returns what tells a resend from another request with the same ID.
+func resendFingerprint(x *Exchange) journal.Fingerprint {
+	f := Fingerprints(x)
+	return journal.Fingerprint{Path: f.Path, Target: f.Target}
+}
--- a/internal/journal/cluster_test.go
+++ b/internal/journal/cluster_test.go
@@ -128,12 +128,12 @@
 	return outcomes, err
 }
 
-func (p peers) FetchAnswer(ctx context.Context, address string, k journal.Key, fingerprint uint64) (journal.FindResult, error) {
+func (p peers) FetchAnswer(ctx context.Context, address string, k journal.Key, f journal.Fingerprint) (journal.FindResult, error) {
 	target, err := p.target(ctx, address)
 	if err != nil {
 		return journal.FindResult{}, err
 	}
-	return target.Find(ctx, k, fingerprint)
+	return target.Find(ctx, k, f)
 }
 
 // call passes a request through the Deduplicate and Bill filters of its VM to the endpoint.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -111,8 +111,8 @@
 	VM string `json:"vm,omitempty"`
 	// Address is the address at which VM serves other entry VMs.
 	Address string `json:"address,omitempty"`
-	// Fingerprint is a hash of the request, by which a resend is told from another request with the same ID.
-	Fingerprint uint64 `json:"fingerprint,omitempty"`
+	// Fingerprint identifies the request.
+	Fingerprint
 	// UnixMs is when the entry was made, in milliseconds of VM's wall clock.
 	UnixMs int64 `json:"unix_ms"`
 	Runs   []Run `json:"runs,omitempty"`
@@ -158,8 +158,21 @@
 // Holder is a claim that was recorded, and the VM that made it and may have sent the request.
 type Holder struct {
 	// ID is the ID of the started entry.
-	ID          string `json:"id"`
-	VM          string `json:"vm"`
-	Address     string `json:"address"`
-	Fingerprint uint64 `json:"fingerprint"`
+	ID      string `json:"id"`
+	VM      string `json:"vm"`
+	Address string `json:"address"`
+	Fingerprint
+}
+
+// Fingerprint identifies a request, by which a resend is told from another request with the same ID.
+type Fingerprint struct {
+	// Path is a hash of the request without its query.
+	Path uint64 `json:"fingerprint,omitempty"`
+	// Target is one with the query. It is 0 if it isn't known, as in entries of VMs of an earlier version.
+	Target uint64 `json:"target,omitempty"`
+}
+
+// matches reports whether both may be of the same request.
+func (f Fingerprint) matches(other Fingerprint) bool {
+	return f.Path == other.Path && (f.Target == other.Target || f.Target == 0 || other.Target == 0)
 }
--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -220,7 +220,7 @@
 	switch {
 	case r.Holder.ID == "":
 		return Outcome{Appended: true}
-	case r.Holder.Fingerprint != e.Fingerprint:
+	case !r.Holder.Fingerprint.matches(e.Fingerprint):
 		return Outcome{Code: result.RequestIDReused, Detail: fmt.Sprintf("request ID %q", e.Key.Request)}
 	default:
 		detail := fmt.Sprintf("request %q was recorded by VM %s and has no answer here", e.Key.Request, r.Holder.VM)
--- a/internal/journal/log_test.go
+++ b/internal/journal/log_test.go
@@ -291,7 +291,13 @@
 func TestDecide(t *testing.T) {
 	k := Key{"r", "a", "1"}
 	start := func(id string, fingerprint uint64, ms int64) Entry {
-		return Entry{ID: id, Kind: EntryStarted, Key: k, VM: "vm-" + id, Fingerprint: fingerprint, UnixMs: ms}
+		return Entry{ID: id, Kind: EntryStarted, Key: k, VM: "vm-" + id, Fingerprint: Fingerprint{Path: fingerprint}, UnixMs: ms}
+	}
+	// target is start with the hash of the whole target, which an earlier version doesn't write.
+	target := func(id string, target uint64, ms int64) Entry {
+		e := start(id, 1, ms)
+		e.Target = target
+		return e
 	}
 	bill := Entry{ID: "b", Kind: EntryBilled, Key: k, UnixMs: 1}
 	const afterWindow = 1 + 60_001
@@ -309,6 +315,10 @@
 		{"another VM has the claim and a bill", []Entry{start("x", 1, 1), bill}, start("y", 1, 2), 2, result.OutcomeUnknown, false, true},
 		{"own entry is in the log", []Entry{start("x", 1, 1)}, start("x", 1, 1), 2, 0, true, false},
 		{"same ID with another body", []Entry{start("x", 1, 1)}, start("y", 2, 2), 2, result.RequestIDReused, false, false},
+		{"same ID with another query", []Entry{target("x", 7, 1)}, target("y", 8, 2), 2, result.RequestIDReused, false, false},
+		{"same ID and query", []Entry{target("x", 7, 1)}, target("y", 7, 2), 2, result.OutcomeUnknown, false, false},
+		{"entry of an earlier version", []Entry{start("x", 1, 1)}, target("y", 8, 2), 2, result.OutcomeUnknown, false, false},
+		{"earlier version after this one", []Entry{target("x", 7, 1)}, start("y", 1, 2), 2, result.OutcomeUnknown, false, false},
 		{"claim was released", []Entry{start("x", 1, 1), newRelease(start("x", 1, 1))}, start("y", 2, 2), 2, 0, true, false},
 		{"release of another claim", []Entry{start("x", 1, 1), newRelease(start("z", 1, 1))}, start("y", 1, 2), 2, result.OutcomeUnknown, false, false},
 		{"claim after its own release", []Entry{newRelease(start("x", 1, 1))}, start("x", 1, 1), 2, result.JournalUnavailable, false, false},
--- a/internal/journal/owner.go
+++ b/internal/journal/owner.go
@@ -27,7 +27,7 @@
 	// Append has the VM at the address append the entries. That VM writes them itself and doesn't forward them.
 	Append(ctx context.Context, address, region string, partition int, entries []Entry) ([]Outcome, error)
 	// FetchAnswer asks the VM at the address for the answer to a request, and waits while the request runs there.
-	FetchAnswer(ctx context.Context, address string, k Key, fingerprint uint64) (FindResult, error)
+	FetchAnswer(ctx context.Context, address string, k Key, f Fingerprint) (FindResult, error)
 }
 
 // FindResult is what a VM knows about a request. It is empty if the VM knows nothing.
--- a/internal/journal/request.go
+++ b/internal/journal/request.go
@@ -23,7 +23,7 @@
 
 // request is a request that runs here or whose answer is kept.
 type request struct {
-	fingerprint uint64
+	fingerprint Fingerprint
 	running     bool
 	// billed reports that the bill was passed on, which then counts in outstanding in the request's place.
 	billed bool
@@ -46,7 +46,7 @@
 	// openMessage asks for the kept answer of a request, joins it if it runs here, or else starts it.
 	openMessage struct {
 		key         Key
-		fingerprint uint64
+		fingerprint Fingerprint
 		// joinOnly prevents that the request is started if it is unknown.
 		joinOnly bool
 		reply    chan<- openReply
@@ -79,7 +79,7 @@
 func (m openMessage) handle(_ context.Context, c *Controller) {
 	r, ok := c.requests[m.key]
 	switch {
-	case ok && r.fingerprint != m.fingerprint:
+	case ok && !r.fingerprint.matches(m.fingerprint):
 		m.reply <- openReply{err: result.Errorf(result.RequestIDReused, "request ID %q", m.key.Request)}
 	case ok && r.running && len(r.waiters) >= maxWaiters:
 		m.reply <- openReply{err: stillRunningError(m.key)}
@@ -163,13 +163,13 @@
 // claim to run it. It waits while the request runs here or there. The claim of a non-idempotent request is recorded in the
 // log first. Its duration counts from before it is recorded, so that a slow platform doesn't extend it. The
 // Deduplicate filter calls Open for each request.
-func (c *Controller) Open(ctx context.Context, k Key, idempotent bool, fingerprint uint64) (OpenResult, error) {
+func (c *Controller) Open(ctx context.Context, k Key, idempotent bool, f Fingerprint) (OpenResult, error) {
 	if len(k.Request) > maxRequestIDBytes {
 		return OpenResult{}, result.Errorf(result.BadRequest, "request ID is longer than %d bytes", maxRequestIDBytes)
 	}
 	for range maxOpenAttempts {
 		until := time.Now().Add(c.opts.ClaimFor)
-		r, err := c.openLocal(ctx, openMessage{key: k, fingerprint: fingerprint})
+		r, err := c.openLocal(ctx, openMessage{key: k, fingerprint: f})
 		if err != nil || r.err != nil || r.answer != nil {
 			return OpenResult{Answer: r.answer}, cmp.Or(err, r.err)
 		}
@@ -263,8 +263,8 @@
 
 // Find returns what this VM knows about a request, and waits if it runs here. It fails with the context's error if the
 // request still runs when the context ends. The service for other entry VMs calls it.
-func (c *Controller) Find(ctx context.Context, k Key, fingerprint uint64) (FindResult, error) {
-	r, err := c.openLocal(ctx, openMessage{key: k, fingerprint: fingerprint, joinOnly: true})
+func (c *Controller) Find(ctx context.Context, k Key, f Fingerprint) (FindResult, error) {
+	r, err := c.openLocal(ctx, openMessage{key: k, fingerprint: f, joinOnly: true})
 	if err != nil {
 		return FindResult{}, cmp.Or(ctx.Err(), err)
 	}
--- a/internal/journal/request_test.go
+++ b/internal/journal/request_test.go
@@ -204,11 +204,11 @@
 		c := newCluster(t.Context(), 1, 10, 1<<20)
 		defer c.stop()
 		k := journal.Key{Region: region, Account: "a", Request: "1"}
-		_, err := c.vms[0].Open(t.Context(), k, true, 1)
+		_, err := c.vms[0].Open(t.Context(), k, true, journal.Fingerprint{Path: 1})
 		qt.Assert(t, err, qt.IsNil)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		_, err = c.vms[0].Find(ctx, k, 1)
+		_, err = c.vms[0].Find(ctx, k, journal.Fingerprint{Path: 1})
 		qt.Assert(t, err, qt.ErrorIs, context.DeadlineExceeded)
 	})
 }
--- a/internal/quarantine/accuse_test.go
+++ b/internal/quarantine/accuse_test.go
@@ -31,7 +31,9 @@
 		crashed  []endpoint.Fingerprints
 		survived *endpoint.Fingerprints
 	}
-	crash := func(after time.Duration, lost ...endpoint.Fingerprints) event { return event{after: after, crashed: lost} }
+	crash := func(after time.Duration, lost ...endpoint.Fingerprints) event {
+		return event{after: after, crashed: lost}
+	}
 	survival := func(after time.Duration, f endpoint.Fingerprints) event { return event{after: after, survived: &f} }
 	deadly, sound, other := request(66, 166), request(5, 105), request(6, 106)
 	unknown := request(0)
@@ -44,30 +46,74 @@
 	}{
 		{"one crash", []event{crash(0, deadly)}, nil, []endpoint.Fingerprints{deadly, sound}},
 		{"two crashes, nothing else known", []event{crash(0, deadly), crash(0, deadly)}, []endpoint.Fingerprints{deadly}, []endpoint.Fingerprints{sound}},
-		{"two crashes, others survive", []event{survival(0, sound), crash(0, deadly), survival(second, sound), crash(second, deadly)},
-			[]endpoint.Fingerprints{deadly}, []endpoint.Fingerprints{sound, other}},
-		{"others were lost with it", []event{crash(0, deadly, sound), crash(0, deadly, other), crash(second, deadly, sound)},
-			[]endpoint.Fingerprints{deadly}, []endpoint.Fingerprints{sound, other}},
-		{"another was lost with it each time, and survives", []event{crash(0, sound, deadly), crash(0, sound, deadly), survival(second, sound)},
-			[]endpoint.Fingerprints{deadly}, []endpoint.Fingerprints{sound}},
-		{"another was lost with it each time but the last", []event{crash(0, sound, deadly), crash(0, sound, deadly), crash(second, deadly)},
-			[]endpoint.Fingerprints{deadly}, []endpoint.Fingerprints{sound}},
+		{
+			"two crashes, others survive",
+			[]event{survival(0, sound), crash(0, deadly), survival(second, sound), crash(second, deadly)},
+			[]endpoint.Fingerprints{deadly},
+			[]endpoint.Fingerprints{sound, other},
+		},
+		{
+			"others were lost with it",
+			[]event{crash(0, deadly, sound), crash(0, deadly, other), crash(second, deadly, sound)},
+			[]endpoint.Fingerprints{deadly},
+			[]endpoint.Fingerprints{sound, other},
+		},
+		{
+			"another was lost with it each time, and survives",
+			[]event{crash(0, sound, deadly), crash(0, sound, deadly), survival(second, sound)},
+			[]endpoint.Fingerprints{deadly},
+			[]endpoint.Fingerprints{sound},
+		},
+		{
+			"another was lost with it each time but the last",
+			[]event{crash(0, sound, deadly), crash(0, sound, deadly), crash(second, deadly)},
+			[]endpoint.Fingerprints{deadly},
+			[]endpoint.Fingerprints{sound},
+		},
 		{"survived shortly before", []event{survival(0, deadly), crash(second, deadly), crash(second, deadly)}, nil, []endpoint.Fingerprints{deadly}},
-		{"survived long before", []event{survival(0, deadly), crash(proofTime+second, deadly), crash(proofTime+second, deadly)},
-			[]endpoint.Fingerprints{deadly}, nil},
-		{"another query each time, nobody sound", []event{crash(0, at(1, 66)), crash(second, request(7002, 10002))},
-			[]endpoint.Fingerprints{request(7003, 10003)}, nil},
-		{"another query each time, others survive", []event{crash(0, request(7001, 10001)), crash(second, request(7002, 10002)), survival(2*second, sound)},
-			nil, []endpoint.Fingerprints{request(7003, 10003), sound}},
-		{"one parameter crashes, another one varies", []event{survival(0, at(1, 5)), crash(0, at(1, 66)), crash(second, at(2, 66)), survival(2*second, at(2, 5)), crash(2*second, at(3, 66))},
-			[]endpoint.Fingerprints{at(4, 66)}, []endpoint.Fingerprints{at(4, 5), sound}},
-		{"one parameter crashes, nothing else known", []event{crash(0, at(1, 66)), crash(second, at(2, 66)), crash(2*second, at(3, 66))},
-			[]endpoint.Fingerprints{at(4, 66)}, []endpoint.Fingerprints{at(4, 5), sound}},
+		{
+			"survived long before",
+			[]event{survival(0, deadly), crash(proofTime+second, deadly), crash(proofTime+second, deadly)},
+			[]endpoint.Fingerprints{deadly},
+			nil,
+		},
+		{
+			"another query each time, nobody sound",
+			[]event{crash(0, at(1, 66)), crash(second, request(7002, 10002))},
+			[]endpoint.Fingerprints{request(7003, 10003)},
+			nil,
+		},
+		{
+			"another query each time, others survive",
+			[]event{crash(0, request(7001, 10001)), crash(second, request(7002, 10002)), survival(2*second, sound)},
+			nil,
+			[]endpoint.Fingerprints{request(7003, 10003), sound},
+		},
+		{
+			"one parameter crashes, another one varies",
+			[]event{survival(0, at(1, 5)), crash(0, at(1, 66)), crash(second, at(2, 66)), survival(2*second, at(2, 5)), crash(2*second, at(3, 66))},
+			[]endpoint.Fingerprints{at(4, 66)},
+			[]endpoint.Fingerprints{at(4, 5), sound},
+		},
+		{
+			"one parameter crashes, nothing else known",
+			[]event{crash(0, at(1, 66)), crash(second, at(2, 66)), crash(2*second, at(3, 66))},
+			[]endpoint.Fingerprints{at(4, 66)},
+			[]endpoint.Fingerprints{at(4, 5), sound},
+		},
 		{"one parameter crashes, too few crashes", []event{crash(0, at(1, 66)), crash(second, at(2, 66))}, nil, []endpoint.Fingerprints{at(4, 66), at(4, 5)}},
-		{"parameter that survives elsewhere", []event{crash(0, at(1, 66)), crash(second, at(2, 66)), crash(2*second, at(3, 66)), survival(3*second, at(9, 66))},
-			nil, []endpoint.Fingerprints{at(4, 66), at(4, 5)}},
-		{"two parameters together", []event{crash(0, request(1, 166, 107)), crash(second, request(2, 166, 107)), crash(second, request(3, 166, 107))},
-			[]endpoint.Fingerprints{request(4, 107, 166)}, []endpoint.Fingerprints{request(5, 166), request(6, 107)}},
+		{
+			"parameter that survives elsewhere",
+			[]event{crash(0, at(1, 66)), crash(second, at(2, 66)), crash(2*second, at(3, 66)), survival(3*second, at(9, 66))},
+			nil,
+			[]endpoint.Fingerprints{at(4, 66), at(4, 5)},
+		},
+		{
+			"two parameters together",
+			[]event{crash(0, request(1, 166, 107)), crash(second, request(2, 166, 107)), crash(second, request(3, 166, 107))},
+			[]endpoint.Fingerprints{request(4, 107, 166)},
+			[]endpoint.Fingerprints{request(5, 166), request(6, 107)},
+		},
 		{"reports of an earlier version", []event{crash(0, unknown), crash(0, unknown)}, []endpoint.Fingerprints{unknown, sound}, nil},
 		{"reports of an earlier version, others survive", []event{crash(0, unknown), crash(0, unknown), survival(second, sound)}, nil, []endpoint.Fingerprints{sound}},
 	}
--- a/measure/journal.go
+++ b/measure/journal.go
@@ -193,7 +193,7 @@
 func serveRequest(ctx context.Context, c *journal.Controller, request string, idempotent bool) (time.Duration, error) {
 	k := journal.Key{Region: journalRegion, Account: "account", Request: request}
 	start := time.Now()
-	o, err := c.Open(ctx, k, idempotent, 1)
+	o, err := c.Open(ctx, k, idempotent, journal.Fingerprint{Path: 1})
 	took := time.Since(start)
 	if err != nil {
 		return took, err
@@ -298,7 +298,7 @@
 				continue
 			}
 			k.Account = fmt.Sprint("account-", idempotent)
-			o, err := c.Open(s.ctx, k, idempotent, 1)
+			o, err := c.Open(s.ctx, k, idempotent, journal.Fingerprint{Path: 1})
 			if err != nil {
 				refused[idempotent]++
 				continue
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -79,7 +79,7 @@
 	{BadRequest, "bad_request", http.StatusBadRequest, NotRun, "The request can't be read; the detail names the field."},
 	{TooLarge, "too_large", http.StatusRequestEntityTooLarge, NotRun, "The body is over the limit in the settings."},
 	{NoSuchRoute, "no_such_route", http.StatusNotFound, NotRun, "No model interface or service has this path."},
-	{RequestIDReused, "request_id_reused", http.StatusUnprocessableEntity, NotRun, "The request ID was used with another body."},
+	{RequestIDReused, "request_id_reused", http.StatusUnprocessableEntity, NotRun, "The request ID was used with another query or body."},
 	{ModelNotServed, "model_not_served", http.StatusMisdirectedRequest, NotRun, "The route, or each endpoint that was asked, doesn't offer the model that the caller names."},
 	{BadKey, "bad_key", http.StatusUnauthorized, NotRun, "No client account has this key."},
 	{ModelNotAllowed, "model_not_allowed", http.StatusForbidden, NotRun, "The client account may not use this model or cascade."},
