The question mark of an empty query is passed on

A runner got /look/1 for a caller's /look/1?. Found by the rows "/look/1?" and "//orders/17?" of TestPathsArePassedOnAsTheyAre, which fail without the change.

--- a/internal/filter/call.go
+++ b/internal/filter/call.go
@@ -14,7 +14,7 @@
 func (f *forwardRun) call(model string) endpoint.Call {
 	x := f.x
 	path := x.Request.Path
-	if x.Request.Query != "" {
+	if x.Request.Query != "" || x.Request.ForceQuery {
 		path += "?" + x.Request.Query
 	}
 	urgency := -1
--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -56,11 +56,13 @@
 	Transient bool
 	Kind      Kind
 	// Model is the name of a model or a cascade.
-	Model       string
-	Service     string
-	Method      string
-	Path        string
-	Query       string
+	Model   string
+	Service string
+	Method  string
+	Path    string
+	Query   string
+	// ForceQuery says that a question mark ends the path even if Query is empty.
+	ForceQuery  bool
 	ContentType string
 	// Fields are the other header fields to pass to a plain service.
 	Fields []endpoint.Field
