VMs that start learn what others keep in force after a restore

A key whose withdrawal the restore of the store lost was in use again at a VM that started before the operator wrote it again: it knew the copy alone. Such a VM now asks a few others once its first full scan is complete; they answer only if they keep something.

--- a/internal/feed/controller.go
+++ b/internal/feed/controller.go
@@ -295,6 +295,9 @@
 	case order != eraSame:
 		c.eraTold = m.changes.Era
 		c.log.Info("store has another era, full scan follows", "era", c.era, "other", m.changes.Era, "after", m.from)
+		if c.completed {
+			c.nextRead = now.Add(c.timing.restoreDelay(c.zoneRank))
+		}
 		c.requireScan()
 		return
 	case errors.Is(m.err, ErrHistoryGone):
--- a/internal/feed/exchange.go
+++ b/internal/feed/exchange.go
@@ -110,6 +110,8 @@
 	case ok && u.Request && len(u.Parts) > 0:
 		c.resendParts(u)
 	case !ok || (!c.completed && c.scanKeys == nil):
+	case u.Request && u.WantsKept:
+		c.replyKept(u)
 	case u.Request:
 		if c.completed && c.scanKeys == nil {
 			c.reply(u)
@@ -118,6 +120,9 @@
 		c.log.V(1).Info("update of an earlier era dropped", "vm", u.VM, "era", u.Era)
 	case u.Era > c.era:
 		c.followEra(ctx, u)
+	case len(u.Kept) > 0:
+		c.noteApplied(u.Number)
+		c.adoptKept(ctx, u.Kept)
 	case u.From > c.revision:
 		c.requestMissing(ctx, u)
 	case u.To >= c.revision:
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -169,6 +169,15 @@
 	}
 }
 
+// restoreDelay returns how long a VM of the rank that finds the store restored waits for a peer to tell what it holds, before it reads
+// all of it: at first the reader does, then the backups in turn, and last all others, spread over time.
+func (t Timing) restoreDelay(rank int) time.Duration {
+	if rank <= rankLastBackup {
+		return t.BackupSilence * time.Duration(max(rank, rankReader)) / rankLastBackup
+	}
+	return jitter(t.Silence)
+}
+
 // nameHash is the hash that VMs are ranked by.
 func nameHash(vm string) uint64 { return xxhash.Sum64String(vm) }
 
--- a/internal/feed/restore.go
+++ b/internal/feed/restore.go
@@ -16,6 +16,9 @@
 	// rewriteTimeout is how long after a restore an item stays in force that the restored store doesn't have, if nothing tells which of
 	// the two was written last.
 	rewriteTimeout = 10 * time.Second
+	// keptPeers is the number of VMs of the zone that a starting VM asks for the items that they keep in force; it asks some of other
+	// zones as well.
+	keptPeers = 2
 	// maxEraStep is the greatest rise of the era that is believed.
 	maxEraStep = 1000
 )
@@ -181,6 +184,61 @@
 	return keys
 }
 
+// requestKept asks a few VMs what they keep in force, since the store may hold less than they know. It is called once the first full scan
+// is complete.
+func (c *Controller) requestKept() {
+	peers := ZonePeers(c.opts.Self.VM, c.opts.Self.Zone, c.members)
+	peers = append(peers[:min(len(peers), keptPeers)], c.nextRemotePeers()...)
+	if len(peers) > 0 {
+		c.send(Update{Request: true, WantsKept: true}, peers...)
+	}
+}
+
+// replyKept tells a VM of the same era which items are kept in force because they were written later. Without any it says nothing. The
+// handler of packetMessage calls it.
+func (c *Controller) replyKept(u Update) {
+	if u.Era != c.era {
+		return
+	}
+	var kept []ToldKeptItem
+	for _, k := range c.kept {
+		if !k.until.IsZero() {
+			continue
+		}
+		told := ToldKeptItem{Item: k.inForce}
+		if !k.found.Deleted {
+			told.Found = k.found.Revision
+		}
+		kept = append(kept, told)
+	}
+	if len(kept) > 0 {
+		c.send(Update{From: c.revision, To: c.revision, Kept: kept}, u.Address)
+	}
+}
+
+// adoptKept puts the items into force that a peer keeps, as far as this VM finds the same in the store. The handler of packetMessage calls
+// it.
+func (c *Controller) adoptKept(ctx context.Context, told []ToldKeptItem) {
+	for _, t := range told {
+		found, ok := c.replica.items[t.Key]
+		if !ok {
+			found = Item{Key: t.Key, Deleted: true, Era: c.era}
+		}
+		revision := found.Revision
+		if found.Deleted {
+			revision = 0
+		}
+		_, kept := c.kept[t.Key]
+		if kept || revision != t.Found || c.receiver.Compare(t.Item, found) != PrecedenceHeld {
+			continue
+		}
+		c.kept[t.Key] = keptItem{inForce: t.Item, found: found}
+		c.log.Info("item of the restored store not applied", "key", t.Key, "revision", revision, "missing", found.Deleted,
+			"in_force", t.Revision, "newer", true, "from", "peer")
+		c.receiver.Apply(ctx, t.Item)
+	}
+}
+
 // followEra takes in a peer's whole replica of a later era, or asks for it. If none comes within the silence timeout, the store is read.
 // The handler of packetMessage calls it.
 func (c *Controller) followEra(ctx context.Context, u Update) {
--- a/internal/feed/restore_test.go
+++ b/internal/feed/restore_test.go
@@ -93,6 +93,8 @@
 	stops  []context.CancelFunc
 	ends   chan task.End
 	backup backup
+	// added receive the ends of the VMs that were started later.
+	added []chan task.End
 	// drop reports which datagrams are lost.
 	drop atomic.Pointer[func(from, to string) bool]
 }
@@ -105,6 +107,7 @@
 	z := &restoreZone{store: newStore(ctx), ctx: ctx, net: &network{inboxes: map[string]chan []byte{}}, ends: make(chan task.End, n)}
 	z.lose(func(string, string) bool { return false })
 	z.net.drop = func(from, to string) bool { return (*z.drop.Load())(from, to) }
+	z.net.inboxes[lateVM] = make(chan []byte, 4096)
 	members := map[string]Member{}
 	for i := range n {
 		vm := fmt.Sprint("vm", i)
@@ -140,6 +143,20 @@
 	time.Sleep(2 * restoreBound)
 }
 
+// lateVM is the VM that add starts.
+const lateVM = "late"
+
+// add starts another VM and waits until it knows what it can.
+func (z *restoreZone) add() {
+	const vm = lateVM
+	s, r := vmStore{z.store, vm}, newInForce(vm)
+	ends := make(chan task.End, 1)
+	o := Options{Self: Member{VM: vm, Zone: "z", Address: vm}, PropagationBound: restoreBound}
+	task.Start(z.ctx, vm, ends, New(s, s, networkPort{z.net, vm}, r, o, logr.Discard()).Run)
+	z.vms, z.added = append(z.vms, r), append(z.added, ends)
+	time.Sleep(time.Second)
+}
+
 // refuse makes the store refuse VMs of the given ranks throughout.
 func (z *restoreZone) refuse(ranks ...int) {
 	_ = z.do(z.ctx, func(st *state) {
@@ -268,6 +285,30 @@
 			z.back()
 			z.put(z.ctx, "x", "new")
 		}, map[string]string{"x": "new"}},
+		{"VM that starts before the value is written again", func(z *restoreZone) {
+			z.fill()
+			z.put(z.ctx, "n/there", "7")
+			z.remove(z.ctx, "n/gone")
+			time.Sleep(restoreBound)
+			z.back()
+			z.add()
+		}, map[string]string{"n/there": "7", "n/gone": ""}},
+		{"VM that starts after the value was written again", func(z *restoreZone) {
+			z.fill()
+			z.put(z.ctx, "n/there", "7")
+			time.Sleep(restoreBound)
+			z.back()
+			z.put(z.ctx, "n/there", "8")
+			z.add()
+		}, map[string]string{"n/there": "8"}},
+		{"VM that starts and sees it written again", func(z *restoreZone) {
+			z.fill()
+			z.put(z.ctx, "n/there", "7")
+			time.Sleep(restoreBound)
+			z.back()
+			z.add()
+			z.put(z.ctx, "n/there", "8")
+		}, map[string]string{"n/there": "8"}},
 		{"reader ends with the restore", func(z *restoreZone) {
 			z.fill()
 			z.put(z.ctx, "x", "lost")
@@ -285,6 +326,7 @@
 				z := startRestoreZone(ctx, 5)
 				z.put(ctx, "there", "1")
 				z.put(ctx, "n/there", "1")
+				z.put(ctx, "n/gone", "1")
 				time.Sleep(2 * restoreBound)
 				z.backup = z.backUp(ctx)
 				test.play(z)
@@ -297,9 +339,12 @@
 					}
 				}
 				cancel()
-				for range z.vms {
+				for range z.stops {
 					<-z.ends
 				}
+				for _, ends := range z.added {
+					<-ends
+				}
 			})
 		})
 	}
--- a/internal/feed/scan.go
+++ b/internal/feed/scan.go
@@ -103,6 +103,9 @@
 	c.updateRanks(ctx)
 	c.finishRestore(ctx, listed)
 	c.receiver.ApplyFullScan(ctx, c.keysInForce(listed))
+	if !c.completed {
+		c.requestKept()
+	}
 	c.scanKeys, c.requireFresh, c.completed = nil, false, true
 	c.tellZoneMembers(ctx)
 	c.secretMissing = !listed[secretKey]
--- a/internal/feed/update.go
+++ b/internal/feed/update.go
@@ -25,6 +25,9 @@
 	To      uint64 `json:"to"`
 	Request bool   `json:"wants,omitempty"`
 	Items   []Item `json:"items,omitempty"`
+	// WantsKept makes a request one for the Kept items alone: those that the sender keeps in force after a restore of the store.
+	WantsKept bool           `json:"wants_kept,omitempty"`
+	Kept      []ToldKeptItem `json:"kept,omitempty"`
 	// Keys lists all keys of the store if the Items may lack deletions; any other key is deleted.
 	Keys []string `json:"keys,omitempty"`
 	// Number is the message number; in a request, that of the message whose Parts are missing.
@@ -32,6 +35,13 @@
 	Parts  []uint16 `json:"parts,omitempty"`
 }
 
+// ToldKeptItem is an item that a VM keeps in force although the restored store holds an earlier one of its key, or none.
+type ToldKeptItem struct {
+	Item
+	// Found is the revision of the store's item; 0 if there is none.
+	Found uint64 `json:"found"`
+}
+
 // messageCountMask masks the part of a message number that counts; the rest tells the sender.
 const messageCountMask = 1<<32 - 1
 
