--- a/internal/feed/controller.go
+++ b/internal/feed/controller.go
@@ -73,6 +73,8 @@
 	era        uint64
 	eraTold    uint64
 	eraUnknown bool
+	// restores counts the later eras that began since the start.
+	restores int
 	// previous holds what was in force before the store was restored, until the first full scan of the era is complete, and is nil
 	// otherwise. kept holds the items of that time which are still in force.
 	previous map[string]Item
--- a/internal/feed/restore.go
+++ b/internal/feed/restore.go
@@ -82,6 +82,7 @@
 func (c *Controller) beginEra(ctx context.Context, era, revision uint64, from string) {
 	if c.completed {
 		c.log.Info("store was restored from a backup", "era", era, "before", c.era, "revision", revision, "revision_before", c.revision, "from", from)
+		c.restores++
 		c.previous = c.inForce()
 		c.receiver.SetRestored(ctx)
 	}
@@ -289,3 +290,25 @@
 	c.leaseSent = true
 	_ = task.Tell(c.leases, lease) // there is room: only this goroutine sends
 }
+
+// RestoreStatus tells of the restores of the store that this VM knows.
+type RestoreStatus struct {
+	// Era is the store's era that the VM goes by; 0 if the store doesn't tell.
+	Era uint64
+	// Restores counts the later eras that the VM began since its start.
+	Restores int
+	// Kept is the number of items that stay in force in place of the restored store's.
+	Kept int
+}
+
+// restoreStatusMessage asks for the status.
+type restoreStatusMessage struct{ reply chan<- RestoreStatus }
+
+// RestoreStatus returns what this VM knows of restores. The metrics ask for it at each scrape.
+func (c *Controller) RestoreStatus(ctx context.Context) (RestoreStatus, error) {
+	return task.Ask(ctx, c.mailbox, func(reply chan<- RestoreStatus) message { return restoreStatusMessage{reply} })
+}
+
+func (m restoreStatusMessage) handle(_ context.Context, c *Controller) {
+	m.reply <- RestoreStatus{c.era, c.restores, len(c.kept)}
+}
--- a/internal/metric/builder.go
+++ b/internal/metric/builder.go
@@ -177,6 +177,23 @@
 	}, age)
 }
 
+// observeRestores creates the metrics of restores of the store. ObserveRestores calls it.
+func (b *builder) observeRestores(restores Restores) {
+	era := b.gauge("cornelmux.store.era", "{era}", "Era of the store that this VM goes by; it rises with each restore.")
+	kept := b.gauge("cornelmux.store.kept_items", "{item}", "Items that stay in force in place of those of the restored store.")
+	count := b.observableCounter("cornelmux.store.restores", "{restore}", "Restores of the store since the start of this VM.")
+	b.registerCallback(func(ctx context.Context, o metric.Observer) error {
+		s, err := restores.RestoreStatus(ctx)
+		if err != nil {
+			return err
+		}
+		o.ObserveFloat64(era, float64(s.Era))
+		o.ObserveFloat64(kept, float64(s.Kept))
+		o.ObserveInt64(count, int64(s.Restores))
+		return nil
+	}, era, kept, count)
+}
+
 // countHealth returns the number of members for each health, zeros included.
 func countHealth(list []peer.Member) map[string]int {
 	counts := map[string]int{"alive": 0, "suspect": 0, "dead": 0}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -16,6 +16,7 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"cornelmux/internal/configuration"
+	"cornelmux/internal/feed"
 	"cornelmux/internal/filter"
 	"cornelmux/internal/memory"
 	"cornelmux/internal/peer"
@@ -62,6 +63,11 @@
 	Evacuations(ctx context.Context) ([]pool.Evacuation, error)
 }
 
+// Restores provides what is known of restores of the store.
+type Restores interface {
+	RestoreStatus(ctx context.Context) (feed.RestoreStatus, error)
+}
+
 // Metrics holds the instruments. It implements filter.Meter and, for scrapes, http.Handler. Its methods may be called from
 // any goroutine.
 type Metrics struct {
@@ -151,6 +157,13 @@
 	b.logErrors(log)
 }
 
+// ObserveRestores adds the metrics of restores of the store, which are asked at each scrape. It is called once, before the VM runs.
+func (m *Metrics) ObserveRestores(restores Restores, log logr.Logger) {
+	b := &builder{meter: m.meter}
+	b.observeRestores(restores)
+	b.logErrors(log)
+}
+
 // ServeHTTP implements http.Handler.
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.handler.ServeHTTP(w, r) }
 
--- a/internal/metric/metric_test.go
+++ b/internal/metric/metric_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"cornelmux/internal/configuration"
+	"cornelmux/internal/feed"
 	"cornelmux/internal/filter"
 	"cornelmux/internal/journal"
 	"cornelmux/internal/peer"
@@ -131,3 +132,21 @@
 	m.ObserveEvacuations(fakeEvacuations{}, logr.Discard())
 	c.Check(scrape(c, m), qt.Matches, `(?s).*cornelmux_evacuation_age_seconds\{zone="sur-a"\} 36.*`)
 }
+
+// fakeRestores is a store that was restored twice.
+type fakeRestores struct{}
+
+func (fakeRestores) RestoreStatus(context.Context) (feed.RestoreStatus, error) {
+	return feed.RestoreStatus{Era: 5, Restores: 2, Kept: 1}, nil
+}
+
+// TestRestoresAreShown checks that operators see that the store was restored, and whether something is kept in force since.
+func TestRestoresAreShown(t *testing.T) {
+	c := qt.New(t)
+	m := New(logr.Discard())
+	m.ObserveRestores(fakeRestores{}, logr.Discard())
+	shown := scrape(c, m)
+	for _, row := range []string{`cornelmux_store_era 5`, `cornelmux_store_kept_items 1`, `cornelmux_store_restores_total 2`} {
+		c.Check(shown, qt.Matches, `(?s).*`+row+`\n.*`)
+	}
+}
