--- a/internal/quarantine/accuse.go
+++ b/internal/quarantine/accuse.go
@@ -12,14 +12,20 @@
 // requests with it survive elsewhere.
 
 // accused returns when the newest crash was learned that quarantines the request; zero if it isn't quarantined.
-func (r *Record) accused(f endpoint.Fingerprints, crashes []Crash) time.Time {
-	culprits, several := explain(crashes)
-	own := slices.DeleteFunc(slices.Clone(culprits), func(k Crash) bool { return k.Target != f.Target })
-	at := newestOf(own, CrashThreshold)
-	if !several {
+func (r *Record) accused(f endpoint.Fingerprints) time.Time {
+	if !r.explained {
+		r.culprits, r.several = explain(r.Crashes)
+		r.explained = true
+	}
+	at := time.Time{}
+	if i := slices.IndexFunc(r.culprits, func(k Crash) bool { return k.Target == f.Target }); i >= 0 {
+		own := slices.DeleteFunc(slices.Clone(r.culprits[i:]), func(k Crash) bool { return k.Target != f.Target })
+		at = newestOf(own, CrashThreshold)
+	}
+	if !r.several {
 		return at
 	}
-	if common := r.accusedCommon(f, culprits); common.After(at) {
+	if common := r.accusedCommon(f, r.culprits); common.After(at) {
 		return common
 	}
 	return at
@@ -42,7 +48,7 @@
 // accusesAny reports whether the crashes quarantine any of the requests on the path that they were lost with.
 func (r *Record) accusesAny(path uint64) bool {
 	return slices.ContainsFunc(r.Crashes, func(k Crash) bool {
-		return !r.accused(endpoint.Fingerprints{Path: path, Target: k.Target, Parameters: k.Parameters}, r.Crashes).IsZero()
+		return !r.accused(endpoint.Fingerprints{Path: path, Target: k.Target, Parameters: k.Parameters}).IsZero()
 	})
 }
 
--- a/internal/quarantine/cost_bench_test.go
+++ b/internal/quarantine/cost_bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"cornelmux/internal/endpoint"
 	"cornelmux/internal/peer"
 )
 
@@ -66,3 +67,34 @@
 		})
 	}
 }
+
+// BenchmarkRecords measures what a request and a peer's state take while many crashes are known.
+func BenchmarkRecords(b *testing.B) {
+	records := Records{}
+	for n := range uint64(maxRecords * 4) {
+		f := endpoint.Fingerprints{Path: n % maxRecords, Target: n, Parameters: peer.Parameters{n, 1}}
+		records.AddCrash(crashOf(f, fmt.Sprint("e", n)), &ClearanceTable{}, start)
+	}
+	full := endpoint.Fingerprints{Path: 1 << 40, Target: 7}
+	for n := range uint64(maxCrashes) {
+		records.AddCrash(crashOf(endpoint.Fingerprints{Path: full.Path, Target: n}, fmt.Sprint("e", n)), &ClearanceTable{}, start)
+	}
+	tests := []struct {
+		name string
+		run  func(n int)
+	}{
+		{"check, no crash on the path", func(int) { records.Remaining(endpoint.Fingerprints{Path: 1 << 41}, start) }},
+		{"check, 32 crashes on the path", func(int) { records.Remaining(full, start) }},
+		{"survived, 32 crashes on the path", func(int) {
+			records.Refute(endpoint.Fingerprints{Path: full.Path, Target: 1 << 42}, start.Add(-time.Hour), start)
+		}},
+		{"clearance of a peer", func(n int) { records.RefuteKey(1<<43+uint64(n), start) }},
+	}
+	for _, test := range tests {
+		b.Run(test.name, func(b *testing.B) {
+			for n := range b.N {
+				test.run(n)
+			}
+		})
+	}
+}
--- a/internal/quarantine/records.go
+++ b/internal/quarantine/records.go
@@ -42,6 +42,10 @@
 	Crashes []Crash
 	// Cleared holds when the newest run was sent that survived its start, by the path's fingerprint and by parameter.
 	Cleared map[uint64]time.Time
+	// explained says that culprits and several are the result of explain for Crashes.
+	explained bool
+	culprits  []Crash
+	several   bool
 }
 
 // Records holds the requests that crashed endpoints, by the fingerprint of their path.
@@ -65,6 +69,7 @@
 		rec.makeRoom()
 	}
 	rec.Crashes = append(rec.Crashes, Crash{r.Endpoint, r.Target, r.Parameters, now})
+	rec.explained = false
 	for _, key := range append(r.Parameters.List(), r.Fingerprint) {
 		if at := c.ClearedAt(key); at.After(rec.Cleared[key]) {
 			rec.Cleared[key] = at
@@ -82,8 +87,13 @@
 	}
 }
 
-// newest returns when the newest crash was learned.
-func (r *Record) newest() time.Time { return r.Crashes[len(r.Crashes)-1].At }
+// newest returns when the newest crash was learned; zero if there is none.
+func (r *Record) newest() time.Time {
+	if len(r.Crashes) == 0 {
+		return time.Time{}
+	}
+	return r.Crashes[len(r.Crashes)-1].At
+}
 
 // makeRoom removes the oldest crash of a request that caused no other, or else the oldest one: a request that was merely there when others
 // crashed its endpoint is lost once.
@@ -93,7 +103,7 @@
 		count[k.Target]++
 	}
 	i := max(slices.IndexFunc(r.Crashes, func(k Crash) bool { return count[k.Target] == 1 }), 0)
-	r.Crashes = slices.Delete(r.Crashes, i, i+1)
+	r.Crashes, r.explained = slices.Delete(r.Crashes, i, i+1), false
 }
 
 // Remaining returns how long the request stays in quarantine, or 0.
@@ -102,8 +112,16 @@
 	if !ok {
 		return 0
 	}
-	recent := slices.DeleteFunc(slices.Clone(rec.Crashes), func(k Crash) bool { return now.Sub(k.At) >= CrashWindow })
-	return max(0, rec.accused(f, recent).Add(Duration).Sub(now))
+	rec.remove(func(k Crash) bool { return now.Sub(k.At) >= CrashWindow })
+	return max(0, rec.accused(f).Add(Duration).Sub(now))
+}
+
+// remove removes crashes, and reports whether there were any.
+func (r *Record) remove(matches func(Crash) bool) bool {
+	n := len(r.Crashes)
+	r.Crashes = slices.DeleteFunc(r.Crashes, matches)
+	r.explained = r.explained && len(r.Crashes) == n
+	return len(r.Crashes) < n
 }
 
 // Refute removes the crashes that a run refutes, which was sent at a time and survived its start: those of its request that were learned no
@@ -115,11 +133,12 @@
 		return false
 	}
 	before := rs.Remaining(f, now)
+	changed := false
 	for _, key := range f.All() {
-		rec.refute(key, f.Path, sentAt)
+		changed = rec.refute(key, f.Path, sentAt) || changed
 	}
 	rs.removeEmpty(f.Path)
-	return before > 0 && rs.Remaining(f, now) == 0
+	return changed && before > 0 && rs.Remaining(f, now) == 0
 }
 
 // RefuteKey is Refute for a run of which a peer tells one fingerprint.
@@ -130,16 +149,19 @@
 	}
 }
 
-// refute notes that a run with the fingerprint survived its start. A crash of which the target isn't known counts as one of any.
-func (r *Record) refute(key, path uint64, sentAt time.Time) {
-	r.Crashes = slices.DeleteFunc(r.Crashes, func(k Crash) bool {
+// refute notes that a run with the fingerprint survived its start, and reports whether that changes anything. A crash of which the target
+// isn't known counts as one of any.
+func (r *Record) refute(key, path uint64, sentAt time.Time) bool {
+	removed := r.remove(func(k Crash) bool {
 		same := k.Target == key || (k.Target == 0 && key == path)
 		return same && k.At.Sub(sentAt) < proofTime
 	})
 	known := key == path || slices.ContainsFunc(r.Crashes, func(k Crash) bool { return slices.Contains(k.Parameters[:], key) })
-	if known && sentAt.After(r.Cleared[key]) {
-		r.Cleared[key] = sentAt
+	if !known || !sentAt.After(r.Cleared[key]) {
+		return removed
 	}
+	r.Cleared[key] = sentAt
+	return true
 }
 
 // removeEmpty removes the record of a path that has no crashes.
@@ -152,7 +174,7 @@
 // Sweep removes crashes older than CrashWindow. The Controller calls it every sweepInterval.
 func (rs Records) Sweep(now time.Time) {
 	for path, rec := range rs {
-		rec.Crashes = slices.DeleteFunc(rec.Crashes, func(k Crash) bool { return now.Sub(k.At) >= CrashWindow })
+		rec.remove(func(k Crash) bool { return now.Sub(k.At) >= CrashWindow })
 		maps.DeleteFunc(rec.Cleared, func(_ uint64, at time.Time) bool { return now.Sub(at) >= CrashWindow })
 		rs.removeEmpty(path)
 	}
@@ -164,7 +186,7 @@
 	var released []uint64
 	for path, rec := range rs {
 		before := rec.accusesAny(path)
-		rec.Crashes = slices.DeleteFunc(rec.Crashes, func(k Crash) bool { return explained(path, k.Endpoint) })
+		rec.remove(func(k Crash) bool { return explained(path, k.Endpoint) })
 		if before && !rec.accusesAny(path) {
 			released = append(released, path)
 		}
