Soak: restores of the store

The backup is up to 4 s old; the operator and the runners write again at once. Drawn from a source of its own, so that seeds keep their other faults.

--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -119,9 +119,37 @@
 	return fmt.Sprintf("%s %d", name, mode), func() { relay.Set(standin.RelayPass) }
 }
 
+// maxBackupAge is the greatest age of the backup that a drill restores.
+const maxBackupAge = 4 * time.Second
+
+// drill restores the store from a backup, now and then. It draws from a source of its own, so that it doesn't change the other faults of a
+// seed.
+type drill struct {
+	random    *rand.Rand
+	backup    *platformstandin.Backup
+	restoreAt time.Time
+}
+
+// step backs the store up, or restores it once the backup is old enough: the operator and the runners then write again what they wrote. It
+// returns the name of a restore, and "" otherwise.
+func (d *drill) step(ctx context.Context, s *site) string {
+	if d.backup == nil {
+		b := s.store.BackUp(ctx)
+		d.backup, d.restoreAt = &b, time.Now().Add(time.Duration(d.random.Int64N(int64(maxBackupAge))))
+		return ""
+	}
+	if time.Now().Before(d.restoreAt) {
+		return ""
+	}
+	s.store.Restore(ctx, *d.backup)
+	d.backup = nil
+	s.writeAgain(ctx)
+	return "store restored"
+}
+
 // injectFaults starts random faults for the duration, with pauses of up to maxFaultPause, and ends each after 200 to 2700 ms,
-// so that they overlap. It returns their names once all have ended.
-func injectFaults(ctx context.Context, s *site, random *rand.Rand, duration time.Duration) []string {
+// so that they overlap; restores of the store lie between. It returns their names once all have ended.
+func injectFaults(ctx context.Context, s *site, random *rand.Rand, restores *drill, duration time.Duration) []string {
 	type activeFault struct {
 		undoAt time.Time
 		undo   func()
@@ -138,6 +166,9 @@
 			if undo != nil {
 				active = append(active, activeFault{now.Add(time.Duration(200+random.IntN(2500)) * time.Millisecond), undo})
 			}
+			if name := restores.step(ctx, s); name != "" {
+				names = append(names, name)
+			}
 		}
 		var remaining []activeFault
 		for _, f := range active {
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -52,8 +52,10 @@
 	service string
 	zone    string
 	relay   *standin.Relay
-	// bornMs is the start time in the store entry, in Unix milliseconds.
-	bornMs int64
+	// bornMs is the start time in the store entry, in Unix milliseconds. state and sequence are those of the newest entry.
+	bornMs   int64
+	state    string
+	sequence int
 }
 
 // vm is a VM process and the relay through which it reaches the store. Addresses are host:port.
@@ -108,10 +110,23 @@
 func (s *site) configure(ctx context.Context) {
 	s.version += 2
 	s.addedRoute = fmt.Sprintf("/added-%d/", s.version)
+	s.writeConfiguration(ctx)
+}
+
+// writeConfiguration writes the newest configuration.
+func (s *site) writeConfiguration(ctx context.Context) {
 	body := platformstandin.Configuration(s.version, platformstandin.Keys{"parish": callerKey}, s.addedRoute)
 	s.c.Assert(s.store.Put(ctx, "op/config", body), qt.IsNil)
 }
 
+// writeAgain writes what a restore of the store may have lost.
+func (s *site) writeAgain(ctx context.Context) {
+	s.writeConfiguration(ctx)
+	for _, r := range s.runners {
+		s.putEntry(ctx, r, r.state)
+	}
+}
+
 // addRunner starts a runner with a relay and writes its entry.
 func (s *site) addRunner(ctx context.Context, id, service, zone string) *runner {
 	n, err := platformstandin.NewRunner(ctx, id, "v1", s.runs, func(r *http.Request) platformstandin.Behavior { return s.behavior(r, id) }, s.ends)
@@ -127,7 +142,11 @@
 
 // putEntry writes the runner's entry, with the relay's address, to the store.
 func (s *site) putEntry(ctx context.Context, r *runner, state string) {
-	s.c.Assert(s.store.Put(ctx, "servers/"+r.ID, r.Entry(r.service, r.zone, r.relay.Address, state, r.bornMs)), qt.IsNil)
+	r.state = state
+	r.sequence++
+	entry := r.Entry(r.service, r.zone, r.relay.Address, state, r.bornMs)
+	entry["sequence"] = r.sequence
+	s.c.Assert(s.store.Put(ctx, "servers/"+r.ID, entry), qt.IsNil)
 }
 
 // behavior makes one answer in 25 go wrong, decided by the seed, the request and the runner. Runners call it for each request.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -96,7 +96,7 @@
 		random := rand.New(rand.NewPCG(seed, uint64(n)+100))
 		task.Start(callerCtx, "caller", ends, func(ctx context.Context) error { return runCaller(ctx, s, n, random, check) })
 	}
-	faults := injectFaults(ctx, s, rand.New(rand.NewPCG(seed, 1)), *faultDuration)
+	faults := injectFaults(ctx, s, rand.New(rand.NewPCG(seed, 1)), &drill{random: rand.New(rand.NewPCG(seed, 2))}, *faultDuration)
 	s.endFaults(ctx)
 	recoveryErr := s.waitRecovered(ctx)
 	stopCallers()
