--- a/internal/feed/controller.go
+++ b/internal/feed/controller.go
@@ -68,10 +68,10 @@
 	synced   bool
 	replica  *Replica
 	scanKeys []string
-	// era is the store's era that replica and revision belong to; 0 if the store doesn't tell. eraTold is a later one that a single
-	// answer told. eraUnknown says that the last answer told none that can be right, though others did.
+	// era is the store's era that replica and revision belong to; 0 if the store doesn't tell. eraSeen is a later one that a single
+	// answer had. eraUnknown says that the last answer had none that can be right, though others did.
 	era        uint64
-	eraTold    uint64
+	eraSeen    uint64
 	eraUnknown bool
 	// restores counts the later eras that began since the start.
 	restores int
@@ -295,7 +295,7 @@
 		c.nextRead = now.Add(jitter(retryPause))
 		return
 	case order != eraSame:
-		c.eraTold = m.changes.Era
+		c.eraSeen = m.changes.Era
 		c.log.Info("store has another era, full scan follows", "era", c.era, "other", m.changes.Era, "after", m.from)
 		if c.completed {
 			c.nextRead = now.Add(c.timing.restoreDelay(c.zoneRank))
--- a/internal/feed/fakes_test.go
+++ b/internal/feed/fakes_test.go
@@ -183,7 +183,7 @@
 					out.Items = append(out.Items, i)
 				}
 			}
-			ended = len(out.Items) > 0 || !time.Now().Before(deadline)
+			ended = len(out.Items) > 0 || time.Now().After(deadline)
 			if gone || ended {
 				out.Era = st.told()
 			}
--- a/internal/feed/scan.go
+++ b/internal/feed/scan.go
@@ -48,8 +48,8 @@
 }
 
 // handle applies the items of a full scan and starts the watch that completes it, or schedules a retry. A scan of a later era begins
-// that era once two answers told it; one of an earlier era is dropped. The VM's member key gives the lease that its registration starts with. fullScan sends the
-// message at its end.
+// that era once two answers have its number; one of an earlier era is dropped. The VM's member key gives the lease that its registration
+// starts with. fullScan sends the message at its end.
 func (m scanMessage) handle(ctx context.Context, c *Controller) {
 	now := time.Now()
 	c.reading, c.readFailed = false, m.err != nil
@@ -60,8 +60,8 @@
 		c.nextRead = now.Add(jitter(retryPause))
 		return
 	}
-	if order == eraNewer && c.completed && m.era != c.eraTold {
-		c.eraTold, c.nextRead = m.era, now.Add(jitter(retryPause))
+	if order == eraNewer && c.completed && m.era != c.eraSeen {
+		c.eraSeen, c.nextRead = m.era, now.Add(jitter(retryPause))
 		return
 	}
 	if order == eraNewer {
--- a/internal/feed/update.go
+++ b/internal/feed/update.go
@@ -26,8 +26,8 @@
 	Request bool   `json:"wants,omitempty"`
 	Items   []Item `json:"items,omitempty"`
 	// WantsKept makes a request one for the Kept items alone: those that the sender keeps in force after a restore of the store.
-	WantsKept bool           `json:"wants_kept,omitempty"`
-	Kept      []ToldKeptItem `json:"kept,omitempty"`
+	WantsKept bool       `json:"wants_kept,omitempty"`
+	Kept      []KeptItem `json:"kept,omitempty"`
 	// Keys lists all keys of the store if the Items may lack deletions; any other key is deleted.
 	Keys []string `json:"keys,omitempty"`
 	// Number is the message number; in a request, that of the message whose Parts are missing.
@@ -35,8 +35,8 @@
 	Parts  []uint16 `json:"parts,omitempty"`
 }
 
-// ToldKeptItem is an item that a VM keeps in force although the restored store holds an earlier one of its key, or none.
-type ToldKeptItem struct {
+// KeptItem is an item that a VM keeps in force although the restored store holds an earlier one of its key, or none.
+type KeptItem struct {
 	Item
 	// Found is the revision of the store's item; 0 if there is none.
 	Found uint64 `json:"found"`
