Tombstones keep short values only

2,048 deleted keys of long values would have held up to 2 GB, or gone out to peers with each deletion. Found by reading; the row "longer" fails without the bound. The question for kept items names the revision, so that a VM of the earlier version doesn't answer it with its whole replica.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -31,7 +31,7 @@
 	Lease uint64 `json:"lease,omitempty"`
 	// Revision is the store's revision of the change.
 	Revision uint64 `json:"revision"`
-	// Deleted is set on a tombstone: the key was deleted at the revision. LastValue is the value before, if that is known.
+	// Deleted is set on a tombstone: the key was deleted at the revision. LastValue is the value before, if that is known and short.
 	Deleted   bool   `json:"deleted,omitempty"`
 	LastValue []byte `json:"last_value,omitempty"`
 	// Era is the store's era that the revision belongs to. An Update has one for all its items.
--- a/internal/feed/kept.go
+++ b/internal/feed/kept.go
@@ -12,7 +12,7 @@
 	peers := ZonePeers(c.opts.Self.VM, c.opts.Self.Zone, c.members)
 	peers = append(peers[:min(len(peers), keptPeers)], c.nextRemotePeers()...)
 	if len(peers) > 0 {
-		c.send(Update{Request: true, WantsKept: true}, peers...)
+		c.send(Update{From: c.revision, Request: true, WantsKept: true}, peers...)
 	}
 }
 
--- a/internal/feed/replica.go
+++ b/internal/feed/replica.go
@@ -5,8 +5,12 @@
 	"slices"
 )
 
-// maxTombstones is the maximum number of deleted keys that a replica remembers.
-const maxTombstones = 2048
+const (
+	// maxTombstones is the maximum number of deleted keys that a replica remembers.
+	maxTombstones = 2048
+	// maxLastValueBytes bounds the last value that a tombstone keeps; a longer one is forgotten.
+	maxLastValueBytes = 2 << 10
+)
 
 // Replica is a VM's copy of the store in one era: the newest item of each key, with tombstones of deleted keys.
 type Replica struct {
@@ -27,12 +31,20 @@
 		return false
 	}
 	if i.Deleted && i.LastValue == nil {
-		i.LastValue = old.Value
+		i.LastValue = old.lastValue()
 	}
 	r.items[i.Key] = i
 	return true
 }
 
+// lastValue returns the value that a tombstone of the item's key keeps.
+func (i Item) lastValue() []byte {
+	if len(i.Value) > maxLastValueBytes {
+		return nil
+	}
+	return i.Value
+}
+
 // BeginAt notes that the replica is read from the store at the revision, so that deletions before it may be missing. It is called for
 // each full scan.
 func (r *Replica) BeginAt(revision uint64) { r.completeSince = max(r.completeSince, revision) }
@@ -58,7 +70,7 @@
 	}
 	for k, i := range r.items {
 		if !present[k] && !i.Deleted && i.Revision <= revision {
-			r.items[k] = Item{Key: k, LastValue: i.Value, Revision: revision, Deleted: true, Era: i.Era}
+			r.items[k] = Item{Key: k, LastValue: i.lastValue(), Revision: revision, Deleted: true, Era: i.Era}
 		}
 	}
 	r.prune()
--- a/internal/feed/restore_test.go
+++ b/internal/feed/restore_test.go
@@ -510,3 +510,30 @@
 		})
 	})
 }
+
+// TestTombstonesKeepShortValuesOnly guards against deleted keys that hold the memory of their values.
+func TestTombstonesKeepShortValuesOnly(t *testing.T) {
+	tests := []struct {
+		name  string
+		bytes int
+		kept  bool
+	}{
+		{"entry of a runner", 300, true}, {"longest", maxLastValueBytes, true}, {"longer", maxLastValueBytes + 1, false}, {"configuration", 88 << 10, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := NewReplica()
+			value := make([]byte, test.bytes)
+			r.Put(Item{Key: "deleted", Value: value, Revision: 1})
+			r.Put(Item{Key: "missing", Value: value, Revision: 2})
+			r.Put(Item{Key: "deleted", Revision: 3, Deleted: true})
+			r.KeepOnly(nil, 4)
+			for _, key := range []string{"deleted", "missing"} {
+				i := r.items[key]
+				qt.Check(t, i.Deleted, qt.IsTrue)
+				qt.Check(t, i.Value, qt.IsNil)
+				qt.Check(t, len(i.LastValue) == test.bytes, qt.Equals, test.kept)
+			}
+		})
+	}
+}
