--- a/internal/feed/controller.go
+++ b/internal/feed/controller.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -235,32 +232,6 @@
 	task.Start(ctx, name, c.ends, f)
 }
 
-// startRead starts a full scan, if the VM has none yet, or a watch, unless one is running or none is due. Run calls it at
-// each tick; it is also called after a scan and for a missing update.
-func (c *Controller) startRead(ctx context.Context, now time.Time) {
-	if c.reading || now.Before(c.nextRead) {
-		return
-	}
-	if c.synced && c.scanKeys == nil && now.Sub(c.lastUpdateAt) < c.timing.silenceTimeout(c.zoneRank, c.readFailed) {
-		return
-	}
-	c.reading = true
-	if !c.synced {
-		stale := !c.requireFresh
-		c.start(ctx, "full scan", func(ctx context.Context) error { return c.fullScan(ctx, stale) })
-		return
-	}
-	from, era, wait := c.revision, c.era, max(c.timing.WatchTimeout-now.Sub(c.lastUpdateAt), 0)
-	if c.scanKeys != nil {
-		wait = 0
-	}
-	c.watchStartedAt = now
-	c.start(ctx, "watch", func(ctx context.Context) error {
-		changes, err := c.source.Watch(ctx, from, wait)
-		return c.tell(ctx, watchMessage{changes, from, era, err})
-	})
-}
-
 // tell puts m into the controller's mailbox; the controller's tasks call it.
 func (c *Controller) tell(ctx context.Context, m message) error {
 	return task.TellUntil(ctx, c.mailbox, m)
@@ -280,145 +251,5 @@
 	c.start(ctx, "secret", func(ctx context.Context) error { return createSecret(ctx, c.registrar, secret, c.log) })
 }
 
-// handle applies the changes of a watch and forwards them to the zone. It schedules the next watch, or a full scan without
-// stale pages if the store no longer has the changes or was restored. A failed watch is repeated after a pause. The task that startRead
-// started for the watch sends the message.
-func (m watchMessage) handle(ctx context.Context, c *Controller) {
-	now := time.Now()
-	c.reading, c.readFailed = false, m.err != nil
-	order := compareEras(c.era, m.changes.Era)
-	c.logUnknownEra(m.changes.Era, order)
-	switch {
-	case m.fromEra != c.era:
-		return // the answer comes late: another VM told of a later era meanwhile
-	case order == eraOlder && c.completed:
-		c.nextRead = now.Add(jitter(retryPause))
-		return
-	case order != eraSame:
-		c.eraSeen = m.changes.Era
-		c.log.Info("store has another era, full scan follows", "era", c.era, "other", m.changes.Era, "after", m.from)
-		if c.completed {
-			c.nextRead = now.Add(c.timing.restoreDelay(c.zoneRank))
-		}
-		c.requireScan()
-		return
-	case errors.Is(m.err, ErrHistoryGone):
-		c.log.Info("store history is gone, full scan follows", "after", m.from)
-		c.requireScan()
-		return
-	}
-	c.receiver.SetReachable(ctx, m.err == nil, m.err)
-	if m.err != nil {
-		c.nextRead = now.Add(jitter(retryPause))
-		return
-	}
-	c.nextRead = c.watchStartedAt.Add(c.timing.BatchDelay)
-	items := m.changes.Items
-	if len(items) > 0 {
-		c.nextRead = now.Add(c.timing.BatchDelay)
-	}
-	c.apply(ctx, items)
-	to := max(m.changes.Revision, m.from)
-	c.revision = max(c.revision, to)
-	if c.scanKeys != nil {
-		c.finishScan(ctx, items)
-	}
-	c.lastUpdateAt, c.missingSince = now, time.Time{}
-	c.forward(m.from, now)
-}
-
-// requireScan makes the next read a full scan without stale pages. The handler of watchMessage calls it. Before a first scan is complete,
-// its era isn't confirmed and is dropped.
-func (c *Controller) requireScan() {
-	c.synced, c.scanKeys, c.requireFresh = false, nil, true
-	if !c.completed {
-		c.era = 0
-	}
-}
-
-// apply applies the changes of a watch or of a peer's update. The handlers of these messages call it.
-func (c *Controller) apply(ctx context.Context, items []Item) {
-	for _, i := range items {
-		c.applyItem(ctx, i)
-	}
-	c.updateRanks(ctx)
-	c.tellZoneMembers(ctx)
-}
-
-// applyItem stores an item in the replica unless that has the same or a newer one. Members and the secret are kept here, all
-// other items go to the receiver. It is called for each item that was written in the replica's era.
-func (c *Controller) applyItem(ctx context.Context, i Item) {
-	i.Era = c.era
-	if !c.replica.Put(i) || c.applyOwn(i) {
-		return
-	}
-	delete(c.kept, i.Key)
-	delete(c.previous, i.Key)
-	c.receiver.Apply(ctx, i)
-}
-
-// applyScanned is applyItem for an item of a full scan. After a restore of the store it may be older than the one in force, which is kept
-// then.
-func (c *Controller) applyScanned(ctx context.Context, i Item) {
-	held, known := c.previous[i.Key]
-	if !known {
-		c.applyItem(ctx, i)
-		return
-	}
-	i.Era = c.era
-	if c.replica.Put(i) && !c.applyOwn(i) && !c.keep(held, i, time.Now()) {
-		c.receiver.Apply(ctx, i)
-	}
-}
-
-// applyOwn takes in an item of a member or of the secret, and returns false for any other. A member record that can't be decoded or names
-// another VM is logged and ignored.
-func (c *Controller) applyOwn(i Item) bool {
-	name, isMember := memberName(i.Key)
-	switch {
-	case isMember && i.Deleted:
-		delete(c.members, name)
-	case isMember:
-		var m Member
-		if err := json.Unmarshal(i.Value, &m); err != nil || m.VM != name {
-			c.log.Info("invalid member record", "key", i.Key)
-			return true
-		}
-		c.members[name] = m
-	case i.Key == secretKey && !i.Deleted:
-		c.secret, c.secretMissing = i.Value, false
-	default:
-		return false
-	}
-	return true
-}
-
-// updateRanks computes the VM's ranks anew; it is called when members may have changed.
-func (c *Controller) updateRanks(ctx context.Context) {
-	if r := Rank(c.opts.Self.VM, "", c.members); r != c.fleetRank {
-		c.fleetRank = r
-		c.receiver.SetFleetRank(ctx, r)
-	}
-	rank := Rank(c.opts.Self.VM, c.opts.Self.Zone, c.members)
-	if rank != c.zoneRank {
-		c.zoneRank = rank
-		c.log.Info("zone rank changed", "rank", rank, "members", len(c.members))
-	}
-}
-
-// tellZoneMembers tells the receiver the VMs of the zone if they have changed, and not before the replica is complete. It is called
-// when members may have changed.
-func (c *Controller) tellZoneMembers(ctx context.Context) {
-	if !c.completed {
-		return
-	}
-	names := ZoneMembers(c.opts.Self.Zone, c.members)
-	if c.zoneMembers != nil && slices.Equal(names, c.zoneMembers) {
-		return
-	}
-	c.zoneMembers = names
-	c.receiver.SetZoneMembers(ctx, names)
-}
-
 // jitter returns a random duration from d/2 up to 3d/2.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
--- a/internal/shift/records.go
+++ b/internal/shift/records.go
@@ -24,11 +24,7 @@
 )
 
 type (
-	rankMessage       struct{ rank int }
-	dropRecordMessage struct {
-		service string
-		era     uint64
-	}
+	rankMessage   struct{ rank int }
 	orderMessage  struct{ order Order }
 	recordMessage struct {
 		record   Record
@@ -56,12 +52,6 @@
 	return task.Tell(c.mailbox, message(recordMessage{r, revision}))
 }
 
-// DropRecord notes that the store has no record of the service in an era, since it was restored from a backup. It is called when the VM
-// learns that from the store.
-func (c *Controller) DropRecord(_ context.Context, service string, era uint64) error {
-	return task.Tell(c.mailbox, message(dropRecordMessage{service, era}))
-}
-
 // SetFleetRank sets the VM's rank among all VMs, from 0. VMs propose a change in this order, so that not all write at once.
 // The feed's Controller calls it through its Receiver when the rank changes.
 func (c *Controller) SetFleetRank(_ context.Context, rank int) error {
@@ -102,34 +92,6 @@
 	s.startedAt = time.Now()
 }
 
-// renewOrder gives an order, and the traffic shift that follows it, the revision that the order has in a new era of the store. What the
-// VMs know of the traffic shift goes on.
-func (c *Controller) renewOrder(s *service, o Order) {
-	if s.record.Order.Revision == s.order.Revision {
-		run, oldRun := s.run(), s.oldRun()
-		s.record.Order = o
-		c.renameRun(run, s.run())
-		c.renameRun(oldRun, s.oldRun())
-	}
-	if s.order.Revision != o.Revision {
-		c.log.Info("shift order was written again", "service", o.Service, "target", o.Target, "revision", o.Revision, "before", s.order.Revision, "era", o.Era)
-	}
-	s.order = o
-	if s.stored.Order.Revision == o.Revision && s.stored.State.ended() && !s.record.State.ended() {
-		s.adopt(s.stored, time.Now())
-	}
-}
-
-// renameRun moves the evidence about a run, and the attempts in flight, to another name of it.
-func (c *Controller) renameRun(from, to rollout.Run) {
-	c.evidence.Rename(from, to)
-	for _, t := range c.trials {
-		if t.run == from {
-			t.run = to
-		}
-	}
-}
-
 // resetEvidence resets the detector, the share, the bad endpoints, the halt and the pinned sessions. What this VM knows of the
 // old version stays; the counts keep the evidence of all VMs by order. It is called when another order comes into force.
 func (s *service) resetEvidence() {
@@ -179,31 +141,6 @@
 	}
 }
 
-// handle notes that the store has no record, so that the next one is written as the first. DropRecord sends the message.
-func (m dropRecordMessage) handle(_ context.Context, c *Controller) {
-	s := c.service(m.service)
-	if m.era < s.recordEra {
-		return
-	}
-	s.stored, s.recordEra, s.revision = Record{}, m.era, 0
-}
-
-// restoreOutcome proposes the record of a traffic shift that ended, if a restored store lost it and has its order again. tick calls it.
-func (c *Controller) restoreOutcome(name string, s *service, now time.Time) {
-	recorded := s.stored.Order.Revision == s.record.Order.Revision && s.stored.State.ended()
-	if !s.record.State.ended() || recorded || s.order.Era != s.recordEra || s.order.Revision != s.record.Order.Revision {
-		s.missingSince = time.Time{}
-		return
-	}
-	if s.missingSince.IsZero() {
-		s.missingSince = now
-		c.log.Info("outcome of a shift is missing in the store", "service", name, "target", s.record.Target, "state", s.record.State.String())
-	}
-	if c.mayPropose(s.missingSince, now) {
-		c.propose(name, s, s.record.State, s.record.Reason)
-	}
-}
-
 // queryVersions queues a query for the versions that serve now; its answer leads to the first proposal of the record.
 // tick calls it on each tick until a record of the order is stored, so a failed query is repeated.
 func (c *Controller) queryVersions(name string) {
