Eras that only some answers tell do no harm

A VM whose full scans told no era, while its watches did, would never have got ready; a scan whose pages told it in part would have failed for good. Found by reading; TestScansWithoutAnEra fails without the change. Failed calls are no answers without an era.

--- a/internal/feed/era.go
+++ b/internal/feed/era.go
@@ -20,10 +20,10 @@
 )
 
 // compareEras compares the era of an answer with the one known. An answer that tells none, or one that can't be right, counts as one of
-// the era known.
+// the era known, and so does the first that tells one.
 func compareEras(known, seen uint64) eraOrder {
 	switch {
-	case !plausibleEra(known, seen) || seen == known:
+	case known == 0 || !plausibleEra(known, seen) || seen == known:
 		return eraSame
 	case seen < known:
 		return eraOlder
@@ -34,7 +34,16 @@
 
 // plausibleEra reports whether an answer tells an era that can be right.
 func plausibleEra(known, seen uint64) bool {
-	return seen != 0 && (known == 0 || seen < known || seen-known <= maxEraStep)
+	return seen != 0 && (seen < known || seen-known <= maxEraStep)
+}
+
+// noteEra takes the first era that the store tells, and logs an answer without a plausible one.
+func (c *Controller) noteEra(seen uint64) {
+	if c.era == 0 {
+		c.era = seen
+		return
+	}
+	c.logUnknownEra(seen, compareEras(c.era, seen))
 }
 
 // logUnknownEra logs the first answer without a plausible era after one that had it.
--- a/internal/feed/exchange.go
+++ b/internal/feed/exchange.go
@@ -106,6 +106,9 @@
 		return
 	}
 	u, ok := c.reassemble(m.data)
+	if ok && c.era == 0 {
+		c.era = u.Era
+	}
 	switch {
 	case ok && u.Request && len(u.Parts) > 0:
 		c.resendParts(u)
--- a/internal/feed/fakes_test.go
+++ b/internal/feed/fakes_test.go
@@ -51,6 +51,8 @@
 	down bool
 	// tellEra holds the eras that the next answers tell in place of it.
 	tellEra []uint64
+	// muteScans makes the answers to full scans tell no era.
+	muteScans bool
 	// scans counts the full scans.
 	scans int
 	// watches counts the completed watches of each VM.
@@ -155,7 +157,10 @@
 			newest[i.Key] = i
 		}
 		st.scans++
-		p = Page{Revision: st.revision, Era: st.told()}
+		p = Page{Revision: st.revision}
+		if !st.muteScans {
+			p.Era = st.told()
+		}
 		for _, i := range newest {
 			if !i.Deleted {
 				p.Items = append(p.Items, i)
--- a/internal/feed/restore_test.go
+++ b/internal/feed/restore_test.go
@@ -447,6 +447,30 @@
 	}
 }
 
+// TestScansWithoutAnEra guards against a VM that never gets ready, or reads the store again and again, since only some of its answers tell
+// the era.
+func TestScansWithoutAnEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newStore(ctx)
+		_ = s.do(ctx, func(st *state) { st.muteScans = true })
+		s.put(ctx, "x", "1")
+		vm := newInForce("vm")
+		o := Options{Self: Member{VM: "vm", Zone: "z", Address: "vm"}, PropagationBound: restoreBound}
+		ends := make(chan task.End, 1)
+		r := vmStore{s, "vm"}
+		net := &network{inboxes: map[string]chan []byte{"vm": make(chan []byte, 1024)}}
+		task.Start(ctx, "vm", ends, New(r, r, networkPort{net, "vm"}, vm, o, logr.Discard()).Run)
+		time.Sleep(10 * time.Second)
+		s.put(ctx, "x", "2")
+		time.Sleep(2 * restoreBound)
+		qt.Check(t, vm.get("x"), qt.Equals, "2")
+		_ = s.do(ctx, func(st *state) { qt.Check(t, st.scans, qt.Equals, 1) })
+		cancel()
+		<-ends
+	})
+}
+
 // TestRandomRestores checks over random changes, restores, lost datagrams and VMs that are refused: once the store is calm, all VMs have
 // in force what it holds, or, of keys that tell their order, the greatest value that any of them knew.
 func TestRandomRestores(t *testing.T) {
--- a/internal/feed/scan.go
+++ b/internal/feed/scan.go
@@ -28,10 +28,10 @@
 		if err != nil {
 			return c.tell(ctx, scanMessage{err: err})
 		}
-		if after != "" && page.Era != all.era {
+		if all.era != 0 && page.Era != 0 && page.Era != all.era {
 			return c.tell(ctx, scanMessage{err: errScanSplit})
 		}
-		all.era = page.Era
+		all.era = max(all.era, page.Era)
 		if after == "" || page.Revision < all.revision {
 			all.revision = page.Revision
 		}
@@ -54,9 +54,16 @@
 	now := time.Now()
 	c.reading, c.readFailed = false, m.err != nil
 	c.receiver.SetReachable(ctx, m.err == nil, m.err)
+	if m.err != nil {
+		c.nextRead = now.Add(jitter(retryPause))
+		return
+	}
+	c.noteEra(m.era)
 	order := compareEras(c.era, m.era)
-	c.logUnknownEra(m.era, order)
-	if m.err != nil || order == eraOlder {
+	switch order {
+	case eraSame:
+		c.eraSeen = 0
+	case eraOlder:
 		c.nextRead = now.Add(jitter(retryPause))
 		return
 	}
--- a/internal/feed/watch.go
+++ b/internal/feed/watch.go
@@ -38,11 +38,14 @@
 func (m watchMessage) handle(ctx context.Context, c *Controller) {
 	now := time.Now()
 	c.reading, c.readFailed = false, m.err != nil
+	if m.fromEra != c.era {
+		return // the answer comes late: another VM told of a later era meanwhile
+	}
+	if m.err == nil {
+		c.noteEra(m.changes.Era)
+	}
 	order := compareEras(c.era, m.changes.Era)
-	c.logUnknownEra(m.changes.Era, order)
 	switch {
-	case m.fromEra != c.era:
-		return // the answer comes late: another VM told of a later era meanwhile
 	case order == eraOlder && c.completed:
 		c.nextRead = now.Add(jitter(retryPause))
 		return
@@ -84,6 +87,6 @@
 func (c *Controller) requireScan() {
 	c.synced, c.scanKeys, c.requireFresh = false, nil, true
 	if !c.completed {
-		c.era = 0
+		c.era, c.replica = 0, NewReplica()
 	}
 }
