--- a/internal/feed/era.go
+++ b/internal/feed/era.go
@@ -13,6 +13,7 @@
 // eraOrder is how the era of an answer lies to the one known.
 type eraOrder int
 
+// Values of eraOrder.
 const (
 	eraSame eraOrder = iota
 	eraOlder
@@ -37,18 +38,13 @@
 	return seen != 0 && (seen < known || seen-known <= maxEraStep)
 }
 
-// noteEra takes the first era that the store tells, and logs an answer without a plausible one.
+// noteEra takes the first era that the store tells. Later it logs the first answer without a plausible one.
 func (c *Controller) noteEra(seen uint64) {
 	if c.era == 0 {
 		c.era = seen
 		return
 	}
-	c.logUnknownEra(seen, compareEras(c.era, seen))
-}
-
-// logUnknownEra logs the first answer without a plausible era after one that had it.
-func (c *Controller) logUnknownEra(seen uint64, order eraOrder) {
-	unknown := c.era != 0 && order == eraSame && seen != c.era
+	unknown := !plausibleEra(c.era, seen)
 	if unknown && !c.eraUnknown {
 		c.log.Info("answer of the store without a plausible era, counted as the present one", "era", c.era, "told", seen)
 	}
