A VM that starts asks again what others keep in force

Cause: it asked once, while the others were still reading the restored store and kept nothing yet. It asks five times, a second apart. The feed's row "VM that starts before the others know of the restore" fails with a single question, 2 of 2; the whole-VM row passes 3 of 3 with -race.

--- a/internal/feed/controller.go
+++ b/internal/feed/controller.go
@@ -76,6 +76,9 @@
 	// otherwise. kept holds the items of that time which are still in force.
 	previous map[string]Item
 	kept     map[string]keptItem
+	// keptAsked counts the questions for the items that others keep, the next of which is due at nextKept.
+	keptAsked int
+	nextKept  time.Time
 	// completed says that a full scan was completed, so that the replica holds all changes up to revision, even if another
 	// scan is due.
 	completed bool
@@ -215,6 +218,7 @@
 			started := time.Now()
 			c.startRead(ctx, now)
 			c.releaseOverdue(ctx, now)
+			c.requestKept(now)
 			c.createSecretIfDue(ctx, now)
 			c.gossip(ctx, now)
 			c.sendWaiting(now)
--- a/internal/feed/kept.go
+++ b/internal/feed/kept.go
@@ -1,14 +1,27 @@
 package feed
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
-// keptPeers is the number of VMs of the zone that a starting VM asks for the items that they keep in force; it asks some of other zones as
-// well.
-const keptPeers = 2
+const (
+	// keptPeers is the number of VMs of the zone that a starting VM asks for the items that they keep in force; it asks some of other
+	// zones as well.
+	keptPeers = 2
+	// keptQuestions is how often it asks, keptInterval the time between: the others may still be reading a restored store.
+	keptQuestions = 5
+	keptInterval  = time.Second
+)
 
-// requestKept asks a few VMs what they keep in force, since the store may hold less than they know. It is called once the first full scan
-// is complete.
-func (c *Controller) requestKept() {
+// requestKept asks a few VMs what they keep in force, since the store may hold less than they know. Run calls it at each tick; it asks
+// keptQuestions times from the end of the first full scan on.
+func (c *Controller) requestKept(now time.Time) {
+	if !c.completed || c.keptAsked >= keptQuestions || now.Before(c.nextKept) {
+		return
+	}
+	c.keptAsked++
+	c.nextKept = now.Add(keptInterval)
 	peers := ZonePeers(c.opts.Self.VM, c.opts.Self.Zone, c.members)
 	peers = append(peers[:min(len(peers), keptPeers)], c.nextRemotePeers()...)
 	if len(peers) > 0 {
--- a/internal/feed/restore_test.go
+++ b/internal/feed/restore_test.go
@@ -293,6 +293,14 @@
 			z.back()
 			z.add()
 		}, map[string]string{"n/there": "7", "n/gone": ""}},
+		{"VM that starts before the others know of the restore", func(z *restoreZone) {
+			z.fill()
+			z.put(z.ctx, "n/there", "7")
+			time.Sleep(restoreBound)
+			z.restore(z.ctx, z.backup, time.Second)
+			z.add()
+			time.Sleep(2 * restoreBound)
+		}, map[string]string{"n/there": "7"}},
 		{"VM that starts after the value was written again", func(z *restoreZone) {
 			z.fill()
 			z.put(z.ctx, "n/there", "7")
--- a/internal/feed/scan.go
+++ b/internal/feed/scan.go
@@ -110,10 +110,8 @@
 	c.updateRanks(ctx)
 	c.finishRestore(ctx, listed)
 	c.receiver.ApplyFullScan(ctx, c.keysInForce(listed))
-	if !c.completed {
-		c.requestKept()
-	}
 	c.scanKeys, c.requireFresh, c.completed = nil, false, true
+	c.requestKept(time.Now())
 	c.tellZoneMembers(ctx)
 	c.secretMissing = !listed[secretKey]
 	if c.secretMissing && c.secretDueAt.IsZero() {
