--- a/review/lab/long.go
+++ b/review/lab/long.go
@@ -75,16 +75,17 @@
 
 // prompt returns the parts of a prompt: many common ones, one that is deadly or not, and the request's own last one.
 func prompt(parts, n int, deadly bool) string {
+	id := os.Getenv("ID_PREFIX") // makes the IDs longer
 	var b strings.Builder
 	for i := range parts {
-		fmt.Fprintf(&b, "c%x:40,", i+1)
+		fmt.Fprintf(&b, "%sc%x:40,", id, i+1)
 	}
 	if deadly {
-		b.WriteString(deadlyBlock + ":40,")
+		fmt.Fprintf(&b, "%s%s:40,", id, deadlyBlock)
 	} else {
-		fmt.Fprintf(&b, "5a%x:40,", n%7)
+		fmt.Fprintf(&b, "%s5a%x:40,", id, n%7)
 	}
-	fmt.Fprintf(&b, "e%x:40,f%x:40", n, n)
+	fmt.Fprintf(&b, "%se%x:40,%sf%x:40", id, n, id, n)
 	return b.String()
 }
 
@@ -210,6 +211,13 @@
 	}
 }
 
+// share returns the share that was answered, 0 to 1.
+func (t *tally) share() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return float64(t.ok) / float64(max(t.ok+t.fail, 1))
+}
+
 // String implements fmt.Stringer.
 func (t *tally) String() string {
 	t.mu.Lock()
