--- a/review/lab/deaf.go
+++ b/review/lab/deaf.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,6 +18,8 @@
 	pipelined = 100_000
 	// pipelinedAtOnce is the number of them that one write holds.
 	pipelinedAtOnce = 50
+	// deafLeast is how many of the crowd have to connect for the case to be played.
+	deafLeast = 1560
 	// deafBuffer is how much a deaf caller's socket takes.
 	deafBuffer = 4 << 10
 	// deafInterval is the time from one deaf caller to the next, settleTime that until the ordinary callers come.
@@ -57,6 +60,7 @@
 	pause(ctx, 2*time.Second)
 	before := s.callOrdinary(ctx, v, "before")
 	var wg sync.WaitGroup
+	var connected atomic.Int64
 	crowd, leave := context.WithCancel(ctx)
 	defer leave()
 	for n := range deafSize {
@@ -67,10 +71,14 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			deafCaller(crowd, v, n)
+			deafCaller(crowd, v, n, &connected)
 		}()
 	}
 	pause(ctx, settleTime)
+	s.note("%d callers of the crowd have connected", connected.Load())
+	if trouble && connected.Load() < deafLeast {
+		return fmt.Errorf("too few callers could connect")
+	}
 	during := s.callOrdinary(ctx, v, "during")
 	s.note("vm-1 is ready: %v", v.isReady(ctx))
 	leave()
@@ -87,13 +95,14 @@
 	return nil
 }
 
-// deafCaller sends requests until ctx ends, and reads nothing.
-func deafCaller(ctx context.Context, v *vm, n int) {
+// deafCaller sends requests until ctx ends, and reads nothing. It counts its connection.
+func deafCaller(ctx context.Context, v *vm, n int, connected *atomic.Int64) {
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", v.address)
 	if err != nil {
 		return
 	}
 	defer conn.Close()
+	connected.Add(1)
 	_ = conn.(*net.TCPConn).SetReadBuffer(deafBuffer) // fails only on a closed socket
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	var b strings.Builder
