--- a/review/lab/bodies.go
+++ b/review/lab/bodies.go
@@ -97,7 +97,7 @@
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	fmt.Fprintf(conn, "POST /write/1 HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nCornelmux-Request-Id: %s\r\nContent-Length: %d\r\n\r\n", hostName, callerKey, id, slowBody)
+	fmt.Fprintf(conn, "POST /write/1 HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", hostName, callerKey, names.RequestID, id, slowBody)
 	answered := make(chan struct{})
 	go func() {
 		defer close(answered)
@@ -157,8 +157,8 @@
 	}
 	r.Host = hostName
 	r.Header.Set("Authorization", "Bearer "+callerKey)
-	r.Header.Set("Cornelmux-Request-Id", id)
-	r.Header.Set("Cornelmux-Request-Deadline", strconv.FormatInt(callTimeout.Milliseconds(), 10))
+	r.Header.Set(names.RequestID, id)
+	r.Header.Set(names.Deadline, strconv.FormatInt(callTimeout.Milliseconds(), 10))
 	client := newClient()
 	defer client.CloseIdleConnections()
 	resp, err := client.Do(r)
--- a/review/lab/deaf.go
+++ b/review/lab/deaf.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -24,7 +25,7 @@
 	deafBuffer = 4 << 10
 	// deafInterval is the time from one deaf caller to the next, settleTime that until the ordinary callers come.
 	deafInterval = 3 * time.Millisecond
-	settleTime   = 20 * time.Second
+	settleTime   = 35 * time.Second
 	// ordinaryTries is how many requests ordinary callers send, each on a connection of its own.
 	ordinaryTries = 40
 )
@@ -97,18 +98,22 @@
 
 // deafCaller sends requests until ctx ends, and reads nothing. It counts its connection.
 func deafCaller(ctx context.Context, v *vm, n int, connected *atomic.Int64) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", v.address)
+	dialer := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, deafBuffer) // without it, the kernel's default holds
+		})
+	}}
+	conn, err := dialer.DialContext(ctx, "tcp", v.address)
 	if err != nil {
 		return
 	}
 	defer conn.Close()
 	connected.Add(1)
-	_ = conn.(*net.TCPConn).SetReadBuffer(deafBuffer) // fails only on a closed socket
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	var b strings.Builder
 	for i := range pipelinedAtOnce {
-		fmt.Fprintf(&b, "GET /pick/1 HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nCornelmux-Request-Id: deaf-%d-%d\r\n", hostName, callerKey, n, i)
-		b.WriteString("Cornelmux-Request-Deadline: 2500\r\nCornelmux-Model: other\r\nCornelmux-Token-Counts: 9,4\r\n\r\n")
+		fmt.Fprintf(&b, "GET /pick/1 HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n%s: deaf-%d-%d\r\n", hostName, callerKey, names.RequestID, n, i)
+		fmt.Fprintf(&b, "%s: 2500\r\n%s: other\r\n%s: 9,4\r\n\r\n", names.Deadline, names.Model, names.TokenCounts)
 	}
 	for sent := 0; sent < pipelined; sent += pipelinedAtOnce {
 		if _, err := io.WriteString(conn, b.String()); err != nil { // blocks as long as the VM doesn't read
--- a/review/lab/long.go
+++ b/review/lab/long.go
@@ -68,7 +68,7 @@
 	})
 	time.AfterFunc(heartbeats, func() {
 		if f.ctx.Err() == nil {
-			f.st.Delete(f.ctx, "servers/"+r.id)
+			f.st.Delete(f.ctx, names.RunnersPrefix+r.id)
 		}
 	})
 }
--- a/review/lab/removed.go
+++ b/review/lab/removed.go
@@ -87,7 +87,7 @@
 		st.cutting.Store(true)
 	}
 	pause(ctx, fromEnvironment("CUT_LEAD_MS", cutLead))
-	st.Delete(ctx, "servers/"+leaving.id)
+	st.Delete(ctx, names.RunnersPrefix+leaving.id)
 	removedAt := time.Now()
 	s.note("store: the entry of %s is removed", leaving.id)
 	time.AfterFunc(fromEnvironment("CUT_MS", cutTail), func() {
--- a/review/lab/runner.go
+++ b/review/lab/runner.go
@@ -77,17 +77,17 @@
 func (r *runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	h := w.Header()
 	if q.URL.Path == "/health" {
-		h.Set("Cornelmux-Instance-Id", r.id)
+		h.Set(names.Instance, r.id)
 		return
 	}
-	id := q.Header.Get("Cornelmux-Request-Id")
-	h.Set("Cornelmux-Request-Id", id)
-	if want := q.Header.Get("Cornelmux-Expected-Instance"); want != "" && want != r.id {
-		h.Set("Cornelmux-Instance-Id", r.id)
+	id := q.Header.Get(names.RequestID)
+	h.Set(names.RequestID, id)
+	if want := q.Header.Get(names.ExpectedInstance); want != "" && want != r.id {
+		h.Set(names.Instance, r.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	prompt := q.Header.Get("Cornelmux-Prompt-Prefix")
+	prompt := q.Header.Get(names.PromptPrefix)
 	r.mu.Lock()
 	r.arrivals = append(r.arrivals, arrival{time.Now(), r.id, id, prompt})
 	r.mu.Unlock()
@@ -100,8 +100,8 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
-	h.Set("Cornelmux-Response-Signature", r.id+"."+id)
-	if q.Header.Get("Cornelmux-Model") != "" {
+	h.Set(names.Signature, r.id+"."+id)
+	if q.Header.Get(names.Model) != "" {
 		r.stream(q.Context(), w, id, q.Header.Get("Last-Event-Id"))
 		return
 	}
@@ -154,12 +154,12 @@
 	}
 	q.Host, q.GetBody = hostName, nil
 	q.Header.Set("Authorization", "Bearer "+callerKey)
-	q.Header.Set("Cornelmux-Request-Id", id)
-	q.Header.Set("Cornelmux-Request-Deadline", strconv.FormatInt(deadline.Milliseconds(), 10))
+	q.Header.Set(names.RequestID, id)
+	q.Header.Set(names.Deadline, strconv.FormatInt(deadline.Milliseconds(), 10))
 	if prompt != "" {
-		q.Header.Set("Cornelmux-Model", modelName)
-		q.Header.Set("Cornelmux-Token-Counts", "900,40")
-		q.Header.Set("Cornelmux-Prompt-Prefix", prompt)
+		q.Header.Set(names.Model, modelName)
+		q.Header.Set(names.TokenCounts, "900,40")
+		q.Header.Set(names.PromptPrefix, prompt)
 	}
 	for name, value := range fields {
 		q.Header.Set(name, value)
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -52,7 +52,7 @@
 	proxy := httputil.NewSingleHostReverseProxy(target)
 	proxy.ErrorLog = log.New(io.Discard, "", 0) // a cut watch ends a request of the proxy
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/v1/kv-watch" {
+		if r.URL.Path != names.WatchPath {
 			proxy.ServeHTTP(w, r)
 			return
 		}
@@ -146,7 +146,7 @@
 		}
 		return r
 	}
-	return st.Put(ctx, "op/config", map[string]any{
+	return st.Put(ctx, names.ConfigurationKey, map[string]any{
 		"version": 7,
 		"routes": []any{
 			route("look", "/look/", "safe", "app", 2500, nil),
@@ -157,7 +157,7 @@
 		"services": []any{
 			map[string]any{"name": "app", "health_check_path": "/health", "connection_limit": 96, "protocol": "h1", "tls": false},
 			map[string]any{"name": "models", "health_check_path": "/health", "connection_limit": 360, "protocol": "h1", "tls": false, "engine": map[string]any{
-				"slots": 64, "kv_cache_tokens": 588056, "stride": 4, "models": []any{map[string]any{"name": modelName, "cost": 0.02}},
+				"slots": 64, names.CacheTokens: 588056, "stride": 4, "models": []any{map[string]any{"name": modelName, "cost": 0.02}},
 			}},
 		},
 		"tenants": []any{map[string]any{"name": "desk", "api_keys": []string{callerKey}, "priority": 1}},
@@ -177,5 +177,5 @@
 	if _, err := json.Marshal(e); err != nil {
 		return fmt.Errorf("entry: %w", err)
 	}
-	return st.Put(ctx, "servers/"+r.id, e)
+	return st.Put(ctx, names.RunnersPrefix+r.id, e)
 }
