--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -47,6 +47,9 @@
 	}
 	err = plays[os.Args[1]](ctx, s, os.Getenv("TROUBLE") != "0")
 	s.close()
+	if err == nil && ctx.Err() != nil {
+		err = fmt.Errorf("out of time: %w", ctx.Err()) // what was left out can't have held
+	}
 	switch {
 	case err == nil:
 		s.note("held")
--- a/review/lab/site.go
+++ b/review/lab/site.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// hostName is the host of all routes, callerKey the key of the only client account.
+	// hostName is the host of all routes, callerKey the key of the client account of ordinary callers, crowdKey that of crowds.
 	hostName  = "desk.example"
 	callerKey = "k1"
+	crowdKey  = "k2"
 	// readyTimeout bounds the wait until a VM is ready.
 	readyTimeout = 15 * time.Second
 	// program is the build of the deploy file, as the repository's root names it.
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -160,8 +160,11 @@
 				"slots": 64, names.CacheTokens: 588056, "stride": 4, "models": []any{map[string]any{"name": modelName, "cost": 0.02}},
 			}},
 		},
-		"tenants": []any{map[string]any{"name": "desk", "api_keys": []string{callerKey}, "priority": 1}},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{
+			map[string]any{"name": "desk", "api_keys": []string{callerKey}, "priority": 1},
+			map[string]any{"name": "crowd", "api_keys": []string{crowdKey}, "priority": 1},
+		},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 }
 
